--- /dev/null
+++ b/dev/__init__.py
@@ -0,0 +1,1 @@
+"""Development scripts: the launcher of whole deployments and the demo."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, with counts of their own."""
--- /dev/null
+++ b/fakes/engine.py
@@ -0,0 +1,401 @@
+"""A stand-in for a model engine with an OpenAI-compatible API.
+
+Beside the usual paths it has resume (``GET /v1/completions/{id}`` with
+``starting_after``), cancel, a list of open generations, a lagged load report
+and late cache events with gaps.  Faults are set over ``POST /control``; counts
+are read from ``GET /counts``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+import time
+
+import attrs
+from aiohttp import web
+
+from fakes.batching import (
+    BYTES_PER_TOKEN,
+    Batcher,
+    EngineModel,
+    Generation,
+    block_hashes,
+    parse_mark,
+)
+from fakes.server import Server
+
+KEEP_ENDED_S = 30.0
+NO_LIMIT = 1_000_000
+
+
+@attrs.define
+class Faults:
+    """What goes wrong at an engine."""
+
+    slow_factor: float = 1.0
+    frozen: bool = False
+    refuse: bool = False
+    stall_after: int = -1
+    cut_after: int = -1
+    duplicate_chunks: bool = False
+    die_after: int = -1
+    leaving: bool = False
+    hang_before_headers: bool = False
+    report_lag_s: float = -1.0
+    cache_event_loss: float = -1.0
+
+
+class FakeEngine:
+    """One engine: a batcher behind HTTP."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        models: list[str],
+        model: EngineModel | None = None,
+        checks_fencing: bool = False,
+        seed: int = 1,
+    ):
+        self.name = name
+        self.models = dict.fromkeys(models, "1")
+        self.adapters: set[str] = set()
+        self.model = model or EngineModel()
+        self.batcher = Batcher(model=self.model)
+        self.checks_fencing = checks_fencing
+        self.random = random.Random(f"{seed}/{name}")
+        self.faults = Faults()
+        self.generations: dict[str, Generation] = {}
+        self.runs = itertools.count(1)
+        self.started: dict[str, int] = {}
+        self.finished: dict[str, int] = {}
+        self.cancelled = 0
+        self.orders: list[dict] = []
+        self.term = 0
+        self.reports: list[tuple[float, dict]] = []
+        self.tasks: list[asyncio.Task] = []
+        self.server = Server(
+            routes=[
+                web.get("/v1/models", self.list_models),
+                web.post("/v1/completions", self.create),
+                web.post("/v1/chat/completions", self.create),
+                web.get("/v1/completions", self.list_open),
+                web.get("/v1/completions/{name}", self.resume),
+                web.post("/v1/completions/{name}/cancel", self.cancel),
+                web.get("/load", self.load),
+                web.get("/kv_events", self.cache_events),
+                web.post("/orders", self.order),
+                web.get("/orders", self.show_orders),
+                web.post("/control", self.control),
+                web.get("/counts", self.counts),
+            ]
+        )
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen, start to step, and return the URL."""
+        self.tasks = [
+            asyncio.create_task(self.batcher.run()),
+            asyncio.create_task(self.sample_load()),
+        ]
+        return await self.server.start(address, port)
+
+    async def stop(self) -> None:
+        """Stop at once, as a killed engine would."""
+        for task in self.tasks:
+            task.cancel()
+        await self.server.stop()
+
+    async def sample_load(self) -> None:
+        """Note the load ten times a second, to be reported late."""
+        while True:
+            batcher = self.batcher
+            report = {
+                "running": len(batcher.running),
+                "waiting": len(batcher.waiting),
+                "used_tokens": batcher.used(),
+                "total_tokens": self.model.memory_tokens,
+                "preemptions": batcher.preemptions,
+                "leaving": self.faults.leaving,
+            }
+            self.reports.append((time.monotonic(), report))
+            del self.reports[:-200]
+            await asyncio.sleep(0.1)
+
+    async def list_models(self, request: web.Request) -> web.Response:
+        """List models and adapters as the OpenAI API does."""
+        names = [*self.models, *sorted(self.adapters)]
+        data = [{"id": name, "object": "model", "owned_by": "engine"} for name in names]
+        return web.json_response({"object": "list", "data": data})
+
+    def make(self, body: dict, chat: bool) -> Generation:
+        """Return a new generation from a request's body."""
+        prompt = chat_text(body["messages"]) if chat else str(body["prompt"])
+        tag, length = parse_mark(prompt)
+        limit = body.get("max_tokens") or body.get("max_completion_tokens")
+        run = next(self.runs)
+        return Generation(
+            name=str(body.get("request_id") or f"cmpl-{self.name}-{run}"),
+            run=run,
+            tag=tag,
+            prompt_tokens=max(1, len(prompt) // BYTES_PER_TOKEN),
+            length=length,
+            limit=int(limit or NO_LIMIT),
+            priority=int(body.get("priority", 0)),
+            blocks=block_hashes(str(body.get("cache_salt", "")), prompt),
+            chat=chat,
+            model=str(body.get("model", "")),
+        )
+
+    async def create(self, request: web.Request) -> web.StreamResponse:
+        """Start a generation and answer with its stream or its whole."""
+        if self.faults.refuse:
+            return error(503, "engine refuses new work")
+        body = await request.json()
+        if self.faults.hang_before_headers:
+            await asyncio.sleep(3600)
+        base = str(body.get("model", "")).partition(":")[0]
+        if base not in self.models:
+            return error(404, f"model {base} is not loaded")
+        generation = self.make(body, request.path.endswith("chat/completions"))
+        known = self.generations.get(generation.name)
+        if known is not None:
+            return error(409, f"request_id {generation.name} is known")
+        self.generations[generation.name] = generation
+        self.started[generation.tag] = self.started.get(generation.tag, 0) + 1
+        self.batcher.submit(generation)
+        if body.get("stream"):
+            return await self.stream(request, generation, 0)
+        return await self.whole(generation)
+
+    async def whole(self, generation: Generation) -> web.Response:
+        """Answer once the generation has ended."""
+        while not generation.finish:
+            await generation.changed.wait()
+        text = "".join(generation.text(i) for i in range(generation.produced))
+        choice: dict = {"index": 0, "finish_reason": generation.finish}
+        if generation.chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return web.json_response(
+            {
+                "id": generation.name,
+                "object": object_name(generation, False),
+                "created": int(time.time()),
+                "model": generation.model,
+                "choices": [choice],
+                "usage": usage(generation),
+            }
+        )
+
+    async def stream(
+        self, request: web.Request, generation: Generation, index: int
+    ) -> web.StreamResponse:
+        """Send tokens from an index on, one chunk each, then the finish marker."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        while True:
+            changed = generation.changed
+            while index < generation.produced:
+                if await self.fault_at(request, index):
+                    return response
+                chunk = self.chunk(generation, index, None)
+                await response.write(chunk)
+                if self.faults.duplicate_chunks:
+                    await response.write(chunk)
+                index += 1
+            if generation.finish:
+                break
+            await changed.wait()
+        if generation.finish != "cancelled":
+            self.finished[generation.tag] = self.finished.get(generation.tag, 0) + 1
+            await response.write(self.chunk(generation, index, generation.finish))
+            await response.write(b"data: [DONE]\n\n")
+        return response
+
+    async def fault_at(self, request: web.Request, index: int) -> bool:
+        """Apply the faults of a stream; return whether the stream is over."""
+        faults = self.faults
+        if 0 <= faults.stall_after <= index:
+            await asyncio.sleep(3600)
+        if 0 <= faults.cut_after <= index:
+            if request.transport is not None:
+                request.transport.abort()
+            return True
+        return False
+
+    def chunk(self, generation: Generation, index: int, finish: str | None) -> bytes:
+        """Return one SSE event: a token, or the last one with finish and usage."""
+        text = "" if finish else generation.text(index)
+        choice: dict = {"index": 0, "finish_reason": finish}
+        if generation.chat:
+            choice["delta"] = {"content": text} if text else {}
+        else:
+            choice["text"] = text
+        values = {
+            "id": generation.name,
+            "object": object_name(generation, True),
+            "created": 0,
+            "model": generation.model,
+            "choices": [choice],
+            "sequence_number": index,
+        }
+        if finish:
+            values["usage"] = usage(generation)
+        return b"data: " + json.dumps(values).encode() + b"\n\n"
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Stream a known generation again after an index."""
+        generation = self.generations.get(request.match_info["name"])
+        if generation is None or generation.state == "cancelled":
+            return error(404, "no such generation")
+        after = int(request.query.get("starting_after", "-1"))
+        return await self.stream(request, generation, after + 1)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a generation; cancelling an ended one changes nothing."""
+        generation = self.generations.get(request.match_info["name"])
+        if generation is None:
+            return error(404, "no such generation")
+        if not generation.finish:
+            self.cancelled += 1
+            self.batcher.finish(generation, "cancelled")
+        return web.json_response({"id": generation.name, "status": generation.state})
+
+    def open_generations(self) -> list[Generation]:
+        """Return the generations that have not ended; forget old ended ones."""
+        cut = time.monotonic() - KEEP_ENDED_S
+        for name, generation in list(self.generations.items()):
+            if generation.ended_at and generation.ended_at < cut:
+                del self.generations[name]
+        return [g for g in self.generations.values() if not g.finish]
+
+    async def list_open(self, request: web.Request) -> web.Response:
+        """List the open generations with their age."""
+        now = time.monotonic()
+        data = [
+            {"id": g.name, "status": g.state, "age_s": round(now - g.arrived, 3)}
+            for g in self.open_generations()
+        ]
+        return web.json_response({"object": "list", "data": data})
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Return the load as it was before the lag."""
+        lag = self.faults.report_lag_s
+        lag = self.model.report_lag_s if lag < 0 else lag
+        cut = time.monotonic() - lag
+        old = [(at, report) for at, report in self.reports if at <= cut]
+        at, report = old[-1] if old else self.reports[0]
+        age = time.monotonic() - at
+        return web.json_response(
+            {**report, "age_s": round(age, 3), "models": dict(self.models)}
+        )
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Return cache events after a sequence number, late and with gaps."""
+        after = int(request.query.get("after", "0"))
+        cut = time.monotonic() - self.model.cache_event_lag_s
+        loss = self.faults.cache_event_loss
+        loss = self.model.cache_event_loss if loss < 0 else loss
+        events = []
+        last = after
+        for seq, (at, kind, key) in enumerate(self.batcher.cache_log, start=1):
+            if seq <= after or at > cut:
+                continue
+            last = seq
+            if self.random.random() >= loss:
+                events.append({"seq": seq, "type": kind, "block": key})
+        return web.json_response({"events": events, "last": last})
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Carry out an order, unless its fencing number is old and is checked."""
+        body = await request.json()
+        term = body.get("term")
+        stale = term is not None and term < self.term
+        self.orders.append({**body, "stale": stale, "at": time.time()})
+        if stale and self.checks_fencing:
+            return error(409, f"term {term} is older than {self.term}")
+        self.term = max(self.term, term or 0)
+        carry_out(self, body)
+        return web.json_response({"models": self.models, "term": self.term})
+
+    async def show_orders(self, request: web.Request) -> web.Response:
+        """Return the state that orders have made."""
+        state = {"models": self.models, "adapters": sorted(self.adapters)}
+        return web.json_response({**state, "term": self.term})
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set faults by name."""
+        for name, value in (await request.json()).items():
+            setattr(self.faults, name, value)
+        self.batcher.slow_factor = self.faults.slow_factor
+        self.batcher.frozen = self.faults.frozen
+        self.batcher.wakeup.set()
+        return web.json_response(attrs.asdict(self.faults))
+
+    async def counts(self, request: web.Request) -> web.Response:
+        """Return what ran, what is open, and what the batcher suffered."""
+        stalled = sum(g.stalled_s for g in self.generations.values())
+        return web.json_response(
+            {
+                "name": self.name,
+                "started": self.started,
+                "finished": self.finished,
+                "cancelled": self.cancelled,
+                "open": [g.name for g in self.open_generations()],
+                "preemptions": self.batcher.preemptions,
+                "stalled_s": round(stalled, 3),
+                "cache_hits": self.batcher.cache_hits,
+                "prefilled_tokens": self.batcher.prefilled_tokens,
+                "orders": self.orders,
+            }
+        )
+
+
+def carry_out(engine: FakeEngine, body: dict) -> None:
+    """Apply an order, which states the wanted end."""
+    match body.get("order"):
+        case "load":
+            engine.models[body["model"]] = body.get("version", "1")
+        case "unload":
+            engine.models.pop(body["model"], None)
+        case "load_adapter":
+            engine.adapters.add(f"{body['model']}:{body['adapter']}")
+        case "unload_adapter":
+            engine.adapters.discard(f"{body['model']}:{body['adapter']}")
+
+
+def chat_text(messages: list[dict]) -> str:
+    """Return the text of a chat's messages; other parts count as none."""
+    lines = []
+    for message in messages:
+        content = message.get("content") or ""
+        if isinstance(content, list):
+            content = "".join(part.get("text", "") for part in content)
+        lines.append(f"{message.get('role')}: {content}")
+    return "\n".join(lines)
+
+
+def object_name(generation: Generation, chunk: bool) -> str:
+    """Return the OpenAI object name of an answer."""
+    if not generation.chat:
+        return "text_completion"
+    return "chat.completion.chunk" if chunk else "chat.completion"
+
+
+def usage(generation: Generation) -> dict:
+    """Return the usage figures of an answer."""
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": generation.produced,
+        "total_tokens": generation.memory,
+    }
+
+
+def error(status: int, reason: str) -> web.Response:
+    """Return an error as an OpenAI-compatible engine gives it."""
+    body = {"error": {"message": reason, "type": "engine_error", "code": status}}
+    return web.json_response(body, status=status)
--- /dev/null
+++ b/fakes/platform.py
@@ -0,0 +1,215 @@
+"""A stand-in for the platform: the object API, the host list, and faults.
+
+Faults are set over ``POST /control``: ``down`` refuses every call, ``slow_s``
+delays answers, ``lose_answers`` carries out that share of writes and drops the
+connection in place of an answer, ``hosts_lag_s`` delays the host list, and
+``forget_before`` makes older watches answer 410.  ``GET /counts`` tells how
+often each kind of call was made, with a count for each second.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from aiohttp import web
+
+from fakes.server import Server
+
+VALUE_LIMIT_BYTES = 1_000_000
+HISTORY = 5000
+
+
+class FakePlatform:
+    """Objects with versions, held in memory."""
+
+    def __init__(self, *, seed: int = 1):
+        self.random = random.Random(seed)
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.version = 0
+        self.history: list[tuple[str, dict]] = []
+        self.changed = asyncio.Event()
+        self.host_list: list[dict] = []
+        self.host_changes: list[tuple[float, list[dict]]] = []
+        self.faults: dict = {
+            "down": False,
+            "slow_s": 0.0,
+            "lose_answers": 0.0,
+            "hosts_lag_s": 0.0,
+            "forget_before": 0,
+        }
+        self.counts: dict[str, int] = {}
+        self.per_second: dict[int, int] = {}
+        self.server = Server(
+            routes=[
+                web.get("/objects/{kind}", self.list_or_watch),
+                web.get("/objects/{kind}/{name:.+}", self.get),
+                web.put("/objects/{kind}/{name:.+}", self.put),
+                web.delete("/objects/{kind}/{name:.+}", self.delete),
+                web.get("/hosts", self.hosts),
+                web.post("/control", self.control),
+                web.get("/counts", self.show_counts),
+            ]
+        )
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return the URL."""
+        return await self.server.start(address, port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self.server.stop()
+
+    async def fault(self, request: web.Request, kind: str) -> None:
+        """Count a call and apply the faults that are set."""
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        second = int(time.time())
+        self.per_second[second] = self.per_second.get(second, 0) + 1
+        if self.faults["down"]:
+            drop(request)
+            raise web.HTTPServiceUnavailable()
+        if self.faults["slow_s"]:
+            await asyncio.sleep(self.faults["slow_s"])
+
+    def answer_write(self, request: web.Request, body: dict) -> web.Response:
+        """Answer a write, or lose the answer where that fault is set."""
+        if self.random.random() < self.faults["lose_answers"]:
+            self.counts["lost"] = self.counts.get("lost", 0) + 1
+            drop(request)
+        return web.json_response(body)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Return one object."""
+        await self.fault(request, "get")
+        found = self.objects.get(
+            (request.match_info["kind"], request.match_info["name"])
+        )
+        if found is None:
+            raise web.HTTPNotFound(text="{}")
+        return web.json_response(found, headers={"ETag": f'"{found["version"]}"'})
+
+    def holds(self, request: web.Request, found: dict | None) -> bool:
+        """Return whether the request's condition is met."""
+        if request.headers.get("If-None-Match") == "*":
+            return found is None
+        wanted = request.headers.get("If-Match")
+        if wanted is None:
+            return True
+        return found is not None and wanted == f'"{found["version"]}"'
+
+    def record(self, kind: str, name: str, value: object) -> dict:
+        """Give a change the next version and tell the watches."""
+        self.version += 1
+        held = {"name": name, "version": self.version, "value": value}
+        self.history.append((kind, held))
+        del self.history[:-HISTORY]
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return held
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Write one object if the condition is met."""
+        await self.fault(request, "put")
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        raw = await request.read()
+        if len(raw) > VALUE_LIMIT_BYTES:
+            raise web.HTTPRequestEntityTooLarge(VALUE_LIMIT_BYTES, len(raw), text="{}")
+        value = await request.json()
+        if not self.holds(request, self.objects.get((kind, name))):
+            raise web.HTTPPreconditionFailed(text="{}")
+        held = self.record(kind, name, value)
+        self.objects[(kind, name)] = held
+        return self.answer_write(request, held)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Delete one object if the condition is met."""
+        await self.fault(request, "delete")
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        found = self.objects.get((kind, name))
+        if found is None:
+            raise web.HTTPNotFound(text="{}")
+        if not self.holds(request, found):
+            raise web.HTTPPreconditionFailed(text="{}")
+        del self.objects[(kind, name)]
+        return self.answer_write(request, self.record(kind, name, None))
+
+    async def list_or_watch(self, request: web.Request) -> web.Response:
+        """List a kind's objects, or wait for changes after a version."""
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            await self.fault(request, "watch")
+            return await self.watch(kind, request)
+        await self.fault(request, "list")
+        prefix = request.query.get("prefix", "")
+        found = [
+            held
+            for (held_kind, name), held in sorted(self.objects.items())
+            if held_kind == kind and name.startswith(prefix)
+        ]
+        return web.json_response({"objects": found, "version": self.version})
+
+    async def watch(self, kind: str, request: web.Request) -> web.Response:
+        """Answer when there is a change, or with none when the wait is over."""
+        since = int(request.query.get("since", "0"))
+        oldest = self.history[0][1]["version"] if self.history else self.version + 1
+        trimmed = len(self.history) == HISTORY and since + 1 < oldest
+        if trimmed or since < self.faults["forget_before"]:
+            raise web.HTTPGone(text="{}")
+        end = time.monotonic() + float(request.query.get("wait", "30"))
+        while True:
+            changes = [c for k, c in self.history if k == kind and c["version"] > since]
+            left = end - time.monotonic()
+            if self.faults["down"]:
+                drop(request)
+                raise web.HTTPServiceUnavailable()
+            if changes or left <= 0:
+                version = changes[-1]["version"] if changes else max(since, 0)
+                return web.json_response({"changes": changes, "version": version})
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+    def set_hosts(self, hosts: list[dict]) -> None:
+        """Change the host list; callers see it after the lag."""
+        self.host_changes.append((time.monotonic(), hosts))
+        self.host_list = hosts
+
+    async def hosts(self, request: web.Request) -> web.Response:
+        """Return the host list as it was before the lag."""
+        await self.fault(request, "hosts")
+        cut = time.monotonic() - self.faults["hosts_lag_s"]
+        seen = [hosts for at, hosts in self.host_changes if at <= cut]
+        if not seen:
+            seen = [hosts for _, hosts in self.host_changes[:1]] or [[]]
+        return web.json_response({"hosts": seen[-1]})
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set faults, or replace the host list under ``hosts``."""
+        values = await request.json()
+        hosts = values.pop("hosts", None)
+        if hosts is not None:
+            self.set_hosts(hosts)
+        self.faults.update(values)
+        if values.get("down"):
+            self.changed.set()
+            self.changed = asyncio.Event()
+        return web.json_response(self.faults)
+
+    async def show_counts(self, request: web.Request) -> web.Response:
+        """Return the counts of calls."""
+        return web.json_response(
+            {
+                "calls": self.counts,
+                "per_second": self.per_second,
+                "objects": len(self.objects),
+            }
+        )
+
+
+def drop(request: web.Request) -> None:
+    """Close a request's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/fakes/service.py
@@ -0,0 +1,113 @@
+"""A stand-in for a plain service: it runs what it is sent and counts it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import attrs
+from aiohttp import web
+
+from fakes.server import Server
+
+
+@attrs.define
+class Faults:
+    """What goes wrong at a service."""
+
+    slow_s: float = 0.0
+    refuse: bool = False
+    reset_before_run: bool = False
+    reset_after_run: bool = False
+    hang_after_run: bool = False
+    truncate: bool = False
+    leaving: bool = False
+
+
+class FakeService:
+    """One worker of a plain service."""
+
+    def __init__(self, *, name: str):
+        self.name = name
+        self.faults = Faults()
+        self.ran: dict[str, int] = {}
+        self.open = 0
+        self.server = Server(
+            routes=[
+                web.get("/load", self.load),
+                web.post("/control", self.control),
+                web.get("/counts", self.counts),
+                web.route("*", "/{path:.*}", self.call),
+            ]
+        )
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return the URL."""
+        return await self.server.start(address, port)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.server.stop()
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Run one call: count it under its tag and answer."""
+        if self.faults.refuse:
+            raise web.HTTPServiceUnavailable(text='{"error":"refused"}')
+        body = await request.read()
+        if self.faults.reset_before_run:
+            return abort(request)
+        self.open += 1
+        try:
+            tag = tag_of(request, body)
+            self.ran[tag] = self.ran.get(tag, 0) + 1
+            if self.faults.slow_s:
+                await asyncio.sleep(self.faults.slow_s)
+            if self.faults.hang_after_run:
+                await asyncio.sleep(3600)
+            if self.faults.reset_after_run:
+                return abort(request)
+            answer = {"ok": True, "tag": tag, "worker": self.name, "path": request.path}
+            if self.faults.truncate:
+                return await truncated(request, json.dumps(answer).encode())
+            return web.json_response(answer)
+        finally:
+            self.open -= 1
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Return the load report."""
+        report = {"running": self.open, "leaving": self.faults.leaving, "age_s": 0}
+        return web.json_response(report)
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set faults by name."""
+        for name, value in (await request.json()).items():
+            setattr(self.faults, name, value)
+        return web.json_response(attrs.asdict(self.faults))
+
+    async def counts(self, request: web.Request) -> web.Response:
+        """Return how often each tag ran and what is open."""
+        body = {"name": self.name, "ran": self.ran, "open": self.open}
+        return web.json_response(body)
+
+
+def tag_of(request: web.Request, body: bytes) -> str:
+    """Return the tag that a call carries, or its method and path."""
+    try:
+        return str(json.loads(body)["tag"])
+    except (ValueError, KeyError, TypeError):
+        return request.query.get("tag", f"{request.method} {request.path}")
+
+
+def abort(request: web.Request) -> web.StreamResponse:
+    """Close the connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+async def truncated(request: web.Request, body: bytes) -> web.StreamResponse:
+    """Send half of a body and close the connection."""
+    response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+    await response.prepare(request)
+    await response.write(body[: len(body) // 2])
+    return abort(request)
--- /dev/null
+++ b/src/baobabturn/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command, one module for each subcommand."""
--- /dev/null
+++ b/src/baobabturn/commands/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the operators' command."""
+
+from baobabturn.commands.main import main
+
+main()
--- /dev/null
+++ b/src/baobabturn/config/__init__.py
@@ -0,0 +1,1 @@
+"""The declared configuration: its document, checks, parts and lookups."""
--- /dev/null
+++ b/src/baobabturn/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller program: platform, membership, configuration, orders."""
--- /dev/null
+++ b/src/baobabturn/controller/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the controller program."""
+
+from baobabturn.controller.main import main
+
+main()
--- /dev/null
+++ b/src/baobabturn/core/__init__.py
@@ -0,0 +1,1 @@
+"""What every program shares: results, clock, identifiers, events and metrics."""
--- /dev/null
+++ b/src/baobabturn/core/program.py
@@ -0,0 +1,112 @@
+"""What the long-running programs have in common: start, signals and exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Annotated
+
+import cyclopts
+from cyclopts import Parameter
+
+from baobabturn import __version__
+from baobabturn.core.background import Background
+from baobabturn.core.clock import HybridClock
+from baobabturn.core.events import Event, EventLog, setup_logging
+from baobabturn.core.idents import incarnation
+from baobabturn.core.metrics import Metrics
+from baobabturn.core.results import Failure
+from baobabturn.settings.load import EXIT_USAGE, load
+from baobabturn.settings.model import Settings
+from baobabturn.wire.link import Identity
+
+
+class Program:
+    """One running program: its settings, identity, clock, events and metrics."""
+
+    def __init__(self, *, role: str, settings: Settings):
+        self.role = role
+        self.settings = settings
+        self.clock = HybridClock()
+        self.identity = Identity(
+            node=settings.host.name,
+            role=role,
+            failure_domain=settings.host.failure_domain,
+            incarnation=incarnation(),
+        )
+        self.events = EventLog(
+            node=settings.host.name,
+            role=role,
+            failure_domain=settings.host.failure_domain,
+            clock=self.clock,
+        )
+        self.metrics = Metrics(role=role)
+        self.background = Background()
+        self.stopping = asyncio.Event()
+
+    def stop(self) -> None:
+        """Ask the program to stop gracefully."""
+        self.stopping.set()
+
+    def stats(self, kind: str) -> str:
+        """Return metrics or the newest events as text."""
+        if kind == "events":
+            return "\n".join(self.events.ring) + "\n"
+        return self.metrics.exposition()
+
+
+Main = Callable[[Program], Awaitable[Failure | None]]
+
+
+async def run_program(role: str, settings: Settings, main: Main) -> Failure | None:
+    """Run a program's main until a signal; return why it could not start."""
+    program = Program(role=role, settings=settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, program.stop)
+    program.events.emit(Event.PROCESS_STARTED, release=__version__)
+    try:
+        return await main(program)
+    finally:
+        program.events.emit(Event.PROCESS_STOPPED)
+        await program.background.stop()
+
+
+def complain(text: str) -> None:
+    """Print a user's mistake as one line."""
+    print(f"baobabturn: {' '.join(text.split())}", file=sys.stderr)
+
+
+def start(role: str, main: Main) -> None:
+    """Parse the command line of a program and run it; exit with its code."""
+    app = cyclopts.App(name=f"baobabturn-{role}", version=__version__)
+
+    @app.default
+    def run(
+        *,
+        settings: str | None = None,
+        set: Annotated[list[str] | None, Parameter(negative="")] = None,
+    ) -> int:
+        """Run the program until it is signalled.
+
+        Parameters
+        ----------
+        settings:
+            A settings file, JSON with comments, laid over the packaged defaults.
+        set:
+            One field as section.field=value, laid over the file; may be repeated.
+        """
+        loaded = load(settings, set)
+        if isinstance(loaded, Failure):
+            complain(loaded.reason)
+            return EXIT_USAGE
+        setup_logging(loaded.settings.log.level)
+        failed = asyncio.run(run_program(role, loaded.settings, main))
+        if failed is not None:
+            complain(failed.reason)
+            return EXIT_USAGE
+        return 0
+
+    sys.exit(app())
--- /dev/null
+++ b/src/baobabturn/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints: model engines and plain services, behind ``Protocol`` types."""
--- /dev/null
+++ b/src/baobabturn/endpoints/engine.py
@@ -0,0 +1,94 @@
+"""What the system needs of a model engine, as a ``Protocol``."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+from typing import Any, Protocol
+
+import attrs
+
+from baobabturn.core.results import Failure
+
+
+@attrs.define(kw_only=True, slots=True)
+class Chunk:
+    """One token of a stream, or its end.
+
+    ``index`` is the token's place in the generation from 0.  ``finish`` is the
+    finish reason on the last chunk, whose ``index`` is the count of tokens.
+    ``raw`` is the engine's event data as it came, ``values`` the same decoded.
+    """
+
+    index: int
+    raw: bytes
+    values: dict[str, Any]
+    finish: str | None = None
+
+
+Chunks = AsyncGenerator[Chunk | Failure, None]
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """An engine's load as it reports it; ``age_s`` is the report's own lag."""
+
+    running: int
+    waiting: int
+    used_tokens: int
+    total_tokens: int
+    preemptions: int
+    leaving: bool
+    age_s: float
+    models: dict[str, str]
+
+
+@attrs.frozen(kw_only=True)
+class CacheChange:
+    """Prefix blocks stored or removed, with the sequence numbers they cover."""
+
+    last: int
+    gap: bool
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """An order to an endpoint; it states the wanted end, so a repeat is harmless.
+
+    ``term`` is the fencing number of the lease under which it is given.
+    """
+
+    order: str
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    role: str = ""
+    term: int = 0
+
+
+class Engine(Protocol):
+    """A model engine that streams, resumes, cancels, reports and takes orders."""
+
+    async def start(
+        self, url: str, chat: bool, body: dict[str, Any]
+    ) -> Chunks | Failure:
+        """Start a generation; return its chunks, or why it did not start."""
+
+    async def resume(self, url: str, generation: str, after: int) -> Chunks | Failure:
+        """Return the chunks of a generation after a token index."""
+
+    async def cancel(self, url: str, generation: str) -> bool | Failure:
+        """Cancel a generation; return whether the engine confirmed it."""
+
+    async def open_generations(self, url: str) -> dict[str, float] | Failure:
+        """Return the open generations with their age in seconds."""
+
+    async def load(self, url: str) -> LoadReport | Failure:
+        """Return the engine's newest load report."""
+
+    async def cache_changes(self, url: str, after: int) -> CacheChange | Failure:
+        """Return the cache events after a sequence number."""
+
+    async def order(self, url: str, order: Order) -> None | Failure:
+        """Give an order."""
--- /dev/null
+++ b/src/baobabturn/endpoints/prefixes.py
@@ -0,0 +1,48 @@
+"""Hashes of a prompt's leading blocks, as engines announce them.
+
+Blocks are of 256 bytes of UTF-8 text and chained with XXH64 from the salt's
+hash, so that equal beginnings under one salt have equal hashes.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import xxhash
+
+BLOCK_BYTES = 256
+BLOCK_TOKENS = 64
+BYTES_PER_TOKEN = 4
+BLOCK_LIMIT = 64
+
+
+def prefix_hashes(salt: str, text: str) -> list[int]:
+    """Return the chained hashes of the whole blocks that a prompt begins with."""
+    data = text.encode("utf-8", "replace")
+    chain = xxhash.xxh64_intdigest(salt.encode())
+    count = min(len(data) // BLOCK_BYTES, BLOCK_LIMIT)
+    hashes = []
+    for number in range(count):
+        block = data[number * BLOCK_BYTES : (number + 1) * BLOCK_BYTES]
+        chain = xxhash.xxh64_intdigest(block, seed=chain)
+        hashes.append(chain)
+    return hashes
+
+
+def chat_text(messages: list[Any]) -> str:
+    """Return the text that a chat's messages make as a prompt.
+
+    Image and other parts count as no text.
+    """
+    lines = []
+    for message in messages:
+        content = message.get("content") or ""
+        if isinstance(content, list):
+            content = "".join(str(part.get("text", "")) for part in content)
+        lines.append(f"{message.get('role')}: {content}")
+    return "\n".join(lines)
+
+
+def estimate_tokens(text: str) -> int:
+    """Return about how many tokens a text is."""
+    return max(1, len(text) // BYTES_PER_TOKEN)
--- /dev/null
+++ b/src/baobabturn/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: what callers connect to."""
--- /dev/null
+++ b/src/baobabturn/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the entry program."""
+
+from baobabturn.entry.main import main
+
+main()
--- /dev/null
+++ b/src/baobabturn/entry/admin.py
@@ -0,0 +1,110 @@
+"""Operators' paths of the entry: metrics, events, status and draining."""
+
+from __future__ import annotations
+
+import hmac
+import json
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from baobabturn.core.results import Failure
+from baobabturn.entry.node import Node
+from baobabturn.wire.link import LinkClient
+from baobabturn.wire.messages import Drain, Stats, StatsRequest
+
+
+class Admin:
+    """Answers operators; reaches scheduler and controller over their links."""
+
+    def __init__(self, *, node: Node):
+        self.node = node
+
+    def allowed(self, request: Request) -> bool:
+        """Return whether a request carries the operators' key."""
+        text = request.headers.get("authorization", "")
+        wanted = f"Bearer {self.node.settings.entry.admin_key}"
+        return hmac.compare_digest(text.encode(), wanted.encode())
+
+    async def ask(self, port: int, kind: str) -> str:
+        """Return text from another process of this host, empty if it is away."""
+        program = self.node.program
+        client = LinkClient(
+            address=program.settings.host.address,
+            port=port,
+            identity=program.identity,
+            inner=program.settings.inner,
+            clock=program.clock,
+        )
+        link = await client.open()
+        if isinstance(link, Failure):
+            return ""
+        program.background.start(link.serve({}), "admin-link")
+        answer = await link.call(StatsRequest(kind=kind))
+        link.close()
+        return answer.text if isinstance(answer, Stats) else ""
+
+    async def all_of(self, kind: str) -> str:
+        """Return the text of all three processes of this host."""
+        ports = self.node.settings.ports
+        own = self.node.program.stats(kind)
+        others = [await self.ask(p, kind) for p in (ports.scheduler, ports.controller)]
+        return own + "".join(others)
+
+    async def metrics(self, request: Request) -> Response:
+        """Expose the metrics of this host's processes."""
+        return PlainTextResponse(await self.all_of("metrics"))
+
+    async def events(self, request: Request) -> Response:
+        """Return the newest event lines of this host's processes."""
+        if not self.allowed(request):
+            return Response(status_code=403)
+        return PlainTextResponse(await self.all_of("events"))
+
+    async def status(self, request: Request) -> Response:
+        """Return the members with their revisions, and this host's state."""
+        if not self.allowed(request):
+            return Response(status_code=403)
+        members = [
+            {
+                "host": member.name,
+                "failure_domain": member.failure_domain,
+                "region": member.region,
+                "state": member.state,
+                "revision": member.revision,
+                "address": f"{member.address}:{member.entry_port}",
+            }
+            for member in sorted(self.node.members, key=lambda m: m.name)
+        ]
+        return JSONResponse(
+            {
+                "host": self.node.program.identity.node,
+                "revision": self.node.state.revision,
+                "open_requests": self.node.open_requests,
+                "members": members,
+            }
+        )
+
+    async def drain(self, request: Request) -> Response:
+        """Start or end the draining of this host."""
+        if not self.allowed(request):
+            return Response(status_code=403)
+        body = json.loads(await request.body() or b"{}")
+        name = self.node.program.identity.node
+        message = Drain(node=name, on=bool(body.get("on", True)))
+        answer = await self.node.controller.call(message)
+        if isinstance(answer, Failure):
+            return JSONResponse({"drained": False, "reason": str(answer)}, 503)
+        return JSONResponse({"host": name, "draining": message.on})
+
+
+def admin_routes(node: Node) -> list[Route]:
+    """Return the operators' routes."""
+    admin = Admin(node=node)
+    return [
+        Route("/metrics", admin.metrics),
+        Route("/admin/events", admin.events),
+        Route("/admin/status", admin.status),
+        Route("/admin/drain", admin.drain, methods=["POST"]),
+    ]
--- /dev/null
+++ b/src/baobabturn/entry/app.py
@@ -0,0 +1,246 @@
+"""The entry's HTTP application: routes, credentials and limits."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from baobabturn.config.document import Workspace
+from baobabturn.core.events import Event
+from baobabturn.core.idents import request_id
+from baobabturn.core.results import Code, Failure
+from baobabturn.entry.addresses import entries_body
+from baobabturn.entry.admin import admin_routes
+from baobabturn.entry.answers import error_body, error_headers, send_failure
+from baobabturn.entry.bodies import parse_json, read_body
+from baobabturn.entry.node import Node
+from baobabturn.entry.requests import read_deadline, read_request
+from baobabturn.entry.services import ServiceCall, ServiceCaller
+from baobabturn.entry.streams import (
+    models_body,
+    resume_answer,
+    stream_answer,
+    whole_answer,
+)
+
+BEARER = "bearer "
+KEY_LIMIT = 255
+
+Handler = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+class Endpoint:
+    """An ASGI endpoint, wrapped so that the router leaves it as it is."""
+
+    def __init__(self, *, handler: Handler):
+        self.handler = handler
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Hand the call to the handler."""
+        await self.handler(scope, receive, send)
+
+
+def headers_of(scope: Scope) -> dict[bytes, bytes]:
+    """Return a request's headers by lower-case name."""
+    return dict(scope["headers"])
+
+
+class EntryApp:
+    """Callers' HTTP interface of one entry."""
+
+    def __init__(self, *, node: Node):
+        self.node = node
+        self.caller = ServiceCaller(node=node)
+        self.app = Starlette(
+            routes=[
+                Route("/v1/entries", self.entries),
+                Route("/v1/models", self.models),
+                route("/v1/completions", self.completions),
+                route("/v1/chat/completions", self.chat),
+                route("/v1/services/{service}/{path:path}", self.service, None),
+                Route("/healthz", self.health),
+                Route("/readyz", self.ready),
+                *admin_routes(node),
+            ],
+            exception_handlers={404: not_found, 405: not_found},
+        )
+
+    async def entries(self, request: Request) -> Response:
+        """Return the addresses to use."""
+        return JSONResponse(entries_body(self.node, request.url.scheme))
+
+    async def health(self, request: Request) -> Response:
+        """Say that the process runs."""
+        return PlainTextResponse("ok\n")
+
+    async def ready(self, request: Request) -> Response:
+        """Say whether callers should use this entry."""
+        failure = self.unready()
+        if failure is not None:
+            return failure_response(failure)
+        return JSONResponse({"ready": True, "revision": self.node.state.revision})
+
+    def unready(self) -> Failure | None:
+        """Return why this entry should not be used, None where it may be."""
+        if self.node.draining:
+            return Failure(Code.DRAINING, "draining")
+        if not self.node.state.revision:
+            return Failure(Code.NO_CONFIGURATION, "no configuration is in force")
+        return None
+
+    def authenticate(self, headers: dict[bytes, bytes]) -> Workspace | Failure:
+        """Return the workspace whose key a request carries."""
+        if not self.node.state.revision:
+            return Failure(Code.NO_CONFIGURATION, "no configuration is in force")
+        text = headers.get(b"authorization", b"").decode("latin-1")
+        if not text.lower().startswith(BEARER):
+            return Failure(Code.NO_CREDENTIALS, "send Authorization: Bearer <key>")
+        found = self.node.state.workspace_of(text[len(BEARER) :].strip())
+        return found or Failure(Code.WRONG_CREDENTIALS, "the key is not known")
+
+    async def models(self, request: Request) -> Response:
+        """List the models that the workspace may use."""
+        space = self.authenticate(headers_of(request.scope))
+        if isinstance(space, Failure):
+            return failure_response(space)
+        return JSONResponse(models_body(sorted(space.models)))
+
+    async def completions(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Generate from a prompt."""
+        await self.generate(scope, receive, send, chat=False)
+
+    async def chat(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Generate from a chat's messages."""
+        await self.generate(scope, receive, send, chat=True)
+
+    async def generate(
+        self, scope: Scope, receive: Receive, send: Send, chat: bool
+    ) -> None:
+        """Answer a generation request."""
+        headers = headers_of(scope)
+        request = request_id()
+        space = self.authenticate(headers)
+        if isinstance(space, Failure):
+            await self.refuse(send, space, request)
+            return
+        resume = headers.get(b"last-event-id")
+        if resume is not None:
+            event_id = resume.decode("latin-1")
+            await resume_answer(self.node, space.name, event_id, receive, send)
+            return
+        self.node.events.emit(
+            Event.REQUEST_RECEIVED, request=request, workspace=space.name
+        )
+        data = await read_body(receive, self.node.settings.entry)
+        body = data if isinstance(data, Failure) else self.parse(data)
+        if isinstance(body, Failure):
+            await self.refuse(send, body, request)
+            return
+        wanted = read_request(
+            request=request,
+            chat=chat,
+            body=body,
+            headers=headers,
+            workspace=space,
+            state=self.node.state,
+            default_deadline_s=self.node.settings.entry.default_deadline_s,
+        )
+        if isinstance(wanted, Failure):
+            await self.refuse(send, wanted, request)
+            return
+        answer = stream_answer if wanted.stream else whole_answer
+        await self.counted(answer(self.node, wanted, receive, send))
+
+    async def counted(self, work: Any) -> None:
+        """Count a request as open while it is answered."""
+        self.node.open_requests += 1
+        try:
+            await work
+        finally:
+            self.node.open_requests -= 1
+
+    def parse(self, data: bytes) -> dict[str, Any] | Failure:
+        """Return the JSON object in a body."""
+        return parse_json(data, self.node.settings.entry)
+
+    async def refuse(self, send: Send, failure: Failure, request: str) -> None:
+        """Send a refusal, log and count it."""
+        self.node.failed(failure)
+        self.node.events.emit(
+            Event.REQUEST_REFUSED, request=request, code=int(failure.code)
+        )
+        await send_failure(send, failure, request)
+
+    async def service(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Carry out a call of a plain service."""
+        headers = headers_of(scope)
+        request = request_id()
+        call = await self.read_call(scope, headers, receive, request)
+        if isinstance(call, Failure):
+            await self.refuse(send, call, request)
+            return
+        await self.counted(self.caller.answer(call, send))
+
+    async def read_call(
+        self, scope: Scope, headers: dict[bytes, bytes], receive: Receive, request: str
+    ) -> ServiceCall | Failure:
+        """Return the call that a request makes, or what is wrong with it."""
+        space = self.authenticate(headers)
+        if isinstance(space, Failure):
+            return space
+        service = scope["path_params"]["service"]
+        path = "/" + scope["path_params"]["path"]
+        operation = self.node.state.operation(service, scope["method"], path)
+        if operation is None or service not in space.services:
+            return Failure(Code.UNKNOWN_SERVICE, f"{scope['method']} {service}{path}")
+        entry = self.node.settings.entry
+        deadline = read_deadline(headers, entry.default_deadline_s)
+        if isinstance(deadline, Failure):
+            return deadline
+        key = headers.get(b"idempotency-key", b"").decode("latin-1")
+        if len(key) > KEY_LIMIT:
+            return Failure(Code.BAD_FIELD, f"Idempotency-Key: up to {KEY_LIMIT} bytes")
+        body = await read_body(receive, entry)
+        if isinstance(body, Failure):
+            return body
+        self.node.events.emit(
+            Event.REQUEST_RECEIVED, request=request, workspace=space.name
+        )
+        query = scope["query_string"].decode("latin-1")
+        content_type = headers.get(b"content-type", b"application/json")
+        return ServiceCall(
+            request=request,
+            workspace=space,
+            service=service,
+            operation=operation,
+            method=scope["method"],
+            path=path,
+            query=f"?{query}" if query else "",
+            content_type=content_type.decode("latin-1"),
+            body=body,
+            key=key,
+            deadline=deadline,
+        )
+
+
+def route(path: str, handler: Handler, methods: list[str] | None = ["POST"]) -> Route:  # noqa: B006
+    """Return a route to an ASGI handler."""
+    return Route(path, Endpoint(handler=handler), methods=methods)
+
+
+def failure_response(failure: Failure) -> Response:
+    """Return a failure as a response."""
+    headers = {name.decode(): value.decode() for name, value in error_headers(failure)}
+    return JSONResponse(error_body(failure), failure.status, headers=headers)
+
+
+async def not_found(request: Request, error: Exception) -> Response:
+    """Answer a path or method that doesn't exist."""
+    path = request.url.path[:100]
+    return failure_response(Failure(Code.NOT_FOUND, f"{request.method} {path}"))
--- /dev/null
+++ b/src/baobabturn/entry/main.py
@@ -0,0 +1,90 @@
+"""The entry program of one host."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import uvicorn
+
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program, start
+from baobabturn.core.results import Code, Failure
+from baobabturn.entry.app import EntryApp
+from baobabturn.entry.node import Node
+
+BACKLOG = 2048
+DRAIN_CHECK_S = 0.1
+
+
+def listen(address: str, port: int) -> socket.socket | Failure:
+    """Return a listening socket, or the failure where the address is in use."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        return Failure(Code.ADDRESS_IN_USE, f"{address}:{port}: {error.strerror}")
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def make_server(program: Program, node: Node) -> uvicorn.Server:
+    """Return the HTTP server over the entry's application."""
+    entry = program.settings.entry
+    config = uvicorn.Config(
+        EntryApp(node=node).app,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_keep_alive=max(1, int(entry.keepalive_s)),
+        ssl_certfile=entry.tls_cert or None,
+        ssl_keyfile=entry.tls_key or None,
+    )
+    return uvicorn.Server(config)
+
+
+async def serve(program: Program) -> Failure | None:
+    """Serve callers until the signal to stop, then finish what is open."""
+    settings = program.settings
+    listener = listen(settings.host.address, settings.ports.entry)
+    if isinstance(listener, Failure):
+        return listener
+    node = Node(program=program)
+    node.controller.start()
+    program.background.start(node.report_progress(), "progress")
+    program.metrics.gauge("open_requests", lambda: node.open_requests)
+    server = make_server(program, node)
+    server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
+    serving = asyncio.create_task(server._serve([listener]))
+    program.events.emit(Event.PROCESS_READY, port=listener.getsockname()[1])
+    await program.stopping.wait()
+    await drain(program, node)
+    server.should_exit = True
+    await serving
+    await node.close()
+    return None
+
+
+async def drain(program: Program, node: Node) -> None:
+    """Serve on for as long as addresses may be held and requests are open."""
+    node.draining = True
+    program.events.emit(Event.PROCESS_DRAINING, open=node.open_requests)
+    await asyncio.sleep(program.settings.entry.address_lifetime_s)
+    while node.open_requests:
+        await asyncio.sleep(DRAIN_CHECK_S)
+
+
+def main() -> None:
+    """Start the program from the command line."""
+    start("entry", serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/baobabturn/entry/requests.py
@@ -0,0 +1,153 @@
+"""A caller's generation request: parsed, checked and typed."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import attrs
+
+from baobabturn.config.document import Model, Workspace
+from baobabturn.config.state import ConfigState
+from baobabturn.core.results import Code, Failure
+from baobabturn.endpoints.prefixes import chat_text, estimate_tokens, prefix_hashes
+
+DEADLINE_HEADER = b"x-baobabturn-deadline"
+KIND_HEADER = b"x-baobabturn-kind"
+RESTART_HEADER = b"x-baobabturn-restart"
+PRIORITY_LIMIT = 100
+DEADLINE_LIMIT_S = 86_400.0
+
+Headers = dict[bytes, bytes]
+
+
+@attrs.define(kw_only=True)
+class GenerationRequest:
+    """What a caller wants generated; ``deadline`` is monotonic seconds."""
+
+    request: str
+    workspace: Workspace
+    model: Model
+    chat: bool
+    stream: bool
+    body: dict[str, Any]
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    kind: str
+    deadline: float
+    restart: bool
+    prefixes: list[int]
+
+
+def read_deadline(headers: Headers, default_s: float) -> float | Failure:
+    """Return the monotonic time of a request's deadline."""
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return time.monotonic() + default_s
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds <= DEADLINE_LIMIT_S:
+        limit = f"over 0 and up to {DEADLINE_LIMIT_S:g} seconds"
+        return Failure(Code.BAD_DEADLINE, f"allowed: {limit}")
+    return time.monotonic() + seconds
+
+
+def prompt_text(chat: bool, body: dict[str, Any]) -> str | Failure:
+    """Return the text of a prompt, or which field is wrong."""
+    if not chat:
+        prompt = body.get("prompt")
+        if not isinstance(prompt, str):
+            return Failure(Code.BAD_FIELD, "prompt: allowed is a text")
+        return prompt
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return Failure(Code.BAD_FIELD, "messages: allowed is a list of messages")
+    if not all(isinstance(message, dict) for message in messages):
+        return Failure(Code.BAD_FIELD, "messages: allowed are objects")
+    try:
+        return chat_text(messages)
+    except (AttributeError, TypeError):
+        return Failure(Code.BAD_FIELD, "messages: content: allowed is text or parts")
+
+
+def whole_number(body: dict, name: str, low: int, high: int) -> int | None | Failure:
+    """Return a whole number field, None where it is absent."""
+    value = body.get(name)
+    if value is None:
+        return None
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int)
+        or not low <= value <= high
+    ):
+        return Failure(Code.BAD_FIELD, f"{name}: allowed is {low} to {high}")
+    return value
+
+
+def read_request(
+    *,
+    request: str,
+    chat: bool,
+    body: dict[str, Any],
+    headers: Headers,
+    workspace: Workspace,
+    state: ConfigState,
+    default_deadline_s: float,
+) -> GenerationRequest | Failure:
+    """Return a caller's request, or what is wrong with it."""
+    deadline = read_deadline(headers, default_deadline_s)
+    if isinstance(deadline, Failure):
+        return deadline
+    name = body.get("model")
+    model = state.models.get(str(name).partition(":")[0])
+    if not isinstance(name, str) or model is None or name not in workspace.models:
+        return Failure(Code.UNKNOWN_MODEL, f"model {str(name)[:100]!r}")
+    text = prompt_text(chat, body)
+    if isinstance(text, Failure):
+        return text
+    if body.get("n") not in (None, 1):
+        return Failure(Code.BAD_FIELD, "n: allowed is 1")
+    limit = whole_number(body, "max_tokens", 1, model.context_tokens)
+    if limit is None:
+        limit = whole_number(body, "max_completion_tokens", 1, model.context_tokens)
+    if isinstance(limit, Failure):
+        return limit
+    priority = whole_number(body, "priority", -PRIORITY_LIMIT, PRIORITY_LIMIT)
+    if isinstance(priority, Failure):
+        return priority
+    tokens = estimate_tokens(text)
+    if tokens + (limit or 0) > model.context_tokens:
+        return Failure(Code.CONTEXT_LIMIT, f"context is {model.context_tokens} tokens")
+    kind = headers.get(KIND_HEADER, b"chat" if chat else b"text")
+    return GenerationRequest(
+        request=request,
+        workspace=workspace,
+        model=model,
+        chat=chat,
+        stream=bool(body.get("stream", False)),
+        body=body,
+        prompt_tokens=tokens,
+        max_tokens=limit or model.context_tokens - tokens,
+        priority=workspace.priority + (priority or 0),
+        kind=kind.decode("ascii", "replace")[:40],
+        deadline=deadline,
+        restart=headers.get(RESTART_HEADER) == b"allow",
+        prefixes=prefix_hashes(workspace.name, text),
+    )
+
+
+def engine_body(
+    wanted: GenerationRequest, generation: str, priority: int, salted: bool
+) -> dict[str, Any]:
+    """Return the body to send to an engine; it always streams."""
+    body = dict(wanted.body)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["request_id"] = generation
+    body["priority"] = priority
+    if salted:
+        body["cache_salt"] = wanted.workspace.name
+    return body
--- /dev/null
+++ b/src/baobabturn/entry/schedulers.py
@@ -0,0 +1,166 @@
+"""The entry's links to the schedulers that own pools, and what it holds there."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+from baobabturn.config.state import ConfigState, Pool
+from baobabturn.core.program import Program
+from baobabturn.core.results import Code, Failure
+from baobabturn.membership.owners import owner
+from baobabturn.wire.link import LinkClient
+from baobabturn.wire.messages import (
+    Admit,
+    Grant,
+    Holding,
+    Holdings,
+    Member,
+    Progress,
+    ProgressItem,
+    Release,
+)
+
+ANSWER_SLACK_S = 0.5
+
+
+class Schedulers:
+    """Finds a pool's scheduler, keeps a link to it, and re-tells it what is held."""
+
+    def __init__(self, *, program: Program, state: ConfigState):
+        self.program = program
+        self.state = state
+        self.members: list[Member] = []
+        self.links: dict[tuple[str, int], LinkClient] = {}
+        self.owners: dict[str, tuple[str, int]] = {}
+        self.holdings: dict[str, tuple[str, Holding]] = {}
+        self.progress: dict[str, ProgressItem] = {}
+        self.random = random.Random(program.identity.node)
+
+    def update(self, members: list[Member]) -> None:
+        """Follow the members; links to new owners are opened, old ones closed."""
+        self.members = members
+        self.owners = {}
+        for pool in self.state.pools.values():
+            found = owner(pool.name, pool.region, members)
+            if found is not None:
+                self.owners[pool.name] = (found.address, found.scheduler_port)
+        wanted = set(self.owners.values())
+        for place in wanted - set(self.links):
+            self.links[place] = self.connect(place)
+        for place in set(self.links) - wanted:
+            client = self.links.pop(place)
+            self.program.background.start(client.stop(), "link-stop")
+
+    def connect(self, place: tuple[str, int]) -> LinkClient:
+        """Return a started link to a scheduler."""
+        client = LinkClient(
+            address=place[0],
+            port=place[1],
+            identity=self.program.identity,
+            inner=self.program.settings.inner,
+            clock=self.program.clock,
+            opened=lambda link: self.tell_holdings(place),
+        )
+        client.start()
+        return client
+
+    def tell_holdings(self, place: tuple[str, int]) -> None:
+        """Tell a scheduler all places that this entry holds in its pools."""
+        for pool, at in self.owners.items():
+            items = [held for name, held in self.holdings.values() if name == pool]
+            if at == place and items:
+                self.links[place].send(Holdings(pool=pool, items=items))
+
+    def link(self, pool: str) -> LinkClient | None:
+        """Return the link to a pool's scheduler."""
+        place = self.owners.get(pool)
+        return self.links.get(place) if place is not None else None
+
+    def pick_pool(self, pools: list[Pool]) -> Pool | None:
+        """Return one of the pools that serve a model, those near by first."""
+        region = self.program.settings.host.region
+        near = [pool for pool in pools if pool.region == region] or pools
+        return self.random.choice(near) if near else None
+
+    async def admit(self, body: Admit) -> Grant | Failure:
+        """Return a place in a pool, or the refusal."""
+        client = self.link(body.pool)
+        wait_s = body.deadline_ms / 1000 + ANSWER_SLACK_S
+        answer: Any = Failure(Code.SCHEDULER_UNREACHABLE, "no scheduler is known")
+        if client is not None:
+            answer = await client.call(body, wait_s)
+        if isinstance(answer, Grant):
+            return answer
+        lost = (Code.LINK_LOST, Code.SCHEDULER_UNREACHABLE, Code.UNSUPPORTED)
+        if isinstance(answer, Failure) and answer.code in lost:
+            return self.own_estimate(body)
+        if isinstance(answer, Failure):
+            return answer
+        return Failure(Code.SCHEDULER_UNREACHABLE, "an unexpected answer")
+
+    def own_estimate(self, body: Admit) -> Grant | Failure:
+        """Return a place by what this entry alone holds, with no scheduler."""
+        pool = self.state.pools.get(body.pool)
+        names = [n for n in pool.endpoints if n not in body.excluded] if pool else []
+        if not names:
+            return Failure(Code.NO_ENDPOINT, "no endpoint is left to try")
+        counts = dict.fromkeys(names, 0)
+        for _, held in self.holdings.values():
+            if held.endpoint in counts:
+                counts[held.endpoint] += 1
+        name = min(names, key=lambda each: (counts[each], self.random.random()))
+        self.program.metrics.count("own_estimates")
+        return Grant(reservation=body.reservation, endpoint=name)
+
+    def hold(self, pool: str, held: Holding) -> None:
+        """Note a place that this entry holds."""
+        self.holdings[held.reservation] = (pool, held)
+
+    def note(self, reservation: str, produced: int, gap_us: int, first_us: int) -> None:
+        """Note a generation's progress, to be sent with the next batch."""
+        entry = self.holdings.get(reservation)
+        if entry is None:
+            return
+        entry[1].produced = produced
+        self.progress[reservation] = ProgressItem(
+            reservation=reservation,
+            produced=produced,
+            gap_us=gap_us,
+            first_token_us=first_us,
+        )
+
+    def send_progress(self) -> None:
+        """Send the noted progress to the schedulers, one message for each."""
+        batches: dict[str, list[ProgressItem]] = {}
+        for name, item in self.progress.items():
+            entry = self.holdings.get(name)
+            if entry is not None:
+                batches.setdefault(entry[0], []).append(item)
+        self.progress.clear()
+        for pool, items in batches.items():
+            client = self.link(pool)
+            if client is not None:
+                client.send(Progress(items=items))
+
+    def release(
+        self, reservation: str, pool: str, outcome: str, first_us: int = 0
+    ) -> None:
+        """Give a place back."""
+        entry = self.holdings.pop(reservation, None)
+        self.progress.pop(reservation, None)
+        client = self.link(pool)
+        if client is not None:
+            client.send(
+                Release(
+                    reservation=reservation,
+                    produced=entry[1].produced if entry is not None else 0,
+                    outcome=outcome,
+                    first_token_us=first_us,
+                )
+            )
+
+    def left_ms(self, deadline: float) -> int:
+        """Return the milliseconds until a monotonic deadline."""
+        return max(0, int((deadline - time.monotonic()) * 1000))
--- /dev/null
+++ b/src/baobabturn/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive: heartbeats, suspicion, leaving, and what follows."""
--- /dev/null
+++ b/src/baobabturn/platform/objects.py
@@ -0,0 +1,29 @@
+"""The kinds of objects that the system keeps on the platform."""
+
+from __future__ import annotations
+
+import base64
+
+from baobabturn.config.parts import Manifest, write_manifest
+
+MANIFEST_KIND = "baobabturn-manifest"
+MANIFEST_NAME = "current"
+PART_KIND = "baobabturn-part"
+CLAIM_KIND = "baobabturn-claim"
+LEASE_KIND = "baobabturn-lease"
+STATUS_KIND = "baobabturn-status"
+
+
+def packed(body: bytes) -> dict:
+    """Return bytes as the JSON value that holds them."""
+    return {"body": base64.b64encode(body).decode()}
+
+
+def unpacked(value: dict) -> bytes:
+    """Return the bytes in a JSON value."""
+    return base64.b64decode(value["body"])
+
+
+def manifest_value(manifest: Manifest) -> dict:
+    """Return a manifest as the value of its object."""
+    return {**packed(write_manifest(manifest)), "revision": manifest.revision}
--- /dev/null
+++ b/src/baobabturn/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler program: admission to pools and the state of their endpoints."""
--- /dev/null
+++ b/src/baobabturn/scheduler/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the scheduler program."""
+
+from baobabturn.scheduler.main import main
+
+main()
--- /dev/null
+++ b/src/baobabturn/scheduler/pool.py
@@ -0,0 +1,223 @@
+"""Admission to one pool: the queue, the grants, and what entries report."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from baobabturn.config.document import Endpoint
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.core.results import Code, Failure
+from baobabturn.scheduler.policy import Policy
+from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
+from baobabturn.wire.messages import (
+    Admit,
+    CacheEvents,
+    EndpointReport,
+    Grant,
+    Holding,
+    ProgressItem,
+    Release,
+)
+
+MS = 1000
+US = 1_000_000
+
+
+class PoolScheduler:
+    """Decides for one pool for as long as this host owns it."""
+
+    def __init__(self, *, name: str, program: Program, policy: Policy):
+        self.program = program
+        self.policy = policy
+        self.state = PoolState(name=name)
+        self.reservations: dict[str, Reservation] = {}
+        self.taken_over = time.monotonic()
+
+    def set_endpoints(self, endpoints: list[Endpoint], leaving: set[str]) -> None:
+        """Follow the declared endpoints and those that leave."""
+        held = self.state.endpoints
+        wanted = {endpoint.name: endpoint for endpoint in endpoints}
+        for name in [name for name in held if name not in wanted]:
+            del held[name]
+        for name, endpoint in wanted.items():
+            known = held.get(name)
+            if known is None or known.url != endpoint.url:
+                known = held[name] = EndpointState(
+                    name=name, url=endpoint.url, memory_tokens=endpoint.memory_tokens
+                )
+            known.memory_tokens = endpoint.memory_tokens
+            known.concurrency = endpoint.concurrency
+            known.models = endpoint.models
+            known.leaving = name in leaving
+        self.dispatch()
+
+    async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
+        """Queue a request and return its grant, or the refusal at its deadline."""
+        if len(self.state.queue) >= self.program.settings.scheduler.queue_limit:
+            limit = self.program.settings.scheduler.queue_limit
+            return Failure(Code.QUEUE_LIMIT, f"{limit} requests wait")
+        now = time.monotonic()
+        waiting = Waiting(
+            admit=body,
+            holder=holder,
+            arrived=now,
+            deadline=now + body.deadline_ms / MS,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self.state.queue.append(waiting)
+        self.dispatch()
+        if not waiting.future.done():
+            self.program.events.emit(
+                Event.REQUEST_QUEUED, request=body.request, pool=self.state.name
+            )
+        try:
+            async with asyncio.timeout(max(0.0, waiting.deadline - now)):
+                return await waiting.future
+        except TimeoutError:
+            return Failure(Code.DEADLINE_NOT_RUN, "the deadline passed in the queue")
+        finally:
+            if waiting in self.state.queue:
+                self.state.queue.remove(waiting)
+
+    def dispatch(self) -> None:
+        """Grant places to those that wait, as far as the policy allows."""
+        now = time.monotonic()
+        for waiting in self.policy.order(self.state, now):
+            if waiting.future.done():
+                continue
+            endpoint = self.policy.choose(self.state, waiting, now)
+            if endpoint is not None:
+                self.grant(waiting, endpoint, now)
+
+    def grant(self, waiting: Waiting, endpoint: EndpointState, now: float) -> None:
+        """Give a waiting request its place."""
+        admit = waiting.admit
+        held = Reservation(
+            name=admit.reservation,
+            endpoint=endpoint.name,
+            workspace=admit.workspace,
+            model=admit.model,
+            kind=admit.kind,
+            priority=admit.priority,
+            prompt_tokens=admit.prompt_tokens,
+            max_tokens=admit.max_tokens,
+            granted=now,
+            updated=now,
+            holder=waiting.holder,
+        )
+        self.reservations[held.name] = held
+        endpoint.reservations[held.name] = held
+        self.state.queue.remove(waiting)
+        queued_us = int((now - waiting.arrived) * US)
+        self.program.metrics.record("queue_time_us", queued_us, kind=admit.kind)
+        self.program.events.emit(
+            Event.REQUEST_GRANTED,
+            request=admit.request,
+            endpoint=endpoint.name,
+            queued_ms=queued_us // MS,
+        )
+        waiting.future.set_result(
+            Grant(
+                reservation=held.name,
+                endpoint=endpoint.name,
+                queued_us=queued_us,
+                engine_priority=self.policy.engine_priority(waiting),
+            )
+        )
+
+    def progress(self, item: ProgressItem) -> None:
+        """Take in a generation's progress."""
+        held = self.reservations.get(item.reservation)
+        if held is None:
+            return
+        held.produced = max(held.produced, item.produced)
+        held.first_token_us = item.first_token_us
+        held.gap_us = item.gap_us
+        held.updated = time.monotonic()
+
+    def release(self, body: Release) -> None:
+        """Take a place back, or a request out of the queue."""
+        for waiting in self.state.queue:
+            if waiting.admit.reservation == body.reservation:
+                self.state.queue.remove(waiting)
+                if not waiting.future.done():
+                    waiting.future.set_result(Failure(Code.CANCELLED, "withdrawn"))
+                return
+        held = self.reservations.pop(body.reservation, None)
+        if held is None:
+            return
+        endpoint = self.state.endpoints.get(held.endpoint)
+        if endpoint is not None:
+            endpoint.reservations.pop(held.name, None)
+        held.produced = max(held.produced, body.produced)
+        held.first_token_us = body.first_token_us or held.first_token_us
+        self.policy.released(held, body.outcome, time.monotonic())
+        self.dispatch()
+
+    def hold(self, holder: Any, item: Holding) -> None:
+        """Take in a place that an entry already holds."""
+        endpoint = self.state.endpoints.get(item.endpoint)
+        if endpoint is None:
+            return
+        now = time.monotonic()
+        held = Reservation(
+            name=item.reservation,
+            endpoint=item.endpoint,
+            workspace=item.workspace,
+            model=item.model,
+            kind=item.kind,
+            priority=item.priority,
+            prompt_tokens=item.prompt_tokens,
+            max_tokens=item.max_tokens,
+            produced=item.produced,
+            granted=now,
+            updated=now,
+            holder=holder,
+        )
+        self.reservations[held.name] = held
+        endpoint.reservations[held.name] = held
+
+    def report(self, body: EndpointReport) -> None:
+        """Take in an endpoint's load report."""
+        endpoint = self.state.endpoints.get(body.endpoint)
+        if endpoint is None:
+            return
+        endpoint.report = body
+        endpoint.report_at = time.monotonic()
+        self.dispatch()
+
+    def cache(self, body: CacheEvents) -> None:
+        """Take in an endpoint's cache events."""
+        endpoint = self.state.endpoints.get(body.endpoint)
+        if endpoint is None:
+            return
+        if body.cleared:
+            endpoint.cached.clear()
+        now = time.monotonic()
+        for block in body.stored:
+            endpoint.cached[block] = now
+        for block in body.removed:
+            endpoint.cached.pop(block, None)
+
+    def holder_gone(self, holder: Any) -> None:
+        """Drop what an entry waited for and mark what it held as orphaned."""
+        now = time.monotonic()
+        for waiting in list(self.state.queue):
+            if waiting.holder is holder:
+                self.state.queue.remove(waiting)
+                if not waiting.future.done():
+                    waiting.future.set_result(Failure(Code.LINK_LOST, "entry gone"))
+        for held in self.reservations.values():
+            if held.holder is holder:
+                held.holder = None
+                held.orphaned = now
+
+    def drop_orphans(self, grace_s: float) -> None:
+        """Forget the places whose entry has been gone for the grace time."""
+        now = time.monotonic()
+        for held in list(self.reservations.values()):
+            if held.orphaned and now - held.orphaned > grace_s:
+                self.release(Release(reservation=held.name, outcome="orphaned"))
--- /dev/null
+++ b/src/baobabturn/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the programs: their model, packaged defaults and loading."""
--- /dev/null
+++ b/src/baobabturn/settings/model.py
@@ -0,0 +1,156 @@
+"""The settings' fields with their types, units and ranges.
+
+Defaults stand in the packaged ``defaults.jsonc``, not here, so that there is
+one place to read them.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+
+def number(low: float, high: float) -> Any:
+    """Return a field for a number between ``low`` and ``high``."""
+    return attrs.field(metadata={"low": low, "high": high})
+
+
+def port() -> Any:
+    """Return a field for a TCP or UDP port, 0 for any free one."""
+    return number(0, 65535)
+
+
+def choice(*allowed: str) -> Any:
+    """Return a field for one of a few words."""
+    return attrs.field(metadata={"choices": allowed})
+
+
+@attrs.frozen(kw_only=True)
+class Host:
+    """This host's name, place and address."""
+
+    name: str
+    failure_domain: str
+    region: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class Ports:
+    """The listen ports of the three programs."""
+
+    entry: int = port()
+    scheduler: int = port()
+    controller: int = port()
+
+
+@attrs.frozen(kw_only=True)
+class Platform:
+    """The platform's object API and the budget of calls to it."""
+
+    url: str
+    token: str
+    call_timeout_s: float = number(0.1, 60)
+    calls_per_s: float = number(0.1, 1000)
+    burst_calls: int = number(1, 10000)
+    backoff_first_s: float = number(0.01, 60)
+    backoff_limit_s: float = number(0.1, 600)
+    watch_wait_s: float = number(1, 600)
+    value_limit_bytes: int = number(1024, 16_777_216)
+
+
+@attrs.frozen(kw_only=True)
+class Inner:
+    """Links between the system's own processes."""
+
+    secret: str
+    call_timeout_s: float = number(0.05, 60)
+    frame_limit_bytes: int = number(65_536, 67_108_864)
+    tls_cert: str
+    tls_key: str
+    tls_ca: str
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """The entry program: callers' side."""
+
+    address_lifetime_s: float = number(0.1, 600)
+    body_limit_bytes: int = number(1024, 268_435_456)
+    body_memory_bytes: int = number(65_536, 4_294_967_296)
+    body_depth_limit: int = number(4, 1000)
+    body_timeout_s: float = number(0.1, 600)
+    body_wait_s: float = number(0, 600)
+    default_deadline_s: float = number(0.1, 86_400)
+    first_token_timeout_s: float = number(0.1, 3600)
+    stall_timeout_s: float = number(0.1, 3600)
+    connect_timeout_s: float = number(0.05, 60)
+    retry_share: float = number(0, 1)
+    attempt_limit: int = number(1, 20)
+    progress_interval_s: float = number(0.02, 10)
+    resume_grace_s: float = number(0, 600)
+    resume_keys: list[str]
+    claim_lifetime_s: float = number(1, 604_800)
+    keepalive_s: float = number(0.5, 600)
+    tls_cert: str
+    tls_key: str
+    admin_key: str
+
+
+@attrs.frozen(kw_only=True)
+class Scheduler:
+    """The scheduler program: admission and endpoint state."""
+
+    policy: str = choice("baobabturn", "least-load", "two-choices", "round-robin")
+    pool_size: int = number(1, 512)
+    queue_limit: int = number(1, 1_000_000)
+    settle_s: float = number(0, 60)
+    report_max_age_s: float = number(0.1, 600)
+
+
+@attrs.frozen(kw_only=True)
+class Controller:
+    """The controller program: platform, membership, configuration, orders."""
+
+    watchers_per_domain: int = number(1, 100)
+    endpoint_poll_s: float = number(0.05, 60)
+    host_poll_s: float = number(0.2, 600)
+    status_interval_s: float = number(1, 3600)
+    lease_duration_s: float = number(0.5, 600)
+    clock_rate_margin: float = number(0, 0.5)
+    orphan_grace_s: float = number(0.1, 600)
+    orphan_sweep_s: float = number(0.1, 600)
+
+
+@attrs.frozen(kw_only=True)
+class Membership:
+    """Heartbeats between the controllers."""
+
+    interval_s: float = number(0.02, 60)
+    suspect_s: float = number(0.1, 600)
+    dead_s: float = number(0.1, 3600)
+    fanout: int = number(1, 1000)
+    seeds: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class Log:
+    """What is logged."""
+
+    level: str = choice("debug", "info", "warning", "error")
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of a host; every program reads the same file."""
+
+    host: Host
+    ports: Ports
+    platform: Platform
+    inner: Inner
+    entry: Entry
+    scheduler: Scheduler
+    controller: Controller
+    membership: Membership
+    log: Log
--- /dev/null
+++ b/src/baobabturn/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events over all processes."""
--- /dev/null
+++ b/src/baobabturn/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol: messages between the system's own processes."""
--- /dev/null
+++ b/src/baobabturn/wire/messages.py
@@ -0,0 +1,319 @@
+"""The typed messages of the inner protocol, one class for each schema struct.
+
+Field names are those of ``schema.capnp`` in snake case; the schema's comments
+and the reference page give their meaning and units.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True, slots=True)
+class Hello:
+    """Opens a link and proves knowledge of the shared secret."""
+
+    node: str = ""
+    role: str = ""
+    failure_domain: str = ""
+    incarnation: int = 0
+    release: str = ""
+    nonce: str = ""
+    proof: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Welcome:
+    """Accepts a link and proves the other side's knowledge of the secret."""
+
+    node: str = ""
+    role: str = ""
+    incarnation: int = 0
+    proof: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Refusal:
+    """A failure as it travels."""
+
+    code: int = 0
+    reason: str = ""
+    run: str = ""
+    retry_after_s: float = 0.0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Ack:
+    """A call was carried out."""
+
+    revision: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Subscribe:
+    """Asks a controller for its views from now on; carries the held revision."""
+
+    revision: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Member:
+    """One host of the system as its peers see it."""
+
+    name: str = ""
+    failure_domain: str = ""
+    region: str = ""
+    address: str = ""
+    entry_port: int = 0
+    scheduler_port: int = 0
+    controller_port: int = 0
+    incarnation: int = 0
+    state: str = ""
+    revision: int = 0
+    load: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class MemberView:
+    """The members and leaving endpoints as a controller knows them."""
+
+    members: list[Member] = attrs.Factory(list)
+    leaving_endpoints: list[str] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class Part:
+    """One immutable part of the configuration."""
+
+    name: str = ""
+    digest: str = ""
+    body: bytes = b""
+
+
+@attrs.define(kw_only=True, slots=True)
+class ConfigUpdate:
+    """A manifest and those of its parts that the receiver does not hold."""
+
+    revision: int = 0
+    manifest: bytes = b""
+    parts: list[Part] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class ConfigFetch:
+    """Asks a peer for its newest manifest, and for parts by digest."""
+
+    revision: int = 0
+    parts: list[str] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class ConfigAnnounce:
+    """Tells a peer that a revision exists and who holds it."""
+
+    revision: int = 0
+    node: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Admit:
+    """Asks a pool's scheduler for a place at an endpoint."""
+
+    request: str = ""
+    workspace: str = ""
+    model: str = ""
+    kind: str = ""
+    priority: int = 0
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    deadline_ms: int = 0
+    prefixes: list[int] = attrs.Factory(list)
+    excluded: list[str] = attrs.Factory(list)
+    attempt: int = 0
+    pool: str = ""
+    reservation: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Grant:
+    """A place at an endpoint, held until released."""
+
+    reservation: str = ""
+    endpoint: str = ""
+    queued_us: int = 0
+    engine_priority: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class ProgressItem:
+    """What one generation has produced and the longest gap seen lately."""
+
+    reservation: str = ""
+    produced: int = 0
+    gap_us: int = 0
+    first_token_us: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Progress:
+    """An entry's batched progress of its generations in one pool."""
+
+    items: list[ProgressItem] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class Release:
+    """Gives a place back and tells how the generation ended."""
+
+    reservation: str = ""
+    produced: int = 0
+    outcome: str = ""
+    first_token_us: int = 0
+    gap_us: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Holding:
+    """A place that an entry holds, sent to a new owner of the pool."""
+
+    reservation: str = ""
+    endpoint: str = ""
+    workspace: str = ""
+    model: str = ""
+    kind: str = ""
+    priority: int = 0
+    prompt_tokens: int = 0
+    produced: int = 0
+    max_tokens: int = 0
+    generation: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Holdings:
+    """All places that an entry holds in one pool."""
+
+    pool: str = ""
+    items: list[Holding] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class EndpointReport:
+    """An endpoint's load report as a controller read it."""
+
+    endpoint: str = ""
+    running: int = 0
+    waiting: int = 0
+    used_tokens: int = 0
+    total_tokens: int = 0
+    age_ms: int = 0
+    leaving: bool = False
+    reachable: bool = False
+    models: list[str] = attrs.Factory(list)
+    preemptions: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class CacheEvents:
+    """Prefix blocks that an endpoint stored or removed."""
+
+    endpoint: str = ""
+    first_seq: int = 0
+    last_seq: int = 0
+    stored: list[int] = attrs.Factory(list)
+    removed: list[int] = attrs.Factory(list)
+    cleared: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class Heartbeat:
+    """A controller's sign of life with what it knows of members."""
+
+    node: str = ""
+    incarnation: int = 0
+    revision: int = 0
+    members: list[Member] = attrs.Factory(list)
+    proof: str = ""
+    reply: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class StatsRequest:
+    """Asks a process for its metrics, events or state as text."""
+
+    kind: str = ""
+    since: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Stats:
+    """The text that was asked for."""
+
+    text: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Drain:
+    """Starts or ends the draining of a host."""
+
+    node: str = ""
+    on: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class CancelGeneration:
+    """Asks a controller to cancel a generation at its endpoint."""
+
+    endpoint: str = ""
+    generation: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Learned:
+    """Learned length distributions in compact form."""
+
+    node: str = ""
+    body: bytes = b""
+
+
+@attrs.define(kw_only=True, slots=True)
+class WhoHolds:
+    """Asks a scheduler which of these generations someone holds."""
+
+    endpoint: str = ""
+    generations: list[str] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class Held:
+    """The generations that are held; not settled while a pool is rebuilt."""
+
+    generations: list[str] = attrs.Factory(list)
+    settled: bool = False
+
+
+BODIES: tuple[type, ...] = (
+    Hello,
+    Welcome,
+    Refusal,
+    Ack,
+    Subscribe,
+    MemberView,
+    ConfigUpdate,
+    Admit,
+    Grant,
+    Progress,
+    Release,
+    Holdings,
+    EndpointReport,
+    CacheEvents,
+    Heartbeat,
+    ConfigFetch,
+    ConfigAnnounce,
+    StatsRequest,
+    Stats,
+    Drain,
+    CancelGeneration,
+    Learned,
+    WhoHolds,
+    Held,
+)
--- /dev/null
+++ b/src/baobabturn/wire/schema.capnp
@@ -0,0 +1,237 @@
+@0xb8d1f0c45e2a9d17;
+# Messages between the processes of the system.  Fields and union members are
+# only ever added, with new numbers, so that two releases can run side by side:
+# a reader skips fields that it does not know and answers `unsupported` to a
+# member that it does not know.
+
+struct Envelope {
+  version @0 :UInt16;    # protocol version of the sender
+  hlc @1 :UInt64;        # hybrid clock stamp
+  call @2 :UInt64;       # number that a reply repeats, 0 for one-way messages
+  reply @3 :Bool;
+  body :union {
+    none @4 :Void;
+    hello @5 :Hello;
+    welcome @6 :Welcome;
+    refusal @7 :Refusal;
+    ack @8 :Ack;
+    subscribe @9 :Subscribe;
+    memberView @10 :MemberView;
+    configUpdate @11 :ConfigUpdate;
+    admit @12 :Admit;
+    grant @13 :Grant;
+    progress @14 :Progress;
+    release @15 :Release;
+    holdings @16 :Holdings;
+    endpointReport @17 :EndpointReport;
+    cacheEvents @18 :CacheEvents;
+    heartbeat @19 :Heartbeat;
+    configFetch @20 :ConfigFetch;
+    configAnnounce @21 :ConfigAnnounce;
+    statsRequest @22 :StatsRequest;
+    stats @23 :Stats;
+    drain @24 :Drain;
+    cancelGeneration @25 :CancelGeneration;
+    learned @26 :Learned;
+    whoHolds @27 :WhoHolds;
+    held @28 :Held;
+  }
+}
+
+struct Hello {
+  node @0 :Text;
+  role @1 :Text;
+  failureDomain @2 :Text;
+  incarnation @3 :UInt64;
+  release @4 :Text;
+  nonce @5 :Text;
+  proof @6 :Text;
+}
+
+struct Welcome {
+  node @0 :Text;
+  role @1 :Text;
+  incarnation @2 :UInt64;
+  proof @3 :Text;
+}
+
+struct Refusal {
+  code @0 :UInt16;
+  reason @1 :Text;
+  run @2 :Text;
+  retryAfterS @3 :Float64;
+}
+
+struct Ack {
+  revision @0 :UInt64;
+}
+
+struct Subscribe {
+  revision @0 :UInt64;
+}
+
+struct Member {
+  name @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+  address @3 :Text;
+  entryPort @4 :UInt16;
+  schedulerPort @5 :UInt16;
+  controllerPort @6 :UInt16;
+  incarnation @7 :UInt64;
+  state @8 :Text;
+  revision @9 :UInt64;
+  load @10 :UInt32;
+}
+
+struct MemberView {
+  members @0 :List(Member);
+  leavingEndpoints @1 :List(Text);
+}
+
+struct Part {
+  name @0 :Text;
+  digest @1 :Text;
+  body @2 :Data;
+}
+
+struct ConfigUpdate {
+  revision @0 :UInt64;
+  manifest @1 :Data;
+  parts @2 :List(Part);
+}
+
+struct ConfigFetch {
+  revision @0 :UInt64;
+  parts @1 :List(Text);
+}
+
+struct ConfigAnnounce {
+  revision @0 :UInt64;
+  node @1 :Text;
+}
+
+struct Admit {
+  request @0 :Text;
+  workspace @1 :Text;
+  model @2 :Text;
+  kind @3 :Text;
+  priority @4 :Int32;
+  promptTokens @5 :UInt32;
+  maxTokens @6 :UInt32;
+  deadlineMs @7 :UInt32;
+  prefixes @8 :List(UInt64);
+  excluded @9 :List(Text);
+  attempt @10 :UInt16;
+  pool @11 :Text;
+  reservation @12 :Text;
+}
+
+struct Grant {
+  reservation @0 :Text;
+  endpoint @1 :Text;
+  queuedUs @2 :UInt64;
+  enginePriority @3 :Int32;
+}
+
+struct ProgressItem {
+  reservation @0 :Text;
+  produced @1 :UInt32;
+  gapUs @2 :UInt32;
+  firstTokenUs @3 :UInt32;
+}
+
+struct Progress {
+  items @0 :List(ProgressItem);
+}
+
+struct Release {
+  reservation @0 :Text;
+  produced @1 :UInt32;
+  outcome @2 :Text;
+  firstTokenUs @3 :UInt32;
+  gapUs @4 :UInt32;
+}
+
+struct Holding {
+  reservation @0 :Text;
+  endpoint @1 :Text;
+  workspace @2 :Text;
+  model @3 :Text;
+  kind @4 :Text;
+  priority @5 :Int32;
+  promptTokens @6 :UInt32;
+  produced @7 :UInt32;
+  maxTokens @8 :UInt32;
+  generation @9 :Text;
+}
+
+struct Holdings {
+  pool @0 :Text;
+  items @1 :List(Holding);
+}
+
+struct EndpointReport {
+  endpoint @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  usedTokens @3 :UInt64;
+  totalTokens @4 :UInt64;
+  ageMs @5 :UInt32;
+  leaving @6 :Bool;
+  reachable @7 :Bool;
+  models @8 :List(Text);
+  preemptions @9 :UInt64;
+}
+
+struct CacheEvents {
+  endpoint @0 :Text;
+  firstSeq @1 :UInt64;
+  lastSeq @2 :UInt64;
+  stored @3 :List(UInt64);
+  removed @4 :List(UInt64);
+  cleared @5 :Bool;
+}
+
+struct Heartbeat {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
+  members @3 :List(Member);
+  proof @4 :Text;
+  reply @5 :Bool;
+}
+
+struct StatsRequest {
+  kind @0 :Text;
+  since @1 :UInt64;
+}
+
+struct Stats {
+  text @0 :Text;
+}
+
+struct Drain {
+  node @0 :Text;
+  on @1 :Bool;
+}
+
+struct CancelGeneration {
+  endpoint @0 :Text;
+  generation @1 :Text;
+}
+
+struct Learned {
+  node @0 :Text;
+  body @1 :Data;
+}
+
+struct WhoHolds {
+  endpoint @0 :Text;
+  generations @1 :List(Text);
+}
+
+struct Held {
+  generations @0 :List(Text);
+  settled @1 :Bool;
+}
