--- a/dev/demo.py
+++ b/dev/demo.py
@@ -34,7 +34,8 @@
             )
             print(f"tally correction at entry {number}: {answer}")
         ran = sum(
-            fleet.counts(name)["ran"].get("calf", 0) for name in ("corral-1", "corral-2")
+            fleet.counts(name)["ran"].get("calf", 0)
+            for name in ("corral-1", "corral-2")
         )
         print(f"the tally correction ran {ran} time(s)")
     return 0 if ran == 1 else 1
