--- a/dev/fleet.py
+++ b/dev/fleet.py
@@ -392,8 +392,11 @@
         signal.signal(number, lambda *_: sys.exit(0))
     with Fleet(deployment=deployment) as fleet:
         print("ready " + json.dumps(fleet.description()), flush=True)
-        while True:
-            signal.pause()
+        with contextlib.suppress(SystemExit):
+            while True:
+                signal.pause()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
