Pools move to another scheduler without losing requests or counts

Cause: heartbeats run between controllers, so a scheduler that died or hung kept its pools until its host went, and a new owner knew nothing of what entries held. Ruled out: pinging schedulers from every entry (messages grow with entries). Change: each controller pings its own entry and scheduler and says in its heartbeats which of them is down; entries tell a pool's new owner all that they hold, an empty list too; the owner grants once all live entries have told, or after scheduler.settle_s; those that wait at the old owner are sent on. Before: 'killed' and 'paused' scenarios had no second owner. After: 3 scenarios of features/ownership.feature pass (kill, pause and wake, graceful stop). Conclusion: ownership follows processes, not hosts.

--- /dev/null
+++ b/src/baobabturn/controller/localprocesses.py
@@ -0,0 +1,56 @@
+"""Watches whether this host's entry and scheduler processes answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from baobabturn.core.program import Program
+from baobabturn.core.results import Failure
+from baobabturn.wire.link import Link
+from baobabturn.wire.messages import StatsRequest
+
+ROLES = ("entry", "scheduler")
+PING = "ping"
+
+
+class LocalProcesses:
+    """Holds the links of the local processes and pings each in a task.
+
+    A process is down while it has no link, and while it doesn't answer a ping
+    within ``membership.suspect_s``.
+    """
+
+    def __init__(self, *, program: Program, changed: Callable[[str, bool], None]):
+        self.program = program
+        self.changed = changed
+        self.links: dict[str, Link] = {}
+
+    def start(self) -> None:
+        """Report both processes as down until they have a link."""
+        for role in ROLES:
+            self.changed(role, True)
+
+    def opened(self, link: Link) -> None:
+        """Follow a process that has subscribed."""
+        if link.peer is None or link.peer.role not in ROLES:
+            return
+        self.links[link.peer.role] = link
+        self.changed(link.peer.role, False)
+        link.background.start(self.ping(link, link.peer.role), "ping")
+
+    def closed(self, link: Link) -> None:
+        """Follow a process whose link closed."""
+        for role, held in list(self.links.items()):
+            if held is link:
+                del self.links[role]
+                self.changed(role, True)
+
+    async def ping(self, link: Link, role: str) -> None:
+        """Ask a process for a sign of life for as long as its link is open."""
+        membership = self.program.settings.membership
+        while not link.closed:
+            await asyncio.sleep(membership.interval_s)
+            answer = await link.call(StatsRequest(kind=PING), membership.suspect_s)
+            if self.links.get(role) is link:
+                self.changed(role, isinstance(answer, Failure))
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -9,6 +9,7 @@
 from baobabturn.config.document import Endpoint
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.configsync import ConfigSync
+from baobabturn.controller.localprocesses import LocalProcesses
 from baobabturn.controller.polling import Poller
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
@@ -53,6 +54,9 @@
         self.poller = Poller(
             program=program, engine=self.engine, forward=self.to_scheduler
         )
+        self.local = LocalProcesses(
+            program=program, changed=self.membership.set_process_down
+        )
         self.subscribers: dict[Link, int] = {}
         self.leaving_endpoints: set[str] = set()
         self.server = LinkServer(
@@ -80,6 +84,7 @@
         failed = await self.membership.start()
         if failed is not None:
             return failed
+        self.local.start()
         program.background.start(self.sync.watch(), "config-watch")
         program.background.start(self.follow_hosts(), "host-list")
         program.events.emit(Event.PROCESS_READY, port=port)
@@ -163,6 +168,7 @@
     def subscribe(self, link: Link, body: Subscribe) -> Ack:
         """Send views to a link from now on."""
         self.subscribers[link] = body.revision
+        self.local.opened(link)
         link.send(self.member_view())
         self.push_config(link, body.revision)
         return Ack(revision=self.state.revision)
@@ -170,12 +176,13 @@
     def link_closed(self, link: Link) -> None:
         """Forget a subscriber."""
         self.subscribers.pop(link, None)
+        self.local.closed(link)
 
     def to_scheduler(self, body: object) -> None:
         """Send a message to this host's scheduler."""
-        for link in self.subscribers:
-            if link.peer is not None and link.peer.role == "scheduler":
-                link.send(body)
+        link = self.local.links.get("scheduler")
+        if link is not None:
+            link.send(body)
 
     def config_fetch(self, link: Link, body: ConfigFetch) -> ConfigUpdate:
         """Return the newest configuration, less the parts the peer holds."""
--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -74,6 +74,7 @@
     DRAINING = 1601
     NO_CONFIGURATION = 1602
     SCHEDULER_UNREACHABLE = 1603
+    POOL_MOVED = 1604
 
     CONFIG_INVALID = 1701
     CONFIG_CONFLICT = 1702
@@ -209,6 +210,9 @@
     Code.SCHEDULER_UNREACHABLE: CodeRow(
         503, _N, True, "No scheduler answered and no estimate allowed a send."
     ),
+    Code.POOL_MOVED: CodeRow(
+        503, _N, True, "The pool has another scheduler; ask that one."
+    ),
     Code.CONFIG_INVALID: CodeRow(
         422, _N, False, "The configuration breaks a rule; the reason names it."
     ),
--- a/src/baobabturn/entry/addresses.py
+++ b/src/baobabturn/entry/addresses.py
@@ -20,7 +20,11 @@
 
 def entries_body(node: Node, scheme: str) -> dict[str, Any]:
     """Return the addresses of live entries, nearest first and spread by chance."""
-    alive = [member for member in node.members if member.state == ALIVE]
+    alive = [
+        member
+        for member in node.members
+        if member.state == ALIVE and not member.entry_down
+    ]
     random.shuffle(alive)
     alive.sort(key=lambda member: distance(node, member))
     return {
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -27,6 +27,8 @@
     Held,
     Member,
     MemberView,
+    Stats,
+    StatsRequest,
     Subscribe,
     WhoHolds,
 )
@@ -71,6 +73,7 @@
             handlers={
                 MemberView: self.member_view,
                 ConfigUpdate: self.config_update,
+                StatsRequest: self.stats,
             },
             opened=self.subscribe,
         )
@@ -83,13 +86,17 @@
         """Follow the members."""
         self.members = body.members
         self.leaving_endpoints = set(body.leaving_endpoints)
-        self.schedulers.update(self.members)
+        self.schedulers.update(self.members, self.leaving_endpoints)
 
     def config_update(self, link: Link, body: ConfigUpdate) -> None:
         """Follow the configuration."""
         if self.state.accept(body) is True:
             self.events.emit(Event.CONFIG_IN_FORCE, revision=self.state.revision)
-            self.schedulers.update(self.members)
+            self.schedulers.update(self.members, self.leaving_endpoints)
+
+    def stats(self, link: Link, body: StatsRequest) -> Stats:
+        """Answer the controller; a ping needs no text."""
+        return Stats()
 
     def own_state(self) -> str:
         """Return this host's state as its controller sees it."""
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
-from typing import Any
 
 from baobabturn.config.state import ConfigState, Pool
 from baobabturn.core.program import Program
@@ -23,6 +23,14 @@
 )
 
 ANSWER_SLACK_S = 0.5
+RECHECK_S = 0.05
+MS = 1000
+UNREACHED = (
+    Code.LINK_LOST,
+    Code.SCHEDULER_UNREACHABLE,
+    Code.POOL_MOVED,
+    Code.UNSUPPORTED,
+)
 
 
 class Schedulers:
@@ -32,15 +40,22 @@
         self.program = program
         self.state = state
         self.members: list[Member] = []
+        self.leaving: set[str] = set()
         self.links: dict[tuple[str, int], LinkClient] = {}
         self.owners: dict[str, tuple[str, int]] = {}
         self.holdings: dict[str, tuple[str, Holding]] = {}
         self.progress: dict[str, ProgressItem] = {}
         self.random = random.Random(program.identity.node)
+        self.changed = asyncio.Event()
+
+    def update(self, members: list[Member], leaving: set[str]) -> None:
+        """Follow the members; links to new owners are opened, old ones closed.
 
-    def update(self, members: list[Member]) -> None:
-        """Follow the members; links to new owners are opened, old ones closed."""
+        ``leaving`` names the endpoints that take no new work.
+        """
         self.members = members
+        self.leaving = leaving
+        before = self.owners
         self.owners = {}
         for pool in self.state.pools.values():
             found = owner(pool.name, pool.region, members)
@@ -52,6 +67,12 @@
         for place in set(self.links) - wanted:
             client = self.links.pop(place)
             self.program.background.start(client.stop(), "link-stop")
+        moved = [name for name in self.owners if self.owners[name] != before.get(name)]
+        for name in moved:
+            self.tell_holdings(name)
+        if moved:
+            self.changed.set()
+            self.changed = asyncio.Event()
 
     def connect(self, place: tuple[str, int]) -> LinkClient:
         """Return a started link to a scheduler."""
@@ -61,17 +82,28 @@
             identity=self.program.identity,
             inner=self.program.settings.inner,
             clock=self.program.clock,
-            opened=lambda link: self.tell_holdings(place),
+            opened=lambda link: self.opened(place),
         )
         client.start()
         return client
 
-    def tell_holdings(self, place: tuple[str, int]) -> None:
-        """Tell a scheduler all places that this entry holds in its pools."""
-        for pool, at in self.owners.items():
+    def opened(self, place: tuple[str, int]) -> None:
+        """Tell a scheduler what is held in its pools, and wake those that wait."""
+        for name, at in self.owners.items():
+            if at == place:
+                self.tell_holdings(name)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def tell_holdings(self, pool: str) -> None:
+        """Tell a pool's scheduler all places that this entry holds in it.
+
+        An empty list is sent too: the scheduler waits for each entry's word.
+        """
+        client = self.link(pool)
+        if client is not None:
             items = [held for name, held in self.holdings.values() if name == pool]
-            if at == place and items:
-                self.links[place].send(Holdings(pool=pool, items=items))
+            client.send(Holdings(pool=pool, items=items))
 
     def link(self, pool: str) -> LinkClient | None:
         """Return the link to a pool's scheduler."""
@@ -85,25 +117,54 @@
         return self.random.choice(near) if near else None
 
     async def admit(self, body: Admit) -> Grant | Failure:
-        """Return a place in a pool, or the refusal."""
+        """Return a place in a pool, or the refusal.
+
+        While the pool's scheduler can't be reached or has changed, waits a
+        little for the next one and then goes by this entry's own estimate.
+        """
+        deadline = time.monotonic() + body.deadline_ms / MS
+        wait_s = self.program.settings.entry.scheduler_wait_s
+        lost_since = 0.0
+        while True:
+            asked = time.monotonic()
+            answer = await self.ask(body)
+            if not isinstance(answer, Failure) or answer.code not in UNREACHED:
+                return answer
+            now = time.monotonic()
+            if now - asked > RECHECK_S or not lost_since:
+                lost_since = now
+            if now >= deadline:
+                return Failure(Code.DEADLINE_NOT_RUN, "no scheduler in time")
+            if now - lost_since >= wait_s:
+                return self.own_estimate(body)
+            await self.wait_for_change(deadline)
+            body.deadline_ms = self.left_ms(deadline)
+
+    async def ask(self, body: Admit) -> Grant | Failure:
+        """Return the answer of the pool's scheduler, or why there is none."""
         client = self.link(body.pool)
-        wait_s = body.deadline_ms / 1000 + ANSWER_SLACK_S
-        answer: Any = Failure(Code.SCHEDULER_UNREACHABLE, "no scheduler is known")
-        if client is not None:
-            answer = await client.call(body, wait_s)
-        if isinstance(answer, Grant):
-            return answer
-        lost = (Code.LINK_LOST, Code.SCHEDULER_UNREACHABLE, Code.UNSUPPORTED)
-        if isinstance(answer, Failure) and answer.code in lost:
-            return self.own_estimate(body)
-        if isinstance(answer, Failure):
+        if client is None:
+            return Failure(Code.SCHEDULER_UNREACHABLE, "no scheduler is known")
+        wait_s = body.deadline_ms / MS + ANSWER_SLACK_S
+        answer = await client.call(body, wait_s)
+        if isinstance(answer, Grant | Failure):
             return answer
         return Failure(Code.SCHEDULER_UNREACHABLE, "an unexpected answer")
 
+    async def wait_for_change(self, end: float) -> None:
+        """Wait until a scheduler's link opens or a pool moves, at most a while."""
+        left = min(end - time.monotonic(), RECHECK_S)
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                await self.changed.wait()
+        except TimeoutError:
+            return
+
     def own_estimate(self, body: Admit) -> Grant | Failure:
         """Return a place by what this entry alone holds, with no scheduler."""
         pool = self.state.pools.get(body.pool)
-        names = [n for n in pool.endpoints if n not in body.excluded] if pool else []
+        barred = {*body.excluded, *self.leaving}
+        names = [n for n in pool.endpoints if n not in barred] if pool else []
         if not names:
             return Failure(Code.NO_ENDPOINT, "no endpoint is left to try")
         counts = dict.fromkeys(names, 0)
@@ -163,4 +224,4 @@
 
     def left_ms(self, deadline: float) -> int:
         """Return the milliseconds until a monotonic deadline."""
-        return max(0, int((deadline - time.monotonic()) * 1000))
+        return max(0, int((deadline - time.monotonic()) * MS))
--- a/src/baobabturn/membership/heartbeat.py
+++ b/src/baobabturn/membership/heartbeat.py
@@ -102,6 +102,15 @@
         self.send_all()
         self.changed()
 
+    def set_process_down(self, role: str, down: bool) -> None:
+        """Note whether one of this host's processes answers; tell the members."""
+        field = f"{role}_down"
+        if getattr(self.me, field) == down:
+            return
+        setattr(self.me, field, down)
+        self.send_all()
+        self.changed()
+
     async def beat(self) -> None:
         """Send heartbeats and judge silence, once an interval."""
         while True:
@@ -164,7 +173,7 @@
         known.heard = now
         if (before.state, before.incarnation) != (member.state, member.incarnation):
             self.note(member)
-        elif before.revision != member.revision:
+        elif heard_change(before, member):
             self.changed()
 
     def judge(self) -> None:
@@ -196,6 +205,15 @@
         self.changed()
 
 
+def heard_change(before: Member, after: Member) -> bool:
+    """Return whether a member's word about itself changes anything but its state."""
+    return (before.revision, before.entry_down, before.scheduler_down) != (
+        after.revision,
+        after.entry_down,
+        after.scheduler_down,
+    )
+
+
 class Receiver(asyncio.DatagramProtocol):
     """Hands datagrams to the membership."""
 
--- a/src/baobabturn/membership/owners.py
+++ b/src/baobabturn/membership/owners.py
@@ -22,9 +22,14 @@
 def owner(key: str, region: str, members: Iterable[Member]) -> Member | None:
     """Return the member that owns a key, None where no member is alive.
 
-    Members of the key's region go before others.
+    Members of the key's region go before others; a member whose scheduler
+    process doesn't answer owns nothing.
     """
-    alive = [member for member in members if member.state == ALIVE]
+    alive = [
+        member
+        for member in members
+        if member.state == ALIVE and not member.scheduler_down
+    ]
     near = [member for member in alive if member.region == region]
     candidates = near or alive
     if not candidates:
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 from baobabturn.config.state import ConfigState
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
-from baobabturn.membership.owners import owner
+from baobabturn.membership.owners import ALIVE, owner
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.wire.link import Link, LinkClient, LinkServer
@@ -20,6 +21,7 @@
     ConfigUpdate,
     EndpointReport,
     Held,
+    Holding,
     Holdings,
     Member,
     MemberView,
@@ -32,6 +34,8 @@
 )
 
 TICK_S = 0.05
+PLACES_CHECK = 4
+PING = "ping"
 
 
 class SchedulerProgram:
@@ -44,6 +48,8 @@
         self.members: list[Member] = []
         self.leaving: set[str] = set()
         self.pools: dict[str, PoolScheduler] = {}
+        self.places: dict[str, PoolScheduler] = {}
+        self.told: dict[str, dict[Link, list[Holding]]] = {}
         self.server = LinkServer(
             identity=program.identity,
             inner=settings.inner,
@@ -69,6 +75,7 @@
                 ConfigUpdate: self.config_update,
                 EndpointReport: self.endpoint_report,
                 CacheEvents: self.cache_events,
+                StatsRequest: self.stats,
             },
             opened=self.subscribe,
         )
@@ -81,7 +88,10 @@
             return port
         self.controller.start()
         self.program.background.start(self.tick(), "tick")
-        self.program.metrics.gauge("pools_owned", lambda: len(self.pools))
+        metrics = self.program.metrics
+        metrics.gauge("pools_owned", lambda: len(self.pools))
+        metrics.gauge("places_held", lambda: self.total("reservations"))
+        metrics.gauge("requests_waiting", lambda: self.total("queue"))
         self.program.events.emit(Event.PROCESS_READY, port=port)
         await self.program.stopping.wait()
         self.program.events.emit(Event.PROCESS_DRAINING)
@@ -95,12 +105,32 @@
 
     async def tick(self) -> None:
         """Do what time alone brings about."""
-        grace = self.program.settings.controller.orphan_grace_s
+        settings = self.program.settings
         while True:
             await asyncio.sleep(TICK_S)
             for pool in self.pools.values():
-                pool.drop_orphans(grace)
+                late = time.monotonic() - pool.taken_over
+                if not pool.settled and late > settings.scheduler.settle_s:
+                    pool.settle()
+                pool.drop_orphans(settings.controller.orphan_grace_s)
                 pool.dispatch()
+            self.forget_places()
+
+    def forget_places(self) -> None:
+        """Forget places that are neither held nor waited for any more."""
+        known = self.total("reservations") + self.total("queue")
+        if len(self.places) < PLACES_CHECK * (known + 1):
+            return
+        self.places = {
+            name: pool for name, pool in self.places.items() if pool.knows(name)
+        }
+
+    def total(self, field: str) -> int:
+        """Return how many ``reservations`` or ``queue`` entries the pools have."""
+        pools = self.pools.values()
+        if field == "queue":
+            return sum(len(pool.state.queue) for pool in pools)
+        return sum(len(pool.reservations) for pool in pools)
 
     def member_view(self, link: Link, body: MemberView) -> None:
         """Follow the members; ownership may change."""
@@ -126,62 +156,82 @@
             if found is not None and found.name == me:
                 mine[name] = pool
         for name in [name for name in self.pools if name not in mine]:
-            del self.pools[name]
+            self.pools.pop(name).give_up()
             self.program.events.emit(Event.POOL_RELEASED, pool=name)
         for name, pool in mine.items():
-            if name not in self.pools:
-                self.pools[name] = self.new_pool(name)
-                self.program.events.emit(Event.POOL_OWNED, pool=name)
             endpoints = [self.state.endpoints[each] for each in pool.endpoints]
+            if name not in self.pools:
+                self.take_over(name)
             self.pools[name].set_endpoints(endpoints, self.leaving)
+            self.learn_holdings(name)
 
-    def new_pool(self, name: str) -> PoolScheduler:
-        """Return the scheduler of a pool that this host takes over."""
+    def take_over(self, name: str) -> None:
+        """Begin to own a pool."""
         settings = self.program.settings.scheduler
         policy = POLICIES[settings.policy](settings=settings, seed=1)
-        return PoolScheduler(name=name, program=self.program, policy=policy)
+        self.pools[name] = PoolScheduler(name=name, program=self.program, policy=policy)
+        self.program.events.emit(Event.POOL_OWNED, pool=name)
 
-    def pool_of(self, reservation: str) -> PoolScheduler | None:
-        """Return the pool in which a place is held or waited for."""
-        for pool in self.pools.values():
-            if reservation in pool.reservations:
-                return pool
-            if any(w.admit.reservation == reservation for w in pool.state.queue):
-                return pool
-        return None
+    def learn_holdings(self, name: str) -> None:
+        """Take in what entries hold in a pool; settle once all have told.
+
+        An entry tells the owner that it sees; it may do so before this
+        process sees that it is the owner, so the word is kept.
+        """
+        pool = self.pools.get(name)
+        if pool is None or pool.settled:
+            return
+        told = self.told.get(name, {})
+        for link, items in told.items():
+            for item in items:
+                pool.hold(link, item)
+                self.places[item.reservation] = pool
+        heard = {link.peer.node for link in told if link.peer is not None}
+        live = {m.name for m in self.members if m.state == ALIVE and not m.entry_down}
+        if live <= heard:
+            pool.settle()
 
     async def admit(self, link: Link, body: Admit) -> Any:
         """Return a grant for a request, or why there is none."""
         pool = self.pools.get(body.pool)
         if pool is None:
-            return Failure(Code.SCHEDULER_UNREACHABLE, f"{body.pool} isn't owned here")
+            return Failure(Code.POOL_MOVED, f"{body.pool} isn't owned here")
+        self.places[body.reservation] = pool
         return await pool.admit(link, body)
 
     def progress(self, link: Link, body: Progress) -> None:
         """Take in the progress of an entry's generations."""
         for item in body.items:
-            pool = self.pool_of(item.reservation)
+            pool = self.places.get(item.reservation)
             if pool is not None:
                 pool.progress(item)
 
     def release(self, link: Link, body: Release) -> None:
         """Take a place back."""
-        pool = self.pool_of(body.reservation)
+        pool = self.places.pop(body.reservation, None)
         if pool is not None:
             pool.release(body)
 
     def holdings(self, link: Link, body: Holdings) -> Ack:
         """Take in the places that an entry holds."""
+        self.told.setdefault(body.pool, {})[link] = body.items
         pool = self.pools.get(body.pool)
-        if pool is not None:
+        if pool is not None and pool.settled:
             for item in body.items:
                 pool.hold(link, item)
+                self.places[item.reservation] = pool
+        self.learn_holdings(body.pool)
         return Ack(revision=self.state.revision)
 
     def who_holds(self, link: Link, body: WhoHolds) -> Held:
         """Return which of some generations are held by an entry."""
-        held = [name for name in body.generations if self.pool_of(name) is not None]
-        return Held(generations=held, settled=True)
+        held = []
+        for name in body.generations:
+            pool = self.places.get(name)
+            if pool is not None and pool.knows(name):
+                held.append(name)
+        settled = all(pool.settled for pool in self.pools.values())
+        return Held(generations=held, settled=settled)
 
     def endpoint_report(self, link: Link, body: EndpointReport) -> None:
         """Hand a load report to its pool."""
@@ -194,11 +244,15 @@
             pool.cache(body)
 
     def stats(self, link: Link, body: StatsRequest) -> Stats:
-        """Return metrics or events as text."""
+        """Return metrics or events as text; a ping needs none."""
+        if body.kind == PING:
+            return Stats()
         return Stats(text=self.program.stats(body.kind))
 
     def link_closed(self, link: Link) -> None:
         """Follow the loss of an entry."""
+        for told in self.told.values():
+            told.pop(link, None)
         for pool in self.pools.values():
             pool.holder_gone(link)
 
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -35,6 +35,7 @@
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.taken_over = time.monotonic()
+        self.settled = False
 
     def set_endpoints(self, endpoints: list[Endpoint], leaving: set[str]) -> None:
         """Follow the declared endpoints and those that leave."""
@@ -84,6 +85,8 @@
 
     def dispatch(self) -> None:
         """Grant places to those that wait, as far as the policy allows."""
+        if not self.settled:
+            return
         now = time.monotonic()
         for waiting in self.policy.order(self.state, now):
             if waiting.future.done():
@@ -128,6 +131,12 @@
             )
         )
 
+    def knows(self, reservation: str) -> bool:
+        """Return whether a place is held or waited for."""
+        if reservation in self.reservations:
+            return True
+        return any(w.admit.reservation == reservation for w in self.state.queue)
+
     def progress(self, item: ProgressItem) -> None:
         """Take in a generation's progress."""
         held = self.reservations.get(item.reservation)
@@ -202,6 +211,20 @@
         for block in body.removed:
             endpoint.cached.pop(block, None)
 
+    def settle(self) -> None:
+        """Begin to grant; what the entries hold is known."""
+        self.settled = True
+        took_us = int((time.monotonic() - self.taken_over) * US)
+        self.program.metrics.record("pool_settle_us", took_us)
+        self.dispatch()
+
+    def give_up(self) -> None:
+        """Send those that wait away; the pool has another owner."""
+        for waiting in self.state.queue:
+            if not waiting.future.done():
+                moved = Failure(Code.POOL_MOVED, f"{self.state.name} has moved")
+                waiting.future.set_result(moved)
+
     def holder_gone(self, holder: Any) -> None:
         """Drop what an entry waited for and mark what it held as orphaned."""
         now = time.monotonic()
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -86,6 +86,7 @@
     first_token_timeout_s: float = number(0.1, 3600)
     stall_timeout_s: float = number(0.1, 3600)
     connect_timeout_s: float = number(0.05, 60)
+    scheduler_wait_s: float = number(0, 60)
     retry_share: float = number(0, 1)
     attempt_limit: int = number(1, 20)
     progress_interval_s: float = number(0.02, 10)
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -71,6 +71,8 @@
     state: str = ""
     revision: int = 0
     load: int = 0
+    entry_down: bool = False
+    scheduler_down: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -82,6 +82,8 @@
   state @8 :Text;
   revision @9 :UInt64;
   load @10 :UInt32;
+  entryDown @11 :Bool;      # the host's entry process does not answer
+  schedulerDown @12 :Bool;  # the host's scheduler process does not answer
 }
 
 struct MemberView {
