Orders to engines under leases, rolled out without taking the last copy away

Cause: nothing made the declared models and versions true at the engines. Change: a lease with a rising term for each shard of engine groups, a decision that looks only at declared and actual state, a pace for loads, and going back when a version fails to load.

--- a/dev/runtests.py
+++ b/dev/runtests.py
@@ -48,7 +48,7 @@
     with tempfile.NamedTemporaryFile(suffix=".json") as results:
         command = [sys.executable, "-m", "behave", "--no-capture", "--no-color"]
         command += ["--format", "json", "--outfile", results.name]
-        command += ["--format", "progress", str(path)]
+        command += ["--format", "plain", str(path)]
         try:
             done = subprocess.run(
                 command,
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -25,6 +25,7 @@
     block_hashes,
     parse_mark,
 )
+from fakes.orders import OrderBook
 from fakes.server import Server
 
 KEEP_ENDED_S = 30.0
@@ -61,11 +62,11 @@
         seed: int = 1,
     ):
         self.name = name
-        self.models = dict.fromkeys(models, "1")
-        self.adapters: set[str] = set()
+        self.book = OrderBook(
+            models=dict.fromkeys(models, "1"), checks_fencing=checks_fencing
+        )
         self.model = model or EngineModel()
         self.batcher = Batcher(model=self.model)
-        self.checks_fencing = checks_fencing
         self.random = random.Random(f"{seed}/{name}")
         self.faults = Faults()
         self.generations: dict[str, Generation] = {}
@@ -73,8 +74,6 @@
         self.started: dict[str, int] = {}
         self.finished: dict[str, int] = {}
         self.cancelled = 0
-        self.orders: list[dict] = []
-        self.term = 0
         self.reports: list[tuple[float, dict]] = []
         self.tasks: list[asyncio.Task] = []
         self.server = Server(
@@ -118,7 +117,7 @@
                 "used_tokens": batcher.used(),
                 "total_tokens": self.model.memory_tokens,
                 "preemptions": batcher.preemptions,
-                "leaving": self.faults.leaving,
+                "leaving": self.faults.leaving or self.book.role != "serve",
             }
             self.reports.append((time.monotonic(), report))
             del self.reports[:-200]
@@ -126,7 +125,7 @@
 
     async def list_models(self, request: web.Request) -> web.Response:
         """List models and adapters as the OpenAI API does."""
-        names = [*self.models, *sorted(self.adapters)]
+        names = [*self.book.models, *sorted(self.book.adapters)]
         data = [{"id": name, "object": "model", "owned_by": "engine"} for name in names]
         return web.json_response({"object": "list", "data": data})
 
@@ -157,7 +156,7 @@
         if self.faults.hang_before_headers:
             await asyncio.sleep(3600)
         base = str(body.get("model", "")).partition(":")[0]
-        if base not in self.models:
+        if base not in self.book.models:
             return error(404, f"model {base} is not loaded")
         generation = self.make(body, request.path.endswith("chat/completions"))
         known = self.generations.get(generation.name)
@@ -291,7 +290,7 @@
         at, report = old[-1] if old else self.reports[0]
         age = time.monotonic() - at
         return web.json_response(
-            {**report, "age_s": round(age, 3), "models": dict(self.models)}
+            {**report, "age_s": round(age, 3), "models": dict(self.book.models)}
         )
 
     async def cache_events(self, request: web.Request) -> web.Response:
@@ -312,25 +311,19 @@
 
     async def order(self, request: web.Request) -> web.Response:
         """Carry out an order, unless its fencing number is old and is checked."""
-        body = await request.json()
-        term = body.get("term")
-        stale = term is not None and term < self.term
-        self.orders.append({**body, "stale": stale, "at": time.time()})
-        if stale and self.checks_fencing:
-            return error(409, f"term {term} is older than {self.term}")
-        self.term = max(self.term, term or 0)
-        carry_out(self, body)
-        return web.json_response({"models": self.models, "term": self.term})
+        if not self.book.take(await request.json()):
+            return error(409, f"the term is older than {self.book.term}")
+        return await self.show_orders(request)
 
     async def show_orders(self, request: web.Request) -> web.Response:
         """Return the state that orders have made."""
-        state = {"models": self.models, "adapters": sorted(self.adapters)}
-        return web.json_response({**state, "term": self.term})
+        return web.json_response(self.book.state(len(self.open_generations())))
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set faults by name."""
+        """Set faults by name; ``load_s`` and ``fail_versions`` are of orders."""
         for name, value in (await request.json()).items():
-            setattr(self.faults, name, value)
+            place = self.book if name in ("load_s", "fail_versions") else self.faults
+            setattr(place, name, value)
         self.batcher.slow_factor = self.faults.slow_factor
         self.batcher.frozen = self.faults.frozen
         self.batcher.wakeup.set()
@@ -350,24 +343,11 @@
                 "stalled_s": round(stalled, 3),
                 "cache_hits": self.batcher.cache_hits,
                 "prefilled_tokens": self.batcher.prefilled_tokens,
-                "orders": self.orders,
+                "orders": self.book.given,
             }
         )
 
 
-def carry_out(engine: FakeEngine, body: dict) -> None:
-    """Apply an order, which states the wanted end."""
-    match body.get("order"):
-        case "load":
-            engine.models[body["model"]] = body.get("version", "1")
-        case "unload":
-            engine.models.pop(body["model"], None)
-        case "load_adapter":
-            engine.adapters.add(f"{body['model']}:{body['adapter']}")
-        case "unload_adapter":
-            engine.adapters.discard(f"{body['model']}:{body['adapter']}")
-
-
 def chat_text(messages: list[dict]) -> str:
     """Return the text of a chat's messages; other parts count as none."""
     lines = []
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -10,6 +10,7 @@
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.configsync import ConfigSync
 from baobabturn.controller.localprocesses import LocalProcesses
+from baobabturn.controller.orders import OrderGiver
 from baobabturn.controller.polling import Poller
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
@@ -54,6 +55,13 @@
         self.poller = Poller(
             program=program, engine=self.engine, forward=self.to_scheduler
         )
+        self.orders = OrderGiver(
+            program=program,
+            store=self.store,
+            engine=self.engine,
+            state=self.state,
+            members=self.membership.members,
+        )
         self.local = LocalProcesses(
             program=program, changed=self.membership.set_process_down
         )
@@ -87,10 +95,12 @@
         self.local.start()
         program.background.start(self.sync.watch(), "config-watch")
         program.background.start(self.follow_hosts(), "host-list")
+        self.orders.start()
         program.events.emit(Event.PROCESS_READY, port=port)
         await program.stopping.wait()
         program.events.emit(Event.PROCESS_DRAINING)
         await self.membership.leave()
+        await self.orders.stop()
         await asyncio.sleep(program.settings.membership.interval_s)
         await self.server.stop()
         await self.store.close()
--- /dev/null
+++ b/src/baobabturn/controller/rollout.py
@@ -0,0 +1,154 @@
+"""Decides the next order for each engine from what is declared and what is there.
+
+The decision looks only at declared and actual state, so a new holder of the
+lease goes on where the last one stopped.  An engine whose models must change is
+first put in the role ``drain``; it gets its load order when nothing is open
+there, and its role back when it has what is declared.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from baobabturn.config.document import Endpoint, Model
+from baobabturn.endpoints.engine import EngineState, Order
+
+SERVE = "serve"
+DRAIN = "drain"
+DISRUPTED_SHARE = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class Wanted:
+    """What an engine shall hold: versions by model, adapters, and its role."""
+
+    models: dict[str, str]
+    adapters: frozenset[str]
+    role: str
+
+
+def wanted_state(
+    endpoint: Endpoint, models: dict[str, Model], versions: dict[str, str]
+) -> Wanted:
+    """Return what an engine shall hold.
+
+    ``versions`` overrides the declared versions of models that were rolled back.
+    """
+    declared = [models[name] for name in endpoint.models if name in models]
+    return Wanted(
+        models={m.name: versions.get(m.name, m.version) for m in declared},
+        adapters=frozenset(f"{m.name}:{a}" for m in declared for a in m.adapters),
+        role=endpoint.role,
+    )
+
+
+def is_disrupted(state: EngineState | None) -> bool:
+    """Return whether an engine doesn't serve now."""
+    return state is None or state.role != SERVE or bool(state.loading)
+
+
+def next_order(
+    wanted: Wanted, state: EngineState, may_disrupt: bool, term: int
+) -> Order | None:
+    """Return the next order for one engine, None where there is none now."""
+    if state.loading:
+        return None
+    replaced = sorted(
+        name
+        for name, version in state.models.items()
+        if wanted.models.get(name) != version
+    )
+    if replaced:
+        if state.role != DRAIN:
+            return Order(order="role", role=DRAIN, term=term) if may_disrupt else None
+        if state.open_count:
+            return None
+        return replacement(wanted, replaced[0], term)
+    missing = sorted(set(wanted.models) - set(state.models))
+    if missing:
+        name = missing[0]
+        return Order(order="load", model=name, version=wanted.models[name], term=term)
+    adapters = adapter_order(wanted, state, term)
+    if adapters is not None:
+        return adapters
+    if state.role != wanted.role:
+        return Order(order="role", role=wanted.role, term=term)
+    return None
+
+
+def replacement(wanted: Wanted, name: str, term: int) -> Order:
+    """Return the order that replaces or removes a model."""
+    version = wanted.models.get(name)
+    if version is None:
+        return Order(order="unload", model=name, term=term)
+    return Order(order="load", model=name, version=version, term=term)
+
+
+def adapter_order(wanted: Wanted, state: EngineState, term: int) -> Order | None:
+    """Return the order for the next adapter to add or remove."""
+    for name in sorted(wanted.adapters - state.adapters):
+        model, _, adapter = name.partition(":")
+        return Order(order="load_adapter", model=model, adapter=adapter, term=term)
+    for name in sorted(state.adapters - wanted.adapters):
+        model, _, adapter = name.partition(":")
+        return Order(order="unload_adapter", model=model, adapter=adapter, term=term)
+    return None
+
+
+def may_disrupt(
+    endpoint: Endpoint,
+    endpoints: Iterable[Endpoint],
+    states: dict[str, EngineState | None],
+) -> bool:
+    """Return whether an engine may stop serving now.
+
+    Each model that it serves must keep another serving copy, and only a share
+    of a model's copies may be out at once.  A model with a single declared
+    engine has no other copy to wait for.
+    """
+    state = states.get(endpoint.name)
+    if state is None:
+        return False
+    for model in state.models:
+        others = [
+            each
+            for each in endpoints
+            if each.name != endpoint.name and model in each.models
+        ]
+        if not others:
+            continue
+        serving = [e for e in others if serves(states.get(e.name), model)]
+        out = len(others) - len(serving)
+        limit = max(1, int((len(others) + 1) * DISRUPTED_SHARE))
+        if not serving or out + 1 > limit:
+            return False
+    return True
+
+
+def serves(state: EngineState | None, model: str) -> bool:
+    """Return whether an engine serves a model now."""
+    return not is_disrupted(state) and state is not None and model in state.models
+
+
+def group_of(endpoints: Iterable[Endpoint]) -> dict[str, str]:
+    """Return for each engine the name of its group.
+
+    Engines that share a model, directly or through others, are in one group, so
+    that one lease holder decides over all copies of a model.
+    """
+    parent: dict[str, str] = {}
+
+    def root(name: str) -> str:
+        while parent.setdefault(name, name) != name:
+            name = parent[name]
+        return name
+
+    engines = [each for each in endpoints if each.kind == "engine" and each.models]
+    for endpoint in engines:
+        first, *rest = sorted(endpoint.models)
+        for other in rest:
+            low, high = sorted((root(first), root(other)))
+            parent[high] = low
+    return {endpoint.name: root(min(endpoint.models)) for endpoint in engines}
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -56,6 +56,7 @@
     LEASE_LOST = "lease-lost"
     ORDER_SENT = "order-sent"
     ORDER_REFUSED = "order-refused"
+    ROLLED_BACK = "rolled-back"
     POOL_OWNED = "pool-owned"
     POOL_RELEASED = "pool-released"
     ENDPOINT_LEAVING = "endpoint-leaving"
--- a/src/baobabturn/endpoints/engine.py
+++ b/src/baobabturn/endpoints/engine.py
@@ -67,6 +67,23 @@
     term: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class EngineState:
+    """What an engine really holds: read at once, not from a lagging report.
+
+    ``loading`` names a model that is being loaded, ``failed`` has the versions
+    whose last load failed, by model.
+    """
+
+    models: dict[str, str]
+    adapters: frozenset[str]
+    role: str
+    term: int
+    loading: str
+    failed: dict[str, str]
+    open_count: int
+
+
 class Engine(Protocol):
     """A model engine that streams, resumes, cancels, reports and takes orders."""
 
@@ -90,5 +107,8 @@
     async def cache_changes(self, url: str, after: int) -> CacheChange | Failure:
         """Return the cache events after a sequence number."""
 
-    async def order(self, url: str, order: Order) -> None | Failure:
-        """Give an order."""
+    async def state(self, url: str) -> EngineState | Failure:
+        """Return what the engine holds now."""
+
+    async def order(self, url: str, order: Order, timeout_s: float) -> None | Failure:
+        """Give an order; ``FENCED`` where its fencing number is too old."""
--- a/src/baobabturn/endpoints/openaiengine.py
+++ b/src/baobabturn/endpoints/openaiengine.py
@@ -19,6 +19,7 @@
     CacheChange,
     Chunk,
     Chunks,
+    EngineState,
     LoadReport,
     Order,
 )
@@ -65,10 +66,14 @@
         return chunks(answer)
 
     async def call(
-        self, method: str, url: str, **options: Any
+        self,
+        method: str,
+        url: str,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+        **options: Any,
     ) -> tuple[int, Any] | Failure:
         """Return status and decoded body of a short call, or why there is none."""
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.session.request(
                 method, url, timeout=timeout, **options
@@ -125,8 +130,26 @@
         gap = len(events) < last - after
         return CacheChange(last=last, gap=gap, stored=stored, removed=removed)
 
-    async def order(self, url: str, order: Order) -> None | Failure:
-        """Give an order."""
+    async def state(self, url: str) -> EngineState | Failure:
+        """Return what the engine holds now."""
+        answer = await self.call("GET", f"{url}/orders")
+        if isinstance(answer, Failure):
+            return answer
+        values = answer[1]
+        return EngineState(
+            models=values["models"],
+            adapters=frozenset(values["adapters"]),
+            role=values["role"],
+            term=values["term"],
+            loading=values["loading"],
+            failed=values["failed"],
+            open_count=values["open"],
+        )
+
+    async def order(
+        self, url: str, order: Order, timeout_s: float = CONTROL_TIMEOUT_S
+    ) -> None | Failure:
+        """Give an order; ``FENCED`` where its fencing number is too old."""
         body = {
             "order": order.order,
             "model": order.model,
@@ -135,7 +158,9 @@
             "role": order.role,
             "term": order.term,
         }
-        answer = await self.call("POST", f"{url}/orders", json=body)
+        answer = await self.call(
+            "POST", f"{url}/orders", timeout_s=timeout_s, json=body
+        )
         if isinstance(answer, Failure):
             return answer
         if answer[0] == 409:
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -120,6 +120,11 @@
     status_interval_s: float = number(1, 3600)
     lease_duration_s: float = number(0.5, 600)
     clock_rate_margin: float = number(0, 0.5)
+    order_shards: int = number(1, 64)
+    order_send_s: float = number(0.1, 60)
+    order_interval_s: float = number(0.05, 600)
+    reread_s: float = number(0.1, 3600)
+    loads_per_min: float = number(0.01, 100_000)
     orphan_grace_s: float = number(0.1, 600)
     orphan_sweep_s: float = number(0.1, 600)
 
