--- /dev/null
+++ b/features/steps/settings.py
@@ -0,0 +1,98 @@
+"""Steps of settings and their mistakes."""
+
+import json
+import os
+import pathlib
+import shlex
+import socket
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+LIMIT_S = 30
+
+
+def run_module(module, *arguments, stdin=""):
+    """Run a module of the project as a process and return what it did."""
+    path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    return subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        input=stdin,
+        timeout=LIMIT_S,
+    )
+
+
+@given("a settings file")
+def settings_file(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = str(pathlib.Path(folder.name) / "settings.jsonc")
+    pathlib.Path(context.file).write_text(context.text)
+
+
+@when('"{command}" runs with it')
+def command_runs(context, command):
+    arguments = [*shlex.split(command), "--settings", context.file]
+    context.done = run_module("baobabturn.commands", *arguments)
+    assert context.done.returncode == 0, context.done.stderr
+
+
+@then('the setting "{name}" is {value} from the file')
+def setting_from_file(context, name, value):
+    setting_from(context, name, value, context.file)
+
+
+@then('the setting "{name}" is {value} from "{source}"')
+def setting_from(context, name, value, source):
+    found = json.loads(context.done.stdout)[name]
+    assert found == {"value": json.loads(value), "source": source}, found
+
+
+@when('the program "{program}" starts with it')
+def program_with_file(context, program):
+    context.done = run_module(f"baobabturn.{program}", "--settings", context.file)
+
+
+@when('the program "{program}" starts with "{flags}"')
+def program_with_flags(context, program, flags):
+    context.done = run_module(f"baobabturn.{program}", *shlex.split(flags))
+
+
+@then('it ends with code {code:d} and one line that has "{text}"')
+def one_line(context, code, text):
+    assert context.done.returncode == code, context.done
+    lines = [
+        line
+        for line in context.done.stderr.splitlines()
+        if not line.startswith("hlc=")  # the event log is on standard error too
+    ]
+    assert len(lines) == 1, context.done.stderr
+    assert text in lines[0], lines[0]
+
+
+@given("another process listens on an address")
+def address_taken(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.port = listener.getsockname()[1]
+
+
+@when('the program "{program}" starts on that address')
+def program_on_address(context, program):
+    flag = f"ports.{program}={context.port}"
+    context.done = run_module(f"baobabturn.{program}", "--set", flag)
+
+
+@given("another process receives datagrams on an address")
+def datagrams_taken(context):
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(receiver.close)
+    receiver.bind(("127.0.0.1", 0))
+    context.port = receiver.getsockname()[1]
--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -13,16 +13,18 @@
     read_configuration,
     read_settings,
 )
+from baobabturn.commands.progress import with_progress
 from baobabturn.config.differ import differences
 from baobabturn.config.document import Document
 from baobabturn.config.parts import Manifest
 from baobabturn.config.publish import Published, current, publish
 from baobabturn.core.results import Code, Failure
+from baobabturn.membership.owners import DEAD
 from baobabturn.platform.httpstore import HttpStore
 from baobabturn.settings.model import Settings
 
 POLL_S = 0.2
-PROGRESS_AFTER_S = 2.0
+PUBLISHING = "waiting for the platform to take the configuration"
 
 
 def run(
@@ -47,7 +49,7 @@
     set:
         One field as section.field=value; may be repeated.
     entry:
-        An entry's URL to watch the progress at, needed for --wait.
+        An entry's URL to watch the progress at; that of the settings' host if left out.
     base:
         The revision that the change was made against; another is a conflict.
     wait:
@@ -59,13 +61,16 @@
     """
     document = read_configuration(file)
     loaded = read_settings(settings, set)
-    manifest = asyncio.run(put(loaded, document, base))
+    publishing = with_progress(put(loaded, document, base), lambda: PUBLISHING)
+    manifest = asyncio.run(publishing)
     in_force: dict[str, float] = {}
     if wait:
-        if not entry:
-            raise CommandError(Failure(Code.BAD_FIELD, "--wait needs --entry"))
-        key = loaded.entry.admin_key
-        in_force = asyncio.run(wait_in_force(entry, key, manifest.revision, wait_s))
+        watch = Watch(
+            entry=entry or f"http://{loaded.host.address}:{loaded.ports.entry}",
+            key=loaded.entry.admin_key,
+            revision=manifest.revision,
+        )
+        in_force = asyncio.run(with_progress(watch.run(wait_s), watch.text))
     if json:
         print_json(
             {
@@ -110,30 +115,49 @@
     return Failure(Code.CONFIG_CONFLICT, f"{who} came first: " + "; ".join(lines))
 
 
-async def wait_in_force(
-    entry: str, key: str, revision: int, limit_s: float
-) -> dict[str, float]:
-    """Return the seconds after which each failure domain had a revision in force."""
-    began = time.monotonic()
-    done: dict[str, float] = {}
-    while True:
-        status = await ask_entry(entry, "/admin/status", key)
-        now = time.monotonic() - began
+class Watch:
+    """Follows at an entry in which failure domains a revision is in force."""
+
+    def __init__(self, *, entry: str, key: str, revision: int):
+        self.entry = entry
+        self.key = key
+        self.revision = revision
+        self.domains: dict[str, bool] = {}
+        self.done: dict[str, float] = {}
+
+    def text(self) -> str:
+        """Return the progress for people, failure domain by failure domain."""
+        parts = [
+            f"{domain} {'in force' if here else 'not yet'}"
+            for domain, here in sorted(self.domains.items())
+        ]
+        where = ", ".join(parts) or f"no answer of {self.entry} yet"
+        return f"revision {self.revision}: {where}"
+
+    async def look(self) -> None:
+        """Read which failure domains have the revision in force on every host."""
+        status = await ask_entry(self.entry, "/admin/status", self.key)
         domains: dict[str, bool] = {}
         for member in status["members"]:
-            if member["state"] == "alive":
+            if member["state"] != DEAD:
                 domain = member["failure_domain"]
-                here = member["revision"] >= revision
+                here = member["revision"] >= self.revision
                 domains[domain] = domains.get(domain, True) and here
-        for domain, here in domains.items():
-            if here and domain not in done:
-                done[domain] = round(now, 3)
-        if domains and all(domains.values()):
-            return done
-        if now > limit_s:
-            late = sorted(domain for domain, here in domains.items() if not here)
-            reason = f"not in force within {limit_s:g} s in {', '.join(late)}"
-            raise CommandError(Failure(Code.LINK_TIMEOUT, reason))
-        if now > PROGRESS_AFTER_S:
-            print(f"waiting: {len(done)} of {len(domains)} failure domains", flush=True)
-        await asyncio.sleep(POLL_S)
+        self.domains = domains
+
+    async def run(self, limit_s: float) -> dict[str, float]:
+        """Return the seconds after which each failure domain had it in force."""
+        began = time.monotonic()
+        while True:
+            await self.look()
+            now = time.monotonic() - began
+            for domain, here in self.domains.items():
+                if here:
+                    self.done.setdefault(domain, round(now, 3))
+            if self.domains and all(self.domains.values()):
+                return self.done
+            if now > limit_s:
+                late = sorted(name for name, here in self.domains.items() if not here)
+                reason = f"not in force within {limit_s:g} s in {', '.join(late)}"
+                raise CommandError(Failure(Code.LINK_TIMEOUT, reason))
+            await asyncio.sleep(POLL_S)
--- a/src/baobabturn/commands/common.py
+++ b/src/baobabturn/commands/common.py
@@ -19,6 +19,7 @@
 
 EXIT_FAILED = 1
 CALL_TIMEOUT_S = 5.0
+ANSWER_SHOWN_BYTES = 200
 
 
 class CommandError(Exception):
@@ -60,6 +61,9 @@
     entry: str, path: str, admin_key: str, body: Any = None, method: str = "GET"
 ) -> Any:
     """Return the answer of an entry's operators' path, JSON decoded if it is."""
+    if not entry.startswith(("http://", "https://")):
+        failure = Failure(Code.BAD_FIELD, f"entry {entry!r}: allowed is an http URL")
+        raise CommandError(failure, EXIT_USAGE)
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
     headers = {"Authorization": f"Bearer {admin_key}"}
     try:
@@ -69,11 +73,15 @@
                     raise CommandError(
                         Failure(Code.NOT_ALLOWED, f"{entry}: wrong admin key")
                     )
+                if answer.status != 200:
+                    text = (await answer.text())[:ANSWER_SHOWN_BYTES]
+                    reason = f"{entry}: status {answer.status}: {text}"
+                    raise CommandError(Failure(Code.LINK_REFUSED, reason))
                 if answer.content_type == "application/json":
                     return await answer.json()
                 return await answer.text()
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-        reason = f"{entry}: {error or 'no answer'}"
+        reason = f"{entry}: {str(error) or 'no answer'}"
         raise CommandError(Failure(Code.LINK_LOST, reason)) from None
 
 
--- a/src/baobabturn/commands/diff.py
+++ b/src/baobabturn/commands/diff.py
@@ -12,6 +12,7 @@
     read_configuration,
     read_settings,
 )
+from baobabturn.commands.progress import with_progress
 from baobabturn.config.differ import Difference, differences
 from baobabturn.config.document import Document
 from baobabturn.config.publish import current
@@ -41,7 +42,8 @@
         Print the differences as JSON.
     """
     document = read_configuration(file)
-    found = asyncio.run(compare(read_settings(settings, set), document))
+    comparing = compare(read_settings(settings, set), document)
+    found = asyncio.run(with_progress(comparing, lambda: "reading the platform"))
     if json:
         print_json([attrs.asdict(each) for each in found])
     else:
--- a/src/baobabturn/commands/main.py
+++ b/src/baobabturn/commands/main.py
@@ -2,31 +2,50 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 import cyclopts
 
 from baobabturn import __version__
-from baobabturn.commands import apply, check, diff, drain, settings, status, timeline
+from baobabturn.commands import (
+    apply,
+    check,
+    completion,
+    diff,
+    drain,
+    settings,
+    status,
+    timeline,
+)
 from baobabturn.commands.common import CommandError, end
+from baobabturn.core.program import run_app
+
+EXIT_INTERRUPTED = 130
 
 app = cyclopts.App(
     name="baobabturn",
     version=__version__,
     help="Declares, applies and watches the configuration of a baobabturn system.",
 )
-for module in (check, diff, apply, status, drain, timeline, settings):
+for module in (check, diff, apply, status, drain, timeline, settings, completion):
     app.command(module.run, name=module.__name__.rpartition(".")[2])
 
 
 def main() -> None:
     """Run the command that the arguments name."""
     try:
-        sys.exit(app())
+        code = run_app(app)
+        sys.stdout.flush()
     except CommandError as error:
-        sys.exit(end(error))
+        code = end(error)
     except KeyboardInterrupt:
-        sys.exit(130)
+        code = EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of a pipe is gone; the interpreter shall not flush to it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = 1
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -103,9 +103,12 @@
         await self.orders.stop()
         await asyncio.sleep(program.settings.membership.interval_s)
         await self.server.stop()
+        return None
+
+    async def close(self) -> None:
+        """Close the connections to the platform and the endpoints."""
         await self.store.close()
         await self.session.close()
-        return None
 
     async def follow_hosts(self) -> None:
         """Read the platform's host list from time to time."""
@@ -251,7 +254,11 @@
 
 async def serve(program: Program) -> Failure | None:
     """Run the controller."""
-    return await Controller(program=program).run()
+    controller = Controller(program=program)
+    try:
+        return await controller.run()
+    finally:
+        await controller.close()
 
 
 def main() -> None:
--- a/src/baobabturn/core/program.py
+++ b/src/baobabturn/core/program.py
@@ -45,15 +45,18 @@
         self.metrics = Metrics(role=role)
         self.background = Background()
         self.stopping = asyncio.Event()
+        self.describe: Callable[[], str] = str
 
     def stop(self) -> None:
         """Ask the program to stop gracefully."""
         self.stopping.set()
 
     def stats(self, kind: str) -> str:
-        """Return metrics or the newest events as text."""
+        """Return metrics, the newest events or the process's state as text."""
         if kind == "events":
             return "\n".join(self.events.ring) + "\n"
+        if kind == "state":
+            return self.describe()
         return self.metrics.exposition()
 
 
@@ -79,6 +82,15 @@
     print(f"baobabturn: {' '.join(text.split())}", file=sys.stderr)
 
 
+def run_app(app: cyclopts.App) -> int:
+    """Run a command line and return its exit code; a usage mistake is one line."""
+    try:
+        return app(print_error=False, exit_on_error=False) or 0
+    except cyclopts.CycloptsError as error:
+        complain(str(error))
+        return EXIT_USAGE
+
+
 def start(role: str, main: Main) -> None:
     """Parse the command line of a program and run it; exit with its code."""
     app = cyclopts.App(name=f"baobabturn-{role}", version=__version__)
@@ -109,4 +121,4 @@
             return EXIT_USAGE
         return 0
 
-    sys.exit(app())
+    sys.exit(run_app(app))
--- a/src/baobabturn/entry/admin.py
+++ b/src/baobabturn/entry/admin.py
@@ -10,6 +10,8 @@
 from starlette.routing import Route
 
 from baobabturn.core.results import Failure
+from baobabturn.entry.answers import error_body
+from baobabturn.entry.bodies import parse_json
 from baobabturn.entry.node import Node
 from baobabturn.wire.link import LinkClient
 from baobabturn.wire.messages import Drain, Stats, StatsRequest
@@ -86,11 +88,20 @@
             }
         )
 
+    async def pools(self, request: Request) -> Response:
+        """Return the pools that this host's scheduler owns, with their endpoints."""
+        if not self.allowed(request):
+            return Response(status_code=403)
+        text = await self.ask(self.node.settings.ports.scheduler, "state")
+        return JSONResponse(json.loads(text or "[]"))
+
     async def drain(self, request: Request) -> Response:
         """Start or end the draining of this host."""
         if not self.allowed(request):
             return Response(status_code=403)
-        body = json.loads(await request.body() or b"{}")
+        body = parse_json(await request.body() or b"{}", self.node.settings.entry)
+        if isinstance(body, Failure):
+            return JSONResponse(error_body(body), body.status)
         name = self.node.program.identity.node
         message = Drain(node=name, on=bool(body.get("on", True)))
         answer = await self.node.controller.call(message)
@@ -106,5 +117,6 @@
         Route("/metrics", admin.metrics),
         Route("/admin/events", admin.events),
         Route("/admin/status", admin.status),
+        Route("/admin/pools", admin.pools),
         Route("/admin/drain", admin.drain, methods=["POST"]),
     ]
--- /dev/null
+++ b/src/baobabturn/scheduler/describe.py
@@ -0,0 +1,51 @@
+"""Describes the pools that a scheduler owns, for operators."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from baobabturn.scheduler.pool import PoolScheduler
+from baobabturn.scheduler.state import EndpointState
+
+
+def describe(pools: dict[str, PoolScheduler]) -> str:
+    """Return the owned pools and their endpoints as JSON text."""
+    return json.dumps(
+        [
+            {
+                "pool": name,
+                "waiting": len(pool.state.queue),
+                "endpoints": [
+                    describe_endpoint(endpoint)
+                    for _, endpoint in sorted(pool.state.endpoints.items())
+                ],
+            }
+            for name, pool in sorted(pools.items())
+        ]
+    )
+
+
+def describe_endpoint(endpoint: EndpointState) -> dict[str, Any]:
+    """Return an endpoint as its scheduler knows it."""
+    report = endpoint.report
+    return {
+        "endpoint": endpoint.name,
+        "state": state_of(endpoint),
+        "in_flight": endpoint.in_flight,
+        "used_tokens": endpoint.used_tokens,
+        "memory_tokens": endpoint.memory_tokens,
+        "reported_running": report.running if report else None,
+        "reported_waiting": report.waiting if report else None,
+        "preemptions": report.preemptions if report else None,
+    }
+
+
+def state_of(endpoint: EndpointState) -> str:
+    """Return one word on whether an endpoint gets new work."""
+    report = endpoint.report
+    if endpoint.leaving or (report is not None and report.leaving):
+        return "leaving"
+    if report is None:
+        return "no-report"
+    return "serving" if report.reachable else "unreachable"
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -11,6 +11,7 @@
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import ALIVE, owner
+from baobabturn.scheduler.describe import describe
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.wire.link import Link, LinkClient, LinkServer
@@ -92,6 +93,7 @@
         metrics.gauge("pools_owned", lambda: len(self.pools))
         metrics.gauge("places_held", lambda: self.total("reservations"))
         metrics.gauge("requests_waiting", lambda: self.total("queue"))
+        self.program.describe = lambda: describe(self.pools)
         self.program.events.emit(Event.PROCESS_READY, port=port)
         await self.program.stopping.wait()
         self.program.events.emit(Event.PROCESS_DRAINING)
--- a/src/baobabturn/wire/link.py
+++ b/src/baobabturn/wire/link.py
@@ -13,6 +13,7 @@
 import inspect
 import itertools
 import logging
+import os
 import ssl
 import struct
 from collections.abc import Callable
@@ -261,7 +262,7 @@
                 self.accept, address, port, ssl=server_tls(self.inner)
             )
         except OSError as error:
-            reason = f"{address}:{port}: {error.strerror}"
+            reason = f"{address}:{port}: {os.strerror(error.errno or 0)}"
             return Failure(Code.ADDRESS_IN_USE, reason)
         return self.server.sockets[0].getsockname()[1]
 
