--- a/src/baobabturn/commands/common.py
+++ b/src/baobabturn/commands/common.py
@@ -4,7 +4,6 @@
 
 import json
 import pathlib
-import sys
 from collections.abc import Sequence
 from typing import Any
 
@@ -40,10 +39,9 @@
 
 
 def read_configuration(path: str) -> Document:
-    """Return the checked configuration in a file, ``-`` for standard input."""
+    """Return the checked configuration in a file."""
     try:
-        text = sys.stdin.read() if path == "-" else pathlib.Path(path).read_text()
-        values = json.loads(text)
+        values = json.loads(pathlib.Path(path).read_text("utf-8"))
     except (OSError, ValueError, RecursionError) as error:
         reason = getattr(error, "strerror", None) or f"not JSON: {error}"
         failure = Failure(Code.CONFIG_INVALID, f"{path}: {reason}")
--- a/src/baobabturn/commands/main.py
+++ b/src/baobabturn/commands/main.py
@@ -22,6 +22,7 @@
 from baobabturn.core.program import run_app
 
 EXIT_INTERRUPTED = 130
+STDIN = "/dev/stdin"
 
 app = cyclopts.App(
     name="baobabturn",
@@ -32,10 +33,15 @@
     app.command(module.run, name=module.__name__.rpartition(".")[2])
 
 
+def arguments(given: list[str]) -> list[str]:
+    """Return the arguments with ``-`` as a path, since the parser takes no ``-``."""
+    return [STDIN if text == "-" else text for text in given]
+
+
 def main() -> None:
     """Run the command that the arguments name."""
     try:
-        code = run_app(app)
+        code = run_app(app, arguments(sys.argv[1:]))
         sys.stdout.flush()
     except CommandError as error:
         code = end(error)
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -96,6 +96,9 @@
         program.background.start(self.sync.watch(), "config-watch")
         program.background.start(self.follow_hosts(), "host-list")
         self.orders.start()
+        metrics = program.metrics
+        metrics.gauge("platform_calls", lambda: self.store.calls)
+        metrics.gauge("heartbeat_sent_bytes", lambda: self.membership.sent_bytes)
         program.events.emit(Event.PROCESS_READY, port=port)
         await program.stopping.wait()
         program.events.emit(Event.PROCESS_DRAINING)
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -68,6 +68,55 @@
     LINK_CLOSED = "link-closed"
 
 
+EVENT_MEANINGS: dict[Event, str] = {
+    Event.PROCESS_STARTED: "A program has read its settings; `release` is its version.",
+    Event.PROCESS_READY: "A program listens on its address.",
+    Event.PROCESS_DRAINING: "A program was asked to stop and finishes what is open.",
+    Event.PROCESS_STOPPED: "A program ends.",
+    Event.CONFIG_IN_FORCE: "A process serves from this revision.",
+    Event.CONFIG_ACCEPTED: "A controller took a revision from the platform or a peer.",
+    Event.MEMBER_ALIVE: "A host answers heartbeats.",
+    Event.MEMBER_SUSPECT: "A host has been silent for `membership.suspect_s`.",
+    Event.MEMBER_DEAD: "A host has been silent for `membership.dead_s`.",
+    Event.MEMBER_LEAVING: "A host drains or stops.",
+    Event.REQUEST_RECEIVED: "An entry has a caller's request.",
+    Event.REQUEST_QUEUED: "A request waits in a pool's queue.",
+    Event.REQUEST_GRANTED: "A request has a place at an endpoint.",
+    Event.REQUEST_REFUSED: (
+        "An entry refused a request before any attempt; `code` says why."
+    ),
+    Event.ATTEMPT_SENT: "An entry sends a request to an endpoint.",
+    Event.ATTEMPT_ENDED: "An attempt ended; `outcome` says how.",
+    Event.FIRST_TOKEN: "The first token has come.",
+    Event.STREAM_RESUMED: "A caller resumed a stream, at any entry.",
+    Event.STREAM_RESTARTED: "A generation was begun anew for a caller that allows it.",
+    Event.REQUEST_FINISHED: "A caller got its whole answer.",
+    Event.REQUEST_FAILED: "A caller got an error after an attempt, or went away.",
+    Event.GENERATION_CANCELLED: "An engine confirmed that a generation is cancelled.",
+    Event.ORPHAN_FOUND: "An engine runs a generation that no entry holds.",
+    Event.CLAIM_CREATED: "An idempotency key was claimed on the platform.",
+    Event.CLAIM_RECORDED: "The result of a claimed call is recorded.",
+    Event.CLAIM_REPLAYED: "A recorded result was returned again.",
+    Event.CLAIM_VOIDED: "A claimed call provably did not run; the key is free.",
+    Event.LEASE_TAKEN: "A host holds a lease with this term.",
+    Event.LEASE_LOST: "A host no longer holds a lease.",
+    Event.ORDER_SENT: "An order went to an engine.",
+    Event.ORDER_REFUSED: "An engine refused an order.",
+    Event.ROLLED_BACK: "A new version of a model was taken back.",
+    Event.POOL_OWNED: "A scheduler decides for a pool from now on.",
+    Event.POOL_RELEASED: "A scheduler gave a pool up.",
+    Event.ENDPOINT_LEAVING: "An endpoint gets no new work since it leaves.",
+    Event.ENDPOINT_SUSPECT: (
+        "An endpoint gets less new work since it is slow or silent."
+    ),
+    Event.ENDPOINT_RESTORED: "An endpoint gets new work as before.",
+    Event.PLATFORM_DOWN: "Calls to the platform fail.",
+    Event.PLATFORM_UP: "Calls to the platform succeed again.",
+    Event.LINK_OPENED: "A link to another process is open.",
+    Event.LINK_CLOSED: "A link to another process closed.",
+}
+
+
 def quoted(value: object) -> str:
     """Return a value as it stands in a log line, quoted where it has spaces.
 
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -15,6 +15,29 @@
 DIGITS = 2
 QUANTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
 
+PREFIX = "baobabturn_"
+HELP = {
+    "failures": "Failures that callers were told, by result code.",
+    "heartbeat_sent_bytes": "Bytes sent in heartbeats.",
+    "inner_received_bytes": "Bytes received over inner links.",
+    "inner_sent_bytes": "Bytes sent over inner links.",
+    "open_requests": "Requests that the entry is answering.",
+    "orders": "Orders sent to engines, by kind.",
+    "own_estimates": "Places chosen by the entry itself, with no scheduler.",
+    "places_held": "Places at endpoints that requests hold.",
+    "platform_calls": "Calls sent to the platform, a watch counted as one.",
+    "pool_settle_us": "Time that a new owner of a pool admitted carefully.",
+    "pools_owned": "Pools that the scheduler owns.",
+    "process_cpu_seconds": "Processor time of the process, user and system.",
+    "process_resident_bytes": "Resident memory of the process.",
+    "queue_time_us": "Time from a request's arrival to its place, by kind.",
+    "requests_waiting": "Requests in the queues of the owned pools.",
+    "time_between_tokens_us": "Time from one token of a generation to the next.",
+    "time_to_first_token_us": "Time from a request's arrival to its first token.",
+    "up": "Whether the process of this host answered the scrape.",
+}
+TYPE_LINE = "# TYPE "
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -22,7 +45,13 @@
     """Return labels in the exposition's form, empty text where there are none."""
     if not labels:
         return ""
-    return "{" + ",".join(f'{key}="{value}"' for key, value in labels) + "}"
+    pairs = (f'{key}="{escaped(value)}"' for key, value in labels)
+    return "{" + ",".join(pairs) + "}"
+
+
+def escaped(value: str) -> str:
+    """Return a label's value with the characters escaped that the format names."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
 class Distribution:
@@ -55,7 +84,6 @@
         self.counters: dict[tuple[str, Labels], float] = {}
         self.gauges: dict[tuple[str, Labels], Callable[[], float]] = {}
         self.distributions: dict[tuple[str, Labels], Distribution] = {}
-        self.help: dict[str, str] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -85,10 +113,11 @@
         typed: set[str] = set()
 
         def head(name: str, kind: str) -> str:
-            full = f"baobabturn_{name}"
+            full = PREFIX + name
             if full not in typed:
                 typed.add(full)
-                lines.append(f"# TYPE {full} {kind}")
+                lines.append(f"{TYPE_LINE}{full} {kind}")
+                lines.append(f"# HELP {full} {HELP.get(name, name)}")
             return full
 
         for (name, labels), number in sorted(self.counters.items()):
@@ -106,3 +135,19 @@
             lines.append(f"{full}_sum{label_text(role + labels)} {held.total}")
             lines.append(f"{full}_count{label_text(role + labels)} {held.count}")
         return "\n".join(lines) + "\n"
+
+
+def merged(texts: list[str]) -> str:
+    """Return several processes' expositions as one.
+
+    The format wants all lines of a metric together and its type said once.
+    """
+    families: dict[str, list[str]] = {}
+    family: list[str] = []
+    for line in "".join(texts).splitlines():
+        if line.startswith(TYPE_LINE):
+            family = families.setdefault(line, [])
+        elif line not in family:
+            family.append(line)
+    lines = [line for head, rest in sorted(families.items()) for line in (head, *rest)]
+    return "".join(line + "\n" for line in lines)
--- a/src/baobabturn/core/program.py
+++ b/src/baobabturn/core/program.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import signal
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from typing import Annotated
 
@@ -20,7 +22,13 @@
 from baobabturn.core.results import Failure
 from baobabturn.settings.load import EXIT_USAGE, load
 from baobabturn.settings.model import Settings
-from baobabturn.wire.link import Identity
+from baobabturn.wire.link import TRAFFIC, Identity
+
+
+def resident_bytes() -> float:
+    """Return the resident memory of this process."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
 
 
 class Program:
@@ -46,6 +54,15 @@
         self.background = Background()
         self.stopping = asyncio.Event()
         self.describe: Callable[[], str] = str
+        self.measure_process()
+
+    def measure_process(self) -> None:
+        """Register the gauges that every process has."""
+        self.metrics.gauge("up", lambda: 1)
+        self.metrics.gauge("process_cpu_seconds", time.process_time)
+        self.metrics.gauge("process_resident_bytes", resident_bytes)
+        self.metrics.gauge("inner_sent_bytes", lambda: TRAFFIC.sent_bytes)
+        self.metrics.gauge("inner_received_bytes", lambda: TRAFFIC.received_bytes)
 
     def stop(self) -> None:
         """Ask the program to stop gracefully."""
@@ -82,10 +99,10 @@
     print(f"baobabturn: {' '.join(text.split())}", file=sys.stderr)
 
 
-def run_app(app: cyclopts.App) -> int:
+def run_app(app: cyclopts.App, arguments: list[str] | None = None) -> int:
     """Run a command line and return its exit code; a usage mistake is one line."""
     try:
-        return app(print_error=False, exit_on_error=False) or 0
+        return app(arguments, print_error=False, exit_on_error=False) or 0
     except cyclopts.CycloptsError as error:
         complain(str(error))
         return EXIT_USAGE
--- a/src/baobabturn/declare.py
+++ b/src/baobabturn/declare.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 from collections.abc import Sequence
 from typing import Any, TypeVar
@@ -38,6 +39,7 @@
 from baobabturn.config.state import hash_key
 
 Item = TypeVar("Item")
+EXIT_MISTAKE = 2
 
 
 class DeclarationError(ValueError):
@@ -49,6 +51,19 @@
     return item if isinstance(item, str) else item.name
 
 
+def texts(where: str, field: str, values: Any) -> tuple[str, ...]:
+    """Return a list of names or texts, declared items by their names."""
+    if isinstance(values, str) or not isinstance(values, Sequence):
+        raise DeclarationError(f"{where}: {field} is {values!r}; allowed: a list")
+    found = []
+    for value in values:
+        name = getattr(value, "name", value)
+        if not isinstance(name, str):
+            raise DeclarationError(f"{where}: {field} has {value!r}; allowed: texts")
+        found.append(name)
+    return tuple(found)
+
+
 def build(kind: type[Item], where: str, fields: dict[str, Any]) -> Item:
     """Return an item, checked field by field for its type."""
     attrs.resolve_types(kind)  # type: ignore[type-var]
@@ -96,7 +111,8 @@
 
     def model(self, name: str, *, adapters: Sequence[str] = (), **fields: Any) -> Model:
         """Declare a model; fields are those of ``Model``."""
-        made = {"name": name, "adapters": tuple(adapters), **fields}
+        names = texts(f"model {name!r}", "adapters", adapters)
+        made = {"name": name, "adapters": names, **fields}
         return self.add(self.models, Model, "model", made)
 
     def service(self, name: str, *, operations: Sequence[Operation] = ()) -> Service:
@@ -118,7 +134,7 @@
             "name": name,
             "url": url,
             "kind": "service" if service else "engine",
-            "models": tuple(name_of(model) for model in models),
+            "models": texts(f"endpoint {name!r}", "models", models),
             "service": name_of(service),
             **fields,
         }
@@ -135,12 +151,14 @@
         **fields: Any,
     ) -> Workspace:
         """Declare a workspace; keys are printed as hashes only."""
-        hashes = [*key_hashes, *(hash_key(key) for key in keys)]
+        where = f"workspace {name!r}"
+        hashes = list(texts(where, "key_hashes", key_hashes))
+        hashes += [hash_key(key) for key in texts(where, "keys", keys)]
         made = {
             "name": name,
             "key_hashes": tuple(hashes),
-            "models": tuple(name_of(model) for model in models),
-            "services": tuple(name_of(each) for each in services),
+            "models": texts(where, "models", models),
+            "services": texts(where, "services", services),
             **fields,
         }
         return self.add(self.workspaces, Workspace, "workspace", made)
@@ -185,6 +203,24 @@
         try:
             text = self.text()
         except DeclarationError as error:
-            print(f"declaration: {error}", file=sys.stderr)
-            sys.exit(2)
+            complain(error)
+            sys.exit(EXIT_MISTAKE)
         sys.stdout.write(text)
+
+
+def complain(error: BaseException) -> None:
+    """Print a mistake as one line."""
+    print(f"declaration: {' '.join(str(error).split())}", file=sys.stderr)
+
+
+def excepthook(kind: type[BaseException], error: BaseException, trace: Any) -> None:
+    """End a program with one line for a mistake, as usual for other errors."""
+    if not isinstance(error, DeclarationError):
+        sys.__excepthook__(kind, error, trace)
+        return
+    complain(error)
+    sys.stdout.flush()
+    os._exit(EXIT_MISTAKE)
+
+
+sys.excepthook = excepthook
--- a/src/baobabturn/entry/admin.py
+++ b/src/baobabturn/entry/admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 import json
 
@@ -9,6 +10,7 @@
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
+from baobabturn.core.metrics import Metrics, merged
 from baobabturn.core.results import Failure
 from baobabturn.entry.answers import error_body
 from baobabturn.entry.bodies import parse_json
@@ -16,6 +18,9 @@
 from baobabturn.wire.link import LinkClient
 from baobabturn.wire.messages import Drain, Stats, StatsRequest
 
+OTHERS = ("scheduler", "controller")
+EXPOSITION_TYPE = "text/plain; version=0.0.4"
+
 
 class Admin:
     """Answers operators; reaches scheduler and controller over their links."""
@@ -47,22 +52,27 @@
         link.close()
         return answer.text if isinstance(answer, Stats) else ""
 
-    async def all_of(self, kind: str) -> str:
-        """Return the text of all three processes of this host."""
+    async def all_of(self, kind: str) -> list[str]:
+        """Return the text of each of this host's three processes."""
         ports = self.node.settings.ports
-        own = self.node.program.stats(kind)
-        others = [await self.ask(p, kind) for p in (ports.scheduler, ports.controller)]
-        return own + "".join(others)
+        asked = [self.ask(port, kind) for port in (ports.scheduler, ports.controller)]
+        return [self.node.program.stats(kind), *await asyncio.gather(*asked)]
 
     async def metrics(self, request: Request) -> Response:
         """Expose the metrics of this host's processes."""
-        return PlainTextResponse(await self.all_of("metrics"))
+        texts = await self.all_of("metrics")
+        for role, text in zip(OTHERS, texts[1:], strict=True):
+            if not text:
+                away = Metrics(role=role)
+                away.gauge("up", lambda: 0)
+                texts.append(away.exposition())
+        return Response(merged(texts), media_type=EXPOSITION_TYPE)
 
     async def events(self, request: Request) -> Response:
         """Return the newest event lines of this host's processes."""
         if not self.allowed(request):
             return Response(status_code=403)
-        return PlainTextResponse(await self.all_of("events"))
+        return PlainTextResponse("".join(await self.all_of("events")))
 
     async def status(self, request: Request) -> Response:
         """Return the members with their revisions, and this host's state."""
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -60,6 +60,7 @@
     node.controller.start()
     program.background.start(node.report_progress(), "progress")
     program.metrics.gauge("open_requests", lambda: node.open_requests)
+    program.metrics.gauge("platform_calls", lambda: node.store.calls)
     server = make_server(program, node)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
     serving = asyncio.create_task(server._serve([listener]))
--- a/src/baobabturn/wire/link.py
+++ b/src/baobabturn/wire/link.py
@@ -49,6 +49,17 @@
     incarnation: int
 
 
+@attrs.define
+class Traffic:
+    """The bytes that this process has exchanged with others of the system."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+TRAFFIC = Traffic()
+
+
 def proof(secret: str, *texts: str) -> str:
     """Return the keyed hash of some texts as hexadecimal text."""
     joined = "\n".join(texts).encode()
@@ -123,6 +134,7 @@
         )
         self.writer.write(HEADER.pack(len(data)) + data)
         self.sent_bytes += HEADER.size + len(data)
+        TRAFFIC.sent_bytes += HEADER.size + len(data)
         return True
 
     def send(self, body: Any) -> bool:
@@ -151,6 +163,7 @@
         if isinstance(data, Failure):
             return data
         self.received_bytes += HEADER.size + len(data)
+        TRAFFIC.received_bytes += HEADER.size + len(data)
         envelope = codec.unpack(data)
         if not isinstance(envelope, Failure):
             self.clock.observe(envelope.hlc)
