--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -135,7 +135,7 @@
         tag, length = parse_mark(prompt)
         limit = body.get("max_tokens") or body.get("max_completion_tokens")
         run = next(self.runs)
-        return Generation(
+        made = Generation(
             name=str(body.get("request_id") or f"cmpl-{self.name}-{run}"),
             run=run,
             tag=tag,
@@ -147,6 +147,8 @@
             chat=chat,
             model=str(body.get("model", "")),
         )
+        made.length = stop_length(made, body.get("stop"))
+        return made
 
     async def create(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer with its stream or its whole."""
@@ -348,6 +350,18 @@
         )
 
 
+def stop_length(generation: Generation, stop: str | list[str] | None) -> int:
+    """Return how many whole tokens come before the first stop sequence."""
+    stops = [stop] if isinstance(stop, str) else stop or []
+    if not stops:
+        return generation.length
+    texts = [generation.text(index) for index in range(generation.goal)]
+    whole = "".join(texts)
+    found = [whole.find(each) for each in stops if each in whole]
+    ends = itertools.accumulate(len(text) for text in texts)
+    return sum(end <= min(found) for end in ends) if found else generation.length
+
+
 def chat_text(messages: list[dict]) -> str:
     """Return the text of a chat's messages; other parts count as none."""
     lines = []
--- a/features/helper.py
+++ b/features/helper.py
@@ -4,6 +4,10 @@
 
 import http.client
 import json
+import os
+import pathlib
+import subprocess
+import sys
 import time
 import urllib.parse
 from collections.abc import Callable, Iterator
@@ -14,6 +18,7 @@
 from dev.deployments import DEPLOYMENTS
 from dev.fleet import Fleet
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
 POLL_S = 0.05
 
@@ -183,3 +188,19 @@
         indexes.append(int(index))
     assert len(runs) <= 1, f"tokens of {len(runs)} generations"
     return indexes
+
+
+def run_module(
+    module: str, *arguments: str, stdin: str = ""
+) -> subprocess.CompletedProcess[str]:
+    """Run a module of the project as a process and return what it did."""
+    path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    return subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        input=stdin,
+        timeout=2 * WAIT_S,
+    )
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -6,7 +6,7 @@
 import signal
 
 from behave import given, then, when
-from settings import run_module
+from helper import run_module
 
 
 def places(context):
--- a/features/steps/declare.py
+++ b/features/steps/declare.py
@@ -8,7 +8,7 @@
 import tempfile
 
 from behave import given, then, when
-from settings import run_module
+from helper import run_module
 
 from dev.deployments import DEPLOYMENTS
 
--- a/features/steps/launcher.py
+++ b/features/steps/launcher.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from behave import given, then, when
-from helper import wait_for
+from helper import run_module, wait_for
 
 from dev.demo import Demo
 from dev.deployments import DEPLOYMENTS
@@ -24,17 +24,6 @@
     return {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"}
 
 
-def run(*command):
-    return subprocess.run(
-        [sys.executable, "-m", *command],
-        cwd=ROOT,
-        env=environment(),
-        capture_output=True,
-        text=True,
-        timeout=LIMIT_S,
-    )
-
-
 def is_running(pid):
     """Return whether a process runs; an ended one that waits for its parent doesn't."""
     try:
@@ -102,7 +91,7 @@
 
 @when('the launcher is asked for "{deployment}"')
 def launcher_asked(context, deployment):
-    context.done = run("dev.fleet", deployment)
+    context.done = run_module("dev.fleet", deployment)
 
 
 @then('it says "{text}" with code {code:d}')
@@ -114,7 +103,7 @@
 @when("the demo runs")
 def demo_runs(context):
     began = time.monotonic()
-    context.done = run("dev.demo")
+    context.done = run_module("dev.demo")
     context.took_s = time.monotonic() - began
 
 
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -1,32 +1,13 @@
 """Steps of settings and their mistakes."""
 
 import json
-import os
 import pathlib
 import shlex
 import socket
-import subprocess
-import sys
 import tempfile
 
 from behave import given, then, when
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-LIMIT_S = 30
-
-
-def run_module(module, *arguments, stdin=""):
-    """Run a module of the project as a process and return what it did."""
-    path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
-    return subprocess.run(
-        [sys.executable, "-m", module, *arguments],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        input=stdin,
-        timeout=LIMIT_S,
-    )
+from helper import run_module
 
 
 @given("a settings file")
--- a/src/baobabturn/entry/requests.py
+++ b/src/baobabturn/entry/requests.py
@@ -16,6 +16,7 @@
 KIND_HEADER = b"x-baobabturn-kind"
 RESTART_HEADER = b"x-baobabturn-restart"
 PRIORITY_LIMIT = 100
+STOP_LIMIT = 4
 DEADLINE_LIMIT_S = 86_400.0
 
 Headers = dict[bytes, bytes]
@@ -30,6 +31,7 @@
     model: Model
     chat: bool
     stream: bool
+    include_usage: bool
     body: dict[str, Any]
     prompt_tokens: int
     max_tokens: int
@@ -87,6 +89,25 @@
     return value
 
 
+def wrong_option(body: dict[str, Any]) -> Failure | None:
+    """Return what is wrong with a body's options that have no number."""
+    stream, options = body.get("stream"), body.get("stream_options")
+    if not isinstance(stream, bool | None):
+        return Failure(Code.BAD_FIELD, "stream: allowed is true or false")
+    if not isinstance(options, dict | None):
+        return Failure(Code.BAD_FIELD, "stream_options: allowed is an object")
+    if options is not None and not stream:
+        return Failure(Code.BAD_FIELD, "stream_options: allowed with stream only")
+    if body.get("n") not in (None, 1):
+        return Failure(Code.BAD_FIELD, "n: allowed is 1")
+    stop = body.get("stop")
+    stops = [stop] if isinstance(stop, str) else stop or []
+    few = isinstance(stops, list) and len(stops) <= STOP_LIMIT
+    if not few or not all(isinstance(each, str) and each for each in stops):
+        return Failure(Code.BAD_FIELD, f"stop: allowed are up to {STOP_LIMIT} texts")
+    return None
+
+
 def read_request(
     *,
     request: str,
@@ -108,8 +129,9 @@
     text = prompt_text(chat, body)
     if isinstance(text, Failure):
         return text
-    if body.get("n") not in (None, 1):
-        return Failure(Code.BAD_FIELD, "n: allowed is 1")
+    wrong = wrong_option(body)
+    if wrong is not None:
+        return wrong
     limit = whole_number(body, "max_tokens", 1, model.context_tokens)
     if limit is None:
         limit = whole_number(body, "max_completion_tokens", 1, model.context_tokens)
@@ -127,7 +149,8 @@
         workspace=workspace,
         model=model,
         chat=chat,
-        stream=bool(body.get("stream", False)),
+        stream=bool(body.get("stream")),
+        include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
         body=body,
         prompt_tokens=tokens,
         max_tokens=limit or model.context_tokens - tokens,
