--- a/src/baobabturn/wire/link.py
+++ b/src/baobabturn/wire/link.py
@@ -13,6 +13,7 @@
 import inspect
 import itertools
 import logging
+import os
 import ssl
 import struct
 from collections.abc import Callable
@@ -48,6 +49,17 @@
     incarnation: int
 
 
+@attrs.define
+class Traffic:
+    """The bytes that this process has exchanged with others of the system."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+TRAFFIC = Traffic()
+
+
 def proof(secret: str, *texts: str) -> str:
     """Return the keyed hash of some texts as hexadecimal text."""
     joined = "\n".join(texts).encode()
@@ -122,6 +134,7 @@
         )
         self.writer.write(HEADER.pack(len(data)) + data)
         self.sent_bytes += HEADER.size + len(data)
+        TRAFFIC.sent_bytes += HEADER.size + len(data)
         return True
 
     def send(self, body: Any) -> bool:
@@ -150,6 +163,7 @@
         if isinstance(data, Failure):
             return data
         self.received_bytes += HEADER.size + len(data)
+        TRAFFIC.received_bytes += HEADER.size + len(data)
         envelope = codec.unpack(data)
         if not isinstance(envelope, Failure):
             self.clock.observe(envelope.hlc)
@@ -261,7 +275,7 @@
                 self.accept, address, port, ssl=server_tls(self.inner)
             )
         except OSError as error:
-            reason = f"{address}:{port}: {error.strerror}"
+            reason = f"{address}:{port}: {os.strerror(error.errno or 0)}"
             return Failure(Code.ADDRESS_IN_USE, reason)
         return self.server.sockets[0].getsockname()[1]
 
