--- a/dev/fleet.py
+++ b/dev/fleet.py
@@ -336,6 +336,17 @@
         role, _, host = name.partition("@")
         self.start_program(role, host)
 
+    def restart_endpoint(self, name: str) -> None:
+        """Start a killed endpoint again at its old address, with nothing kept."""
+        port = self.endpoint_url(name).rpartition(":")[2]
+        command = [*self.commands[name]]
+        if "--port" not in command:
+            command += ["--port", port]
+        process = self.spawn(name, command, stdout=subprocess.PIPE, text=True)
+        assert process.stdout is not None
+        if not process.stdout.readline().strip():
+            raise RuntimeError(f"{name} did not start; see {self.log(name)}")
+
     def endpoint_url(self, name: str) -> str:
         """Return an endpoint's URL."""
         return next(e["url"] for e in self.endpoints if e["name"] == name)
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -123,6 +123,7 @@
         self.wakeup = asyncio.Event()
         self.slow_factor = 1.0
         self.frozen = False
+        self.no_room = False
         self.preemptions = 0
         self.cache_hits = 0
         self.prefilled_tokens = 0
@@ -138,6 +139,9 @@
 
     def admit(self) -> None:
         """Move those that fit from waiting to running, best rank first."""
+        if self.no_room:
+            self.preempt_all()
+            return
         self.waiting.sort(key=rank)
         used = self.used()
         while self.waiting and len(self.running) < self.model.slots:
@@ -186,11 +190,21 @@
                 return
             victim = max(self.running, key=rank)
             self.running.remove(victim)
-            victim.state = "waiting"
-            victim.preempted += 1
-            victim.preempted_at = time.monotonic()
-            self.preemptions += 1
-            self.waiting.append(victim)
+            self.preempt(victim)
+
+    def preempt_all(self) -> None:
+        """Preempt every running sequence, as if other work took the memory."""
+        for generation in self.running:
+            self.preempt(generation)
+        self.running.clear()
+
+    def preempt(self, generation: Generation) -> None:
+        """Put a sequence back among those that wait."""
+        generation.state = "waiting"
+        generation.preempted += 1
+        generation.preempted_at = time.monotonic()
+        self.preemptions += 1
+        self.waiting.append(generation)
 
     def finish(self, generation: Generation, reason: str) -> None:
         """End a generation and free its memory."""
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -30,6 +30,7 @@
 
 KEEP_ENDED_S = 30.0
 NO_LIMIT = 1_000_000
+RUN_NUMBERS = 1_000_000_000
 
 
 @attrs.define
@@ -45,6 +46,11 @@
     die_after: int = -1
     leaving: bool = False
     hang_before_headers: bool = False
+    late_chunks: bool = False
+    faulty_links: int = -1
+    no_room: bool = False
+    no_finish: bool = False
+    padding_bytes: int = 0
     report_lag_s: float = -1.0
     cache_event_loss: float = -1.0
 
@@ -70,10 +76,13 @@
         self.random = random.Random(f"{seed}/{name}")
         self.faults = Faults()
         self.generations: dict[str, Generation] = {}
-        self.runs = itertools.count(1)
+        first_run = random.Random(f"runs/{seed}/{name}").randrange(RUN_NUMBERS)
+        self.runs = itertools.count(first_run)
         self.started: dict[str, int] = {}
         self.finished: dict[str, int] = {}
         self.cancelled = 0
+        self.attempts = 0
+        self.resumes = 0
         self.reports: list[tuple[float, dict]] = []
         self.tasks: list[asyncio.Task] = []
         self.server = Server(
@@ -150,6 +159,7 @@
 
     async def create(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer with its stream or its whole."""
+        self.attempts += 1
         if self.faults.refuse:
             return error(503, "engine refuses new work")
         body = await request.json()
@@ -205,22 +215,40 @@
                 await response.write(chunk)
                 if self.faults.duplicate_chunks:
                     await response.write(chunk)
+                if self.faults.late_chunks and index:
+                    await response.write(self.chunk(generation, index - 1, None))
                 index += 1
             if generation.finish:
                 break
             await changed.wait()
-        if generation.finish != "cancelled":
+        if generation.finish != "cancelled" and not self.faults.no_finish:
             self.finished[generation.tag] = self.finished.get(generation.tag, 0) + 1
             await response.write(self.chunk(generation, index, generation.finish))
             await response.write(b"data: [DONE]\n\n")
         return response
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes wait in this process for readers of streams."""
+        server = self.server.runner.server
+        links = server.connections if server is not None else []
+        transports = [link.transport for link in links if link.transport is not None]
+        return sum(each.get_write_buffer_size() for each in transports)
+
     async def fault_at(self, request: web.Request, index: int) -> bool:
-        """Apply the faults of a stream; return whether the stream is over."""
+        """Apply the faults of a stream; return whether the stream is over.
+
+        ``faulty_links`` bounds how many links stall or are cut, -1 for all.
+        """
         faults = self.faults
-        if 0 <= faults.stall_after <= index:
+        if faults.faulty_links == 0:
+            return False
+        stalls = 0 <= faults.stall_after <= index
+        cuts = 0 <= faults.cut_after <= index
+        if faults.faulty_links > 0 and (stalls or cuts):
+            faults.faulty_links -= 1
+        if stalls:
             await asyncio.sleep(3600)
-        if 0 <= faults.cut_after <= index:
+        if cuts:
             if request.transport is not None:
                 request.transport.abort()
             return True
@@ -242,6 +270,8 @@
             "choices": [choice],
             "sequence_number": index,
         }
+        if self.faults.padding_bytes:
+            values["padding"] = "x" * self.faults.padding_bytes
         if finish:
             values["usage"] = usage(generation)
         return b"data: " + json.dumps(values).encode() + b"\n\n"
@@ -251,6 +281,7 @@
         generation = self.generations.get(request.match_info["name"])
         if generation is None or generation.state == "cancelled":
             return error(404, "no such generation")
+        self.resumes += 1
         after = int(request.query.get("starting_after", "-1"))
         return await self.stream(request, generation, after + 1)
 
@@ -326,6 +357,7 @@
             setattr(place, name, value)
         self.batcher.slow_factor = self.faults.slow_factor
         self.batcher.frozen = self.faults.frozen
+        self.batcher.no_room = self.faults.no_room
         self.batcher.wakeup.set()
         return web.json_response(attrs.asdict(self.faults))
 
@@ -338,6 +370,9 @@
                 "started": self.started,
                 "finished": self.finished,
                 "cancelled": self.cancelled,
+                "attempts": self.attempts,
+                "resumes": self.resumes,
+                "unread_bytes": self.unread_bytes(),
                 "open": [g.name for g in self.open_generations()],
                 "preemptions": self.batcher.preemptions,
                 "stalled_s": round(stalled, 3),
--- a/features/helper.py
+++ b/features/helper.py
@@ -4,6 +4,8 @@
 
 import http.client
 import json
+import socket
+import threading
 import time
 import urllib.parse
 from collections.abc import Callable, Iterator
@@ -86,6 +88,7 @@
         self.answer = answer
         self.status = answer.status
         self.last_id = ""
+        self.comments = 0
 
     def events(self) -> Iterator[Event]:
         """Yield the events until the stream ends."""
@@ -98,6 +101,7 @@
                     yield event
                 event = Event()
                 continue
+            self.comments += line.startswith(":")
             name, _, value = line.partition(": ")
             if name in ("id", "event", "data"):
                 setattr(event, "name" if name == "event" else name, value)
@@ -168,6 +172,78 @@
     return Stream(connection=connection, answer=connection.getresponse())
 
 
+class Reader(threading.Thread):
+    """Reads a stream in a thread and notes its events and how it ended."""
+
+    def __init__(self, *, url: str, key: str, body: Any, headers: dict | None = None):
+        super().__init__(daemon=True)
+        self.options = {"url": url, "key": key, "body": body, "headers": headers}
+        self.events: list[Event] = []
+        self.status = 0
+        self.text = ""
+        self.stream: Stream | None = None
+        self.broken = False
+        self.start()
+
+    def run(self) -> None:
+        """Read until the stream ends or breaks."""
+        try:
+            self.stream = open_stream(**self.options)
+            self.status = self.stream.status
+            if self.status != 200:
+                self.text = self.stream.answer.read().decode()
+                return
+            for event in self.stream.events():
+                self.events.append(event)
+        except (OSError, http.client.HTTPException, ValueError, AttributeError):
+            self.broken = True
+
+    def ended(self, limit_s: float = WAIT_S) -> list[Event]:
+        """Return all events once the stream has ended."""
+        self.join(limit_s)
+        assert not self.is_alive(), f"open after {limit_s:g} s, {len(self.events)}"
+        return list(self.events)
+
+    def leave(self) -> None:
+        """Close the connection, as a caller that goes away does."""
+        assert self.stream is not None
+        sock = self.stream.connection.sock or self.stream.answer.fp.raw._sock
+        sock.shutdown(socket.SHUT_RDWR)
+        self.join(WAIT_S)
+
+    @property
+    def tokens(self) -> list[str]:
+        """Return the texts of the tokens that came since the last restart."""
+        found: list[str] = []
+        for event in list(self.events):
+            if event.name == "restart":
+                found.clear()
+            elif not event.name and event.data != "[DONE]":
+                found.extend([event.text] if event.text else [])
+        return found
+
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last event that had one."""
+        return next((e.id for e in reversed(list(self.events)) if e.id), "")
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """Return the error that ended the stream."""
+        if self.status != 200:
+            return json.loads(self.text)["error"]
+        assert self.events and self.events[-1].name == "error", self.events[-1:]
+        return self.events[-1].values["error"]
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the stream ended with a finish marker and the end mark."""
+        if len(self.events) < 2 or self.events[-1].data != "[DONE]":
+            return False
+        choices = self.events[-2].values["choices"]
+        return choices[0]["finish_reason"] is not None
+
+
 def token_indexes(texts: list[str], tag: str) -> list[int]:
     """Return the indexes of a generation's tokens; fails on another's token.
 
--- a/src/baobabturn/config/state.py
+++ b/src/baobabturn/config/state.py
@@ -164,6 +164,13 @@
         base = model.partition(":")[0]
         return [pool for pool in self.pools.values() if base in pool.models]
 
+    def pool_of(self, endpoint: str) -> Pool | None:
+        """Return the pool that an endpoint is in, None where it is in none."""
+        for pool in self.pools.values():
+            if endpoint in pool.endpoints:
+                return pool
+        return None
+
     def operation(self, service: str, method: str, path: str) -> Operation | None:
         """Return the declared operation of a service that a call matches.
 
--- a/src/baobabturn/core/idents.py
+++ b/src/baobabturn/core/idents.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
 import secrets
 import time
 
+GENERATION = re.compile(r"g-([0-9a-f]{16})-[0-9]{1,6}")
+
 
 def nonce() -> str:
     """Return 16 random bytes as hexadecimal text."""
@@ -21,12 +24,24 @@
     return int(time.time() * 1000)
 
 
-def generation_id(node: str, start: int, serial: int) -> str:
-    """Return an id that names a generation by the entry that started it.
+def generation_id(request: str, attempt: int) -> str:
+    """Return an id that names a generation by its request and attempt.
+
+    Example::
+
+        >>> generation_id("r-00000000000000ff", 2)
+        'g-00000000000000ff-2'
+    """
+    return f"g{request[1:]}-{attempt}"
+
+
+def request_of(generation: str) -> str:
+    """Return the request that a generation belongs to, empty where it is foreign.
 
     Example::
 
-        >>> generation_id("heredia-1", 1700, 7)
-        'g-heredia-1-1700-7'
+        >>> request_of("g-00000000000000ff-2")
+        'r-00000000000000ff'
     """
-    return f"g-{node}-{start}-{serial}"
+    found = GENERATION.fullmatch(generation)
+    return f"r-{found[1]}" if found is not None else ""
--- a/src/baobabturn/endpoints/engine.py
+++ b/src/baobabturn/endpoints/engine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
 from typing import Any, Protocol
 
 import attrs
@@ -25,7 +24,26 @@
     finish: str | None = None
 
 
-Chunks = AsyncGenerator[Chunk | Failure, None]
+class ChunkStream(Protocol):
+    """An open link that delivers a generation's chunks."""
+
+    async def read(self) -> list[Chunk] | Failure:
+        """Return the next chunks, at least one, or why there are no more.
+
+        What arrived together comes together.  May be cancelled and called
+        again without loss.
+        """
+
+    def close(self) -> None:
+        """Drop the link; the generation goes on."""
+
+
+@attrs.frozen(kw_only=True)
+class OpenGeneration:
+    """A generation that has not ended; ``waiting`` for room or preempted."""
+
+    age_s: float
+    waiting: bool
 
 
 @attrs.frozen(kw_only=True)
@@ -89,17 +107,19 @@
 
     async def start(
         self, url: str, chat: bool, body: dict[str, Any]
-    ) -> Chunks | Failure:
+    ) -> ChunkStream | Failure:
         """Start a generation; return its chunks, or why it did not start."""
 
-    async def resume(self, url: str, generation: str, after: int) -> Chunks | Failure:
-        """Return the chunks of a generation after a token index."""
+    async def resume(
+        self, url: str, generation: str, after: int
+    ) -> ChunkStream | Failure:
+        """Return the chunks of a generation after a token index, -1 for all."""
 
     async def cancel(self, url: str, generation: str) -> bool | Failure:
         """Cancel a generation; return whether the engine confirmed it."""
 
-    async def open_generations(self, url: str) -> dict[str, float] | Failure:
-        """Return the open generations with their age in seconds."""
+    async def open_generations(self, url: str) -> dict[str, OpenGeneration] | Failure:
+        """Return the open generations by id."""
 
     async def load(self, url: str) -> LoadReport | Failure:
         """Return the engine's newest load report."""
--- a/src/baobabturn/endpoints/openaiengine.py
+++ b/src/baobabturn/endpoints/openaiengine.py
@@ -9,25 +9,25 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import Any
 
 import aiohttp
 
-from baobabturn.core.results import Code, Failure, Run
+from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.engine import (
     CacheChange,
-    Chunk,
-    Chunks,
     EngineState,
     LoadReport,
+    OpenGeneration,
     Order,
 )
+from baobabturn.endpoints.openaistream import OpenAIStream
+from baobabturn.entry.outcome import REFUSED_STATUSES, from_error, from_status
 
-LINE_LIMIT_BYTES = 1024 * 1024
 CONTROL_TIMEOUT_S = 2.0
-DATA = b"data:"
-DONE = b"[DONE]"
+REASON_LENGTH = 300
+WAITING = "waiting"
+CLIENT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
 
 
 class OpenAIEngine:
@@ -38,32 +38,43 @@
 
     async def start(
         self, url: str, chat: bool, body: dict[str, Any]
-    ) -> Chunks | Failure:
+    ) -> OpenAIStream | Failure:
         """Start a generation; return its chunks, or why it did not start."""
         path = "/v1/chat/completions" if chat else "/v1/completions"
-        return await self.open("POST", url + path, json=body)
+        answer = await self.open("POST", url + path, json=body)
+        if isinstance(answer, Failure):
+            return answer
+        return OpenAIStream(answer=answer, first=0)
 
-    async def resume(self, url: str, generation: str, after: int) -> Chunks | Failure:
-        """Return the chunks of a generation after a token index."""
+    async def resume(
+        self, url: str, generation: str, after: int
+    ) -> OpenAIStream | Failure:
+        """Return the chunks of a generation after a token index, -1 for all."""
         params = {"stream": "true", "starting_after": str(after)}
-        return await self.open(
+        answer = await self.open(
             "GET", f"{url}/v1/completions/{generation}", params=params
         )
+        if isinstance(answer, Failure):
+            return answer
+        return OpenAIStream(answer=answer, first=after + 1)
 
-    async def open(self, method: str, url: str, **options: Any) -> Chunks | Failure:
-        """Return the chunks of a streaming answer, or why there is none.
+    async def open(
+        self, method: str, url: str, **options: Any
+    ) -> aiohttp.ClientResponse | Failure:
+        """Return a streaming answer, or why there is none.
 
         The failure's ``run`` says whether the engine may have begun.
         """
         try:
             answer = await self.session.request(method, url, **options)
-        except aiohttp.ClientConnectorError as error:
-            return Failure(Code.CONNECT_FAILED, str(error))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return Failure(Code.OUTCOME_UNKNOWN, type(error).__name__)
-        if answer.status != 200:
-            return await refusal(answer)
-        return chunks(answer)
+        except CLIENT_ERRORS as error:
+            return from_error(error)
+        if answer.status == 200:
+            return answer
+        text = await reason_text(answer)
+        if answer.status == 404 and method == "GET":
+            return Failure(Code.GENERATION_GONE, text)
+        return from_status(answer.status, text, REFUSED_STATUSES)
 
     async def call(
         self,
@@ -79,10 +90,8 @@
                 method, url, timeout=timeout, **options
             ) as answer:
                 return answer.status, await answer.json(content_type=None)
-        except aiohttp.ClientConnectorError as error:
-            return Failure(Code.CONNECT_FAILED, str(error))
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            return Failure(Code.OUTCOME_UNKNOWN, type(error).__name__)
+        except (*CLIENT_ERRORS, ValueError) as error:
+            return from_error(error)
 
     async def cancel(self, url: str, generation: str) -> bool | Failure:
         """Cancel a generation; return whether the engine confirmed it.
@@ -94,12 +103,17 @@
             return answer
         return answer[0] in (200, 404)
 
-    async def open_generations(self, url: str) -> dict[str, float] | Failure:
-        """Return the open generations with their age in seconds."""
+    async def open_generations(self, url: str) -> dict[str, OpenGeneration] | Failure:
+        """Return the open generations by id."""
         answer = await self.call("GET", f"{url}/v1/completions")
         if isinstance(answer, Failure):
             return answer
-        return {line["id"]: float(line["age_s"]) for line in answer[1]["data"]}
+        return {
+            line["id"]: OpenGeneration(
+                age_s=float(line["age_s"]), waiting=line["status"] == WAITING
+            )
+            for line in answer[1]["data"]
+        }
 
     async def load(self, url: str) -> LoadReport | Failure:
         """Return the engine's newest load report."""
@@ -170,65 +184,12 @@
         return None
 
 
-async def refusal(answer: aiohttp.ClientResponse) -> Failure:
-    """Return the failure that an answer other than 200 means.
-
-    Only answers by which the engine says that it did not begin are refusals.
-    """
+async def reason_text(answer: aiohttp.ClientResponse) -> str:
+    """Return the beginning of a refusing answer's text."""
     try:
         async with asyncio.timeout(CONTROL_TIMEOUT_S):
-            text = (await answer.text())[:300]
-    except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+            text = (await answer.text())[:REASON_LENGTH]
+    except (*CLIENT_ERRORS, ValueError):
         text = ""
     answer.release()
-    reason = f"status {answer.status}: {text}"
-    if answer.status == 404:
-        return Failure(Code.GENERATION_GONE, reason, run=Run.NOT_RUN)
-    if answer.status in (400, 401, 403, 409, 413, 422, 429, 503):
-        return Failure(Code.ENDPOINT_REFUSED, reason)
-    return Failure(Code.OUTCOME_UNKNOWN, reason)
-
-
-async def chunks(
-    answer: aiohttp.ClientResponse,
-) -> Chunks:
-    """Yield the chunks of a streaming answer; the last item may be a failure.
-
-    A stream that ends without a finish marker ends with ``GENERATION_CUT``.
-    """
-    count = 0
-    finished = False
-    try:
-        async for raw in answer.content:
-            if not raw.startswith(DATA):
-                continue
-            data = raw[len(DATA) :].strip()
-            if data == DONE:
-                return
-            chunk = read_chunk(data, count)
-            if isinstance(chunk, Failure):
-                yield chunk
-                return
-            count = max(count, chunk.index + 1)
-            finished = finished or chunk.finish is not None
-            yield chunk
-    except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-        if not finished:
-            yield Failure(Code.GENERATION_CUT, type(error).__name__)
-        return
-    finally:
-        answer.close()
-    if not finished:
-        yield Failure(Code.GENERATION_CUT, "the stream closed with no finish marker")
-
-
-def read_chunk(data: bytes, count: int) -> Chunk | Failure:
-    """Return the chunk in an event's data, or what is wrong with it."""
-    try:
-        values = json.loads(data)
-        choice = values["choices"][0] if values.get("choices") else {}
-        index = int(values.get("sequence_number", count))
-        finish = choice.get("finish_reason")
-    except (ValueError, TypeError, LookupError, AttributeError, RecursionError):
-        return Failure(Code.GENERATION_CUT, "an event that is not a chunk")
-    return Chunk(index=index, raw=data, values=values, finish=finish)
+    return text
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -131,8 +131,7 @@
             return
         resume = headers.get(b"last-event-id")
         if resume is not None:
-            event_id = resume.decode("latin-1")
-            await resume_answer(self.node, space.name, event_id, receive, send)
+            await self.resume(headers, space, request, receive, send)
             return
         self.node.events.emit(
             Event.REQUEST_RECEIVED, request=request, workspace=space.name
@@ -157,6 +156,19 @@
         answer = stream_answer if wanted.stream else whole_answer
         await self.counted(answer(self.node, wanted, receive, send))
 
+    async def resume(
+        self, headers: dict, space: Workspace, request: str, receive: Any, send: Any
+    ) -> None:
+        """Go on with a stream after the event that the caller saw last."""
+        deadline = read_deadline(headers, self.node.settings.entry.default_deadline_s)
+        if isinstance(deadline, Failure):
+            await self.refuse(send, deadline, request)
+            return
+        event_id = headers[b"last-event-id"].decode("latin-1")
+        await self.counted(
+            resume_answer(self.node, space.name, event_id, deadline, receive, send)
+        )
+
     async def counted(self, work: Any) -> None:
         """Count a request as open while it is answered."""
         self.node.open_requests += 1
--- /dev/null
+++ b/src/baobabturn/entry/following.py
@@ -0,0 +1,209 @@
+"""Follows one generation at its engine, over as many links as it takes.
+
+A link that closes early or is silent is opened again at the token after the
+last one seen, so that the caller still gets one generation.  Silence alone
+says nothing: the engine's list of open generations tells one that waits for
+room from one that has stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import time
+from typing import Any
+
+from baobabturn.core.results import Code, Failure
+from baobabturn.endpoints.engine import Chunk, ChunkStream
+from baobabturn.entry.node import Node
+from baobabturn.entry.resume import Place
+from baobabturn.entry.retries import backoff_s
+
+RECONNECT_TRIES = 3
+RECONNECT_LIMIT_S = 2.0
+
+
+class Seen(enum.Enum):
+    """What an engine's list says of a generation."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    UNLISTED = "unlisted"
+    UNREACHABLE = "unreachable"
+
+
+class Following:
+    """Delivers one generation's chunks, each token once and in order.
+
+    ``next`` is the index of the token that comes next, ``deadline`` monotonic
+    seconds.  ``silent_s`` counts the time spent waiting for the engine since
+    the last chunk; time in which nobody read doesn't count.
+    """
+
+    def __init__(
+        self, *, node: Node, place: Place, url: str, first: int, deadline: float
+    ):
+        self.node = node
+        self.place = place
+        self.url = url
+        self.next = first
+        self.deadline = deadline
+        self.stream: ChunkStream | None = None
+        self.opening: asyncio.Task | None = None
+        self.silent_s = 0.0
+        self.cuts = 0
+        self.finished = False
+
+    def start(self, chat: bool, body: dict[str, Any]) -> None:
+        """Begin to start the generation; its answer is awaited by ``read``."""
+        work = self.node.engine.start(self.url, chat, body)
+        self.opening = asyncio.create_task(work)
+
+    def resume(self) -> None:
+        """Begin to open a link to a generation that runs already."""
+        work = self.node.engine.resume(self.url, self.place.generation, self.next - 1)
+        self.opening = asyncio.create_task(work)
+
+    async def read(self) -> list[Chunk] | Failure | None:
+        """Return the next chunks, at least one, or the failure.
+
+        None says that the generation is alive and silent.
+        """
+        probe_s = self.node.settings.entry.probe_s
+        while True:
+            began = time.monotonic()
+            if began >= self.deadline:
+                return self.deadline_passed()
+            try:
+                async with asyncio.timeout(min(probe_s, self.deadline - began)):
+                    got = await self.receive()
+            except TimeoutError:
+                self.silent_s += time.monotonic() - began
+                return await self.judge_silence()
+            if isinstance(got, Failure):
+                failure = await self.after_cut(got)
+                if failure is not None:
+                    return failure
+                continue
+            fresh = self.fresh(got)
+            if isinstance(fresh, Failure):
+                failure = await self.after_cut(fresh)
+                if failure is not None:
+                    return failure
+            elif fresh:
+                self.silent_s = 0.0
+                self.cuts = 0
+                return fresh
+
+    async def receive(self) -> list[Chunk] | Failure:
+        """Return what the link delivers next, opening it first if need be."""
+        if self.stream is None:
+            if self.opening is None:
+                return Failure(Code.GENERATION_CUT, "no link to the engine")
+            opened = await asyncio.shield(self.opening)
+            self.opening = None
+            if isinstance(opened, Failure):
+                return opened
+            self.stream = opened
+        return await self.stream.read()
+
+    def fresh(self, chunks: list[Chunk]) -> list[Chunk] | Failure:
+        """Return the chunks that weren't seen yet; a gap is a failure."""
+        kept: list[Chunk] = []
+        for chunk in chunks:
+            if chunk.index > self.next:
+                if kept:
+                    return kept
+                return Failure(Code.GENERATION_CUT, f"token {self.next} is missing")
+            if chunk.index < self.next:
+                continue
+            kept.append(chunk)
+            if chunk.finish is not None:
+                self.finished = True
+                return kept
+            self.next += 1
+        return kept
+
+    async def after_cut(self, failure: Failure) -> Failure | None:
+        """Open the link again; return the failure where that can't help."""
+        self.cuts += 1
+        final = failure.code not in (Code.GENERATION_CUT, Code.OUTCOME_UNKNOWN)
+        if final or self.cuts > RECONNECT_TRIES:
+            return failure
+        await asyncio.sleep(backoff_s(self.cuts))
+        reopened = await self.reopen()
+        if reopened is not None and reopened.code is Code.GENERATION_GONE:
+            return failure
+        return None
+
+    async def reopen(self) -> Failure | None:
+        """Open a new link at the next token; return why that wasn't possible."""
+        work = self.node.engine.resume(self.url, self.place.generation, self.next - 1)
+        try:
+            async with asyncio.timeout(RECONNECT_LIMIT_S):
+                opened = await work
+        except TimeoutError:
+            return Failure(Code.OUTCOME_UNKNOWN, "no answer to the reconnect")
+        if isinstance(opened, Failure):
+            return opened
+        self.close()
+        self.stream = opened
+        self.node.metrics.count("engine_reconnects")
+        return None
+
+    async def judge_silence(self) -> Failure | None:
+        """Return the failure of a generation that is silent for too long.
+
+        None says that it may go on; its link is opened again then unless the
+        engine says that it waits for room.
+        """
+        if time.monotonic() >= self.deadline:
+            return self.deadline_passed()
+        seen = await self.look()
+        if seen is Seen.WAITING:
+            self.silent_s = 0.0
+            return None
+        entry = self.node.settings.entry
+        patient = seen is Seen.RUNNING and self.next == 0
+        limit = entry.first_token_timeout_s if patient else entry.stall_timeout_s
+        if self.silent_s >= limit:
+            return Failure(
+                Code.GENERATION_STALLED, f"{seen.value}, nothing for {limit:g} s"
+            )
+        failure = await self.reopen()
+        started = self.stream is not None
+        if started and failure is not None and failure.code is Code.GENERATION_GONE:
+            return failure
+        return None
+
+    async def look(self) -> Seen:
+        """Return what the engine's list says of the generation."""
+        listed = await self.node.engine.open_generations(self.url)
+        if isinstance(listed, Failure):
+            return Seen.UNREACHABLE
+        found = listed.get(self.place.generation)
+        if found is None:
+            return Seen.UNLISTED
+        return Seen.WAITING if found.waiting else Seen.RUNNING
+
+    def deadline_passed(self) -> Failure:
+        """Return the failure of a generation whose deadline has passed."""
+        if self.next:
+            return Failure(Code.DEADLINE_PARTIAL, "the deadline passed")
+        return Failure(Code.DEADLINE_UNKNOWN, "the deadline passed with no token")
+
+    def close(self) -> None:
+        """Drop the link; the generation goes on."""
+        if self.opening is not None:
+            self.opening.add_done_callback(drop_opened)
+            self.opening.cancel()
+            self.opening = None
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+
+
+def drop_opened(opening: asyncio.Task) -> None:
+    """Close a link that opened although nobody waits for it any more."""
+    if not opening.cancelled() and not isinstance(opening.result(), Failure):
+        opening.result().close()
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -4,102 +4,226 @@
 
 import asyncio
 import time
+from collections.abc import AsyncGenerator
 
 import attrs
 
+from baobabturn.config.state import Pool
 from baobabturn.core.events import Event
-from baobabturn.core.results import Code, Failure, Run
-from baobabturn.endpoints.engine import Chunk, Chunks
+from baobabturn.core.idents import generation_id
+from baobabturn.core.results import Code, Failure
+from baobabturn.endpoints.engine import Chunk
+from baobabturn.entry.following import Following
 from baobabturn.entry.node import Node
-from baobabturn.entry.outcome import may_retry
+from baobabturn.entry.outcome import (
+    Attempt,
+    attempt_state,
+    concluded,
+    may_restart,
+    may_retry,
+)
 from baobabturn.entry.requests import GenerationRequest, engine_body
 from baobabturn.entry.resume import Place
+from baobabturn.entry.retries import backoff_s
 from baobabturn.wire.messages import Admit, Grant, Holding
 
 US = 1_000_000
+RETRY_AFTER_S = 1.0
 FINISHED = "finished"
 FAILED = "failed"
 ABANDONED = "abandoned"
 
 
-class GenerationRun:
-    """One caller's generation at this entry.
+@attrs.frozen
+class Restart:
+    """The generation begins anew after some tokens went out."""
 
-    ``place`` is set once an engine has been chosen.  ``produced`` counts the
-    tokens handed to the caller.
+    tokens: int
+
+
+Items = AsyncGenerator[list[Chunk] | Restart | Failure | None, None]
+
+
+class Delivery:
+    """Delivers a generation to one caller and reports its progress.
+
+    ``place`` is set once an engine has been chosen, ``produced`` counts the
+    tokens of the generation that the caller has.  One that isn't ``resumable``
+    is cancelled as soon as its caller has gone.
     """
 
-    def __init__(self, *, node: Node, wanted: GenerationRequest):
+    def __init__(self, *, node: Node, request: str, deadline: float):
         self.node = node
-        self.wanted = wanted
+        self.request = request
+        self.deadline = deadline
         self.place: Place | None = None
+        self.pool = ""
+        self.held: Holding | None = None
         self.produced = 0
-        self.excluded: list[str] = []
-        self.finished = False
+        self.resumable = True
         self.first_token_us = 0
-        self.last_chunk_at = 0.0
         self.started = time.monotonic()
 
-    async def chunks(self) -> Chunks:
+    async def follow(self, following: Following) -> Items:
+        """Yield a generation's chunks; the last item is a finish or a failure."""
+        outcome = FAILED
+        try:
+            while not following.finished:
+                began = time.monotonic()
+                item = await following.read()
+                if isinstance(item, list):
+                    self.note(item, time.monotonic() - began)
+                    if following.finished:
+                        outcome = FINISHED
+                yield item
+                if isinstance(item, Failure):
+                    return
+        except (GeneratorExit, asyncio.CancelledError):
+            outcome = FINISHED if following.finished else ABANDONED
+            raise
+        finally:
+            following.close()
+            self.ended(outcome)
+
+    def note(self, chunks: list[Chunk], waited_s: float) -> None:
+        """Count chunks that came together after a wait, and report them.
+
+        The wait begins when the caller has taken what came before, so a slow
+        reader isn't held against the engine.
+        """
+        tokens = len(chunks) - (chunks[-1].finish is not None)
+        if not tokens or self.place is None:
+            return
+        metrics = self.node.metrics
+        gap_us = int(waited_s * US)
+        if self.produced:
+            metrics.record("time_between_tokens_us", gap_us)
+        else:
+            first_s = time.monotonic() - self.started
+            self.first_token_us = gap_us
+            metrics.record("time_to_first_token_us", first_s * US)
+            self.node.events.emit(Event.FIRST_TOKEN, request=self.request)
+        self.produced += tokens
+        self.node.schedulers.note(
+            self.place.generation, self.produced, gap_us, self.first_token_us
+        )
+
+    def ended(self, outcome: str) -> None:
+        """Give the place back, and cancel what the engine may still run."""
+        place, held = self.place, self.held
+        if place is None or held is None:
+            return
+        self.node.events.emit(
+            Event.ATTEMPT_ENDED,
+            request=self.request,
+            attempt=place.generation,
+            outcome=outcome,
+            tokens=self.produced,
+        )
+        if not self.node.schedulers.holds(held):
+            return
+        in_time = time.monotonic() < self.deadline
+        if outcome == ABANDONED and self.resumable and in_time:
+            self.node.cancels.after_grace(place, self.pool, held)
+            return
+        self.node.schedulers.release(
+            place.generation, self.pool, outcome, self.first_token_us
+        )
+        if outcome != FINISHED:
+            self.node.cancels.start(place, self.pool)
+
+
+class GenerationRun(Delivery):
+    """One caller's new generation at this entry.
+
+    ``silent_restart`` permits to begin anew without a word, for answers of
+    which the caller has seen nothing yet.
+    """
+
+    def __init__(self, *, node: Node, wanted: GenerationRequest, silent_restart: bool):
+        super().__init__(node=node, request=wanted.request, deadline=wanted.deadline)
+        self.wanted = wanted
+        self.restart = wanted.restart or silent_restart
+        self.excluded: list[str] = []
+
+    async def chunks(self) -> Items:
         """Yield the generation's chunks, each token once and in order.
 
-        The last item is the chunk with the finish marker, or a failure.  Before
-        the first token another engine may be tried, after it none.
+        The last item holds the chunk with the finish marker, or is a failure.
+        Before the first token another engine may be tried, after it only where
+        the caller accepts a restart.
         """
-        limit = self.node.settings.entry.attempt_limit
-        for attempt in range(1, limit + 1):
+        for attempt in range(1, self.node.settings.entry.attempt_limit + 1):
+            grant = await self.admit(attempt)
+            if isinstance(grant, Failure):
+                yield concluded(grant, self.produced)
+                return
             failure: Failure | None = None
-            async for item in self.attempt(attempt):
-                if isinstance(item, Failure):
-                    failure = item
-                    break
-                yield item
+            following = self.begin(grant)
+            if isinstance(following, Failure):
+                failure = following
+                self.ended(FAILED)
+            else:
+                items = self.follow(following)
+                try:
+                    async for item in items:
+                        if isinstance(item, Failure):
+                            failure = item
+                            break
+                        yield item
+                finally:
+                    await items.aclose()
             if failure is None:
                 return
-            if self.produced or attempt == limit or not self.retry(failure):
-                yield self.final(failure)
+            failure = concluded(failure, self.produced)
+            if not self.may_go_on(failure, attempt):
+                yield self.advised(failure)
                 return
+            await self.before_next(failure, attempt)
+            if self.produced:
+                yield Restart(self.produced)
+                self.produced = 0
 
-    def retry(self, failure: Failure) -> bool:
-        """Return whether the next attempt may be made, within the budget."""
-        if time.monotonic() >= self.wanted.deadline or self.place is None:
-            return False
-        if not may_retry(failure, repeatable=True):
+    def may_go_on(self, failure: Failure, attempt: int) -> bool:
+        """Return whether another attempt may be made, within the budget."""
+        if attempt >= self.node.settings.entry.attempt_limit or self.place is None:
             return False
         self.excluded.append(self.place.endpoint)
+        if time.monotonic() >= self.deadline or not self.pools_left():
+            return False
+        allowed = may_retry(failure, repeatable=True)
+        if not allowed and not (self.restart and may_restart(failure)):
+            return False
         return self.node.retries.take(self.place.endpoint)
 
-    def final(self, failure: Failure) -> Failure:
-        """Return a failure with the tokens that went out before it."""
-        if not self.produced:
-            return failure
-        return attrs.evolve(failure, tokens=self.produced, run=Run.RAN)
+    def pools_left(self) -> list[Pool]:
+        """Return the pools with an endpoint that hasn't failed this request."""
+        tried = set(self.excluded)
+        pools = self.node.state.pools_for(self.wanted.model.name)
+        return [pool for pool in pools if not tried.issuperset(pool.endpoints)]
 
-    async def attempt(self, number: int) -> Chunks:
-        """Yield the chunks of one attempt, the last one perhaps a failure."""
-        grant = await self.admit(number)
-        if isinstance(grant, Failure):
-            yield grant
-            return
-        outcome = FAILED
-        try:
-            async for item in self.relay(grant):
-                if isinstance(item, Chunk) and item.finish is not None:
-                    outcome = FINISHED
-                yield item
-        except (GeneratorExit, asyncio.CancelledError):
-            outcome = ABANDONED
-            raise
-        finally:
-            self.ended(outcome)
+    async def before_next(self, failure: Failure, attempt: int) -> None:
+        """Wait a little, and cancel first what the engine may still run."""
+        assert self.place is not None
+        if attempt_state(failure) in (Attempt.UNKNOWN, Attempt.RAN):
+            await self.node.cancels.once(self.place)
+        await asyncio.sleep(backoff_s(attempt))
+
+    def advised(self, failure: Failure) -> Failure:
+        """Return a final failure, with when to come back if that may help."""
+        if failure.tokens or not may_retry(failure, repeatable=True):
+            return failure
+        if time.monotonic() >= self.deadline:
+            return failure
+        return attrs.evolve(failure, retry_after_s=RETRY_AFTER_S)
 
     async def admit(self, number: int) -> Grant | Failure:
         """Return a place for the next attempt, or why there is none."""
         node, wanted = self.node, self.wanted
-        pool = node.schedulers.pick_pool(node.state.pools_for(wanted.model.name))
+        pool = node.schedulers.pick_pool(self.pools_left())
         if pool is None:
             return Failure(Code.NO_ENDPOINT, f"no endpoint serves {wanted.model.name}")
-        generation = node.next_generation()
+        generation = generation_id(wanted.request, number)
         body = Admit(
             request=wanted.request,
             reservation=generation,
@@ -122,128 +246,103 @@
             raise
         if isinstance(grant, Failure):
             return grant
+        self.pool = pool.name
+        self.hold(generation, grant)
+        if number == 1:
+            node.retries.earn(grant.endpoint)
+        return grant
+
+    def hold(self, generation: str, grant: Grant) -> None:
+        """Note the place that was granted."""
+        wanted = self.wanted
         self.place = Place(
             workspace=wanted.workspace.name,
             endpoint=grant.endpoint,
             generation=generation,
-            pool=pool.name,
-            model=wanted.model.name,
-            chat=wanted.chat,
-            request=wanted.request,
         )
-        node.schedulers.hold(
-            pool.name,
-            Holding(
-                reservation=generation,
-                endpoint=grant.endpoint,
-                workspace=wanted.workspace.name,
-                model=wanted.model.name,
-                kind=wanted.kind,
-                priority=wanted.priority,
-                prompt_tokens=wanted.prompt_tokens,
-                max_tokens=wanted.max_tokens,
-                generation=generation,
-            ),
+        self.held = Holding(
+            reservation=generation,
+            endpoint=grant.endpoint,
+            workspace=wanted.workspace.name,
+            model=wanted.model.name,
+            kind=wanted.kind,
+            priority=wanted.priority,
+            prompt_tokens=wanted.prompt_tokens,
+            max_tokens=wanted.max_tokens,
+            generation=generation,
+            taken=self.node.program.clock.now(),
         )
-        return grant
+        self.node.schedulers.hold(self.pool, self.held)
 
-    async def relay(self, grant: Grant) -> Chunks:
-        """Yield the chunks that the granted engine sends."""
+    def begin(self, grant: Grant) -> Following | Failure:
+        """Start the generation at the granted engine."""
         node, place = self.node, self.place
         endpoint = node.state.endpoints.get(grant.endpoint)
         if endpoint is None or place is None:
-            yield Failure(Code.NO_ENDPOINT, f"{grant.endpoint} isn't declared")
-            return
+            return Failure(Code.NO_ENDPOINT, f"{grant.endpoint} isn't declared")
         node.events.emit(
             Event.ATTEMPT_SENT,
-            request=self.wanted.request,
+            request=self.request,
             attempt=place.generation,
             endpoint=endpoint.name,
         )
         body = engine_body(
             self.wanted, place.generation, grant.engine_priority, endpoint.takes_salt
         )
-        sent = time.monotonic()
-        stream = await node.engine.start(endpoint.url, self.wanted.chat, body)
-        if isinstance(stream, Failure):
-            yield stream
-            return
-        async for item in self.paced(stream, sent):
-            yield item
-
-    async def paced(self, stream: Chunks, sent: float) -> Chunks:
-        """Yield a stream's chunks, each token once, within the time limits."""
-        entry = self.node.settings.entry
-        last = sent
-        iterator = stream.__aiter__()
-        while True:
-            limit = (
-                entry.stall_timeout_s if self.produced else entry.first_token_timeout_s
-            )
-            left = self.wanted.deadline - time.monotonic()
-            try:
-                async with asyncio.timeout(min(limit, max(left, 0.0))):
-                    item = await anext(iterator)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                yield self.timed_out(left, limit)
-                return
-            if isinstance(item, Chunk):
-                if item.finish is None and item.index < self.produced:
-                    continue
-                if item.index > self.produced:
-                    yield Failure(
-                        Code.GENERATION_CUT, f"token {self.produced} is missing"
-                    )
-                    return
-                last = self.note(item, sent, last)
-            yield item
+        following = Following(
+            node=node, place=place, url=endpoint.url, first=0, deadline=self.deadline
+        )
+        following.start(self.wanted.chat, body)
+        return following
 
-    def timed_out(self, left: float, limit: float) -> Failure:
-        """Return the failure of a stream that sent nothing for too long."""
-        if left > limit:
-            return Failure(Code.GENERATION_STALLED, f"nothing for {limit:g} s")
-        if self.produced:
-            return Failure(Code.DEADLINE_PARTIAL, "the deadline passed")
-        return Failure(Code.DEADLINE_UNKNOWN, "the deadline passed with no token")
 
-    def note(self, chunk: Chunk, sent: float, last: float) -> float:
-        """Count a chunk and report its timing; return its time."""
-        now = time.monotonic()
-        metrics = self.node.metrics
-        if chunk.finish is None:
-            self.produced = chunk.index + 1
-            gap_us = int((now - last) * US)
-            if self.produced == 1:
-                self.first_token_us = gap_us
-                metrics.record("time_to_first_token_us", (now - self.started) * US)
-                self.node.events.emit(Event.FIRST_TOKEN, request=self.wanted.request)
-            else:
-                metrics.record("time_between_tokens_us", gap_us)
-            if self.place is not None:
-                self.node.schedulers.note(
-                    self.place.generation, self.produced, gap_us, self.first_token_us
-                )
-        else:
-            self.finished = True
-        return now
+class ResumedRun(Delivery):
+    """A generation that a caller goes on with at this entry."""
 
-    def ended(self, outcome: str) -> None:
-        """Give the place back and cancel what did not finish."""
-        place = self.place
-        if place is None:
+    def __init__(self, *, node: Node, place: Place, seen: int, deadline: float):
+        super().__init__(node=node, request=place.request, deadline=deadline)
+        self.place = place
+        self.produced = seen
+
+    async def chunks(self) -> Items:
+        """Yield the rest of the generation's chunks, or the failure."""
+        node, place = self.node, self.place
+        assert place is not None
+        endpoint = node.state.endpoints.get(place.endpoint)
+        pool = node.state.pool_of(place.endpoint)
+        if endpoint is None or pool is None:
+            gone = Failure(Code.GENERATION_GONE, "the endpoint is no longer declared")
+            yield concluded(gone, self.produced)
             return
-        self.node.schedulers.release(
-            place.generation, place.pool, outcome, self.first_token_us
+        self.pool = pool.name
+        self.hold()
+        following = Following(
+            node=node,
+            place=place,
+            url=endpoint.url,
+            first=self.produced,
+            deadline=self.deadline,
         )
-        self.node.events.emit(
-            Event.ATTEMPT_ENDED,
-            request=self.wanted.request,
-            attempt=place.generation,
-            outcome=outcome,
-            tokens=self.produced,
+        following.resume()
+        items = self.follow(following)
+        try:
+            async for item in items:
+                if isinstance(item, Failure):
+                    item = concluded(item, self.produced)
+                yield item
+        finally:
+            await items.aclose()
+
+    def hold(self) -> None:
+        """Take the place over from the entry that held it."""
+        place = self.place
+        assert place is not None
+        self.held = Holding(
+            reservation=place.generation,
+            endpoint=place.endpoint,
+            workspace=place.workspace,
+            produced=self.produced,
+            generation=place.generation,
+            taken=self.node.program.clock.now(),
         )
-        if outcome != FINISHED:
-            grace = self.node.settings.entry.resume_grace_s
-            self.node.cancel_later(place, grace if outcome == ABANDONED else 0.0)
+        self.node.schedulers.take_over(self.pool, self.held)
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import time
 
 import aiohttp
 
 from baobabturn.config.state import ConfigState
 from baobabturn.core.events import Event
-from baobabturn.core.idents import generation_id
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.entry.bodies import BodyMemory
-from baobabturn.entry.resume import Place
+from baobabturn.entry.cancels import Cancels
 from baobabturn.entry.retries import RetryBudget
 from baobabturn.entry.schedulers import Schedulers
 from baobabturn.membership.owners import ALIVE
@@ -24,18 +22,13 @@
 from baobabturn.wire.link import Link, LinkClient
 from baobabturn.wire.messages import (
     ConfigUpdate,
-    Held,
     Member,
     MemberView,
     Stats,
     StatsRequest,
     Subscribe,
-    WhoHolds,
 )
 
-CANCEL_RETRY_S = 0.5
-CANCEL_TRIES = 10
-
 
 class Node:
     """The shared state of one entry process."""
@@ -62,8 +55,12 @@
         self.engine = OpenAIEngine(session=self.session)
         self.store = HttpStore(settings=self.settings.platform)
         self.claims = Claims(store=self.store, node=program.identity.node)
-        self.numbers = itertools.count(1)
-        self.resumed: set[str] = set()
+        self.cancels = Cancels(
+            program=program,
+            state=self.state,
+            schedulers=self.schedulers,
+            engine=self.engine,
+        )
         self.controller = LinkClient(
             address=self.settings.host.address,
             port=self.settings.ports.controller,
@@ -106,47 +103,6 @@
                 return member.state
         return ALIVE
 
-    def next_generation(self) -> str:
-        """Return a new generation's id."""
-        who = self.program.identity
-        return generation_id(who.node, who.incarnation, next(self.numbers))
-
-    def cancel_later(self, place: Place, grace_s: float) -> None:
-        """Cancel a generation at its engine unless it is resumed within a grace."""
-        work = self.cancel(place, grace_s)
-        self.program.background.start(work, f"cancel-{place.generation}")
-
-    async def cancel(self, place: Place, grace_s: float) -> None:
-        """Cancel a generation and repeat until the engine has confirmed it."""
-        await asyncio.sleep(grace_s)
-        if grace_s and await self.is_held(place):
-            return
-        endpoint = self.state.endpoints.get(place.endpoint)
-        if endpoint is None:
-            return
-        for _ in range(CANCEL_TRIES):
-            confirmed = await self.engine.cancel(endpoint.url, place.generation)
-            if confirmed is True:
-                self.events.emit(
-                    Event.GENERATION_CANCELLED,
-                    request=place.request,
-                    attempt=place.generation,
-                    endpoint=place.endpoint,
-                )
-                return
-            await asyncio.sleep(CANCEL_RETRY_S)
-
-    async def is_held(self, place: Place) -> bool:
-        """Return whether some entry has resumed a generation."""
-        if place.generation in self.schedulers.holdings:
-            return True
-        client = self.schedulers.link(place.pool)
-        if client is None:
-            return False
-        asked = WhoHolds(endpoint=place.endpoint, generations=[place.generation])
-        answer = await client.call(asked)
-        return isinstance(answer, Held) and place.generation in answer.generations
-
     async def report_progress(self) -> None:
         """Send progress to the schedulers, once an interval."""
         while True:
--- a/src/baobabturn/entry/outcome.py
+++ b/src/baobabturn/entry/outcome.py
@@ -1,19 +1,26 @@
 """What is known of an attempt, and what follows from it.
 
-Retry, error code and the ``run`` field all follow from the table below.
+Retry, error code and the ``run`` field of generations and service calls all
+follow from the tables below, and from nothing else.
 """
 
 from __future__ import annotations
 
 import enum
 
+import aiohttp
 import attrs
 
 from baobabturn.core.results import Code, Failure, Run
 
 
 class Attempt(str, enum.Enum):
-    """The states of one attempt at an endpoint."""
+    """The states of one attempt at an endpoint.
+
+    ``UNSENT``: no byte left this host.  ``SENT``: the time was up before an
+    answer.  ``REFUSED``: the endpoint said that it didn't begin.  ``UNKNOWN``:
+    the answer was lost.  ``RAN``: part of the answer was seen.
+    """
 
     UNSENT = "unsent"
     SENT = "sent"
@@ -26,40 +33,100 @@
 class Consequence:
     """What an attempt's state means for the call.
 
-    ``retry_any`` permits another attempt of any call, ``retry_repeatable`` only
-    of a call that may run more than once.
+    ``code`` is told where the attempt itself names none.  ``retry_any`` permits
+    another attempt of any call, ``retry_repeatable`` only of a call that may
+    run more than once, ``restart`` only of a generation whose caller accepts
+    that it begins anew.
     """
 
+    code: Code
     run: Run
     retry_any: bool
     retry_repeatable: bool
+    restart: bool
 
 
 CONSEQUENCES: dict[Attempt, Consequence] = {
-    Attempt.UNSENT: Consequence(Run.NOT_RUN, True, True),
-    Attempt.REFUSED: Consequence(Run.NOT_RUN, True, True),
-    Attempt.SENT: Consequence(Run.UNKNOWN, False, True),
-    Attempt.UNKNOWN: Consequence(Run.UNKNOWN, False, True),
-    Attempt.RAN: Consequence(Run.RAN, False, False),
+    Attempt.UNSENT: Consequence(Code.CONNECT_FAILED, Run.NOT_RUN, True, True, True),
+    Attempt.REFUSED: Consequence(Code.ENDPOINT_REFUSED, Run.NOT_RUN, True, True, True),
+    Attempt.SENT: Consequence(Code.DEADLINE_UNKNOWN, Run.UNKNOWN, False, False, False),
+    Attempt.UNKNOWN: Consequence(Code.OUTCOME_UNKNOWN, Run.UNKNOWN, False, True, True),
+    Attempt.RAN: Consequence(Code.GENERATION_CUT, Run.RAN, False, False, True),
 }
 
 STATES: dict[Code, Attempt] = {
     Code.CONNECT_FAILED: Attempt.UNSENT,
     Code.NO_ENDPOINT: Attempt.UNSENT,
+    Code.DEADLINE_NOT_RUN: Attempt.UNSENT,
     Code.ENDPOINT_REFUSED: Attempt.REFUSED,
-    Code.GENERATION_GONE: Attempt.REFUSED,
     Code.OUTCOME_UNKNOWN: Attempt.UNKNOWN,
     Code.GENERATION_CUT: Attempt.UNKNOWN,
     Code.GENERATION_STALLED: Attempt.UNKNOWN,
+    Code.GENERATION_GONE: Attempt.UNKNOWN,
+    Code.DEADLINE_UNKNOWN: Attempt.SENT,
+    Code.DEADLINE_PARTIAL: Attempt.SENT,
 }
 
+# The first row whose kinds an error is of applies.  A name lookup or connect
+# that failed has sent nothing; after that the endpoint may have run the call.
+ERRORS: tuple[tuple[tuple[type[BaseException], ...], Attempt], ...] = (
+    (
+        (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError),
+        Attempt.UNSENT,
+    ),
+    ((aiohttp.InvalidURL,), Attempt.UNSENT),
+    ((Exception,), Attempt.UNKNOWN),
+)
+
+# Statuses by which an engine or service says that it didn't begin.
+REFUSED_STATUSES = frozenset((400, 401, 403, 404, 409, 413, 422, 429, 503))
+OVERLOAD_STATUSES = frozenset((429, 503))
+
+
+def error_state(error: BaseException) -> Attempt:
+    """Return the state of an attempt that an exception of the client ended."""
+    return next(state for kinds, state in ERRORS if isinstance(error, kinds))
+
+
+def from_error(error: BaseException) -> Failure:
+    """Return the failure that an exception of the client means."""
+    row = CONSEQUENCES[error_state(error)]
+    reason = str(error) if row.run is Run.NOT_RUN else type(error).__name__
+    return Failure(row.code, reason, run=row.run)
+
+
+def from_status(status: int, text: str, refused: frozenset[int]) -> Failure:
+    """Return the failure that an answer's status means."""
+    state = Attempt.REFUSED if status in refused else Attempt.UNKNOWN
+    row = CONSEQUENCES[state]
+    return Failure(row.code, f"status {status}: {text}", run=row.run)
+
 
 def attempt_state(failure: Failure) -> Attempt:
     """Return the state of an attempt that ended with a failure."""
+    if failure.tokens:
+        return Attempt.RAN
     return STATES.get(failure.code, Attempt.UNKNOWN)
 
 
+def concluded(failure: Failure, tokens: int) -> Failure:
+    """Return an attempt's failure with what is known of the run.
+
+    ``tokens`` counts those that went out; a failure of admission, before any
+    attempt, keeps what its code says.
+    """
+    counted = attrs.evolve(failure, tokens=tokens)
+    if not tokens and failure.code not in STATES:
+        return counted
+    return attrs.evolve(counted, run=CONSEQUENCES[attempt_state(counted)].run)
+
+
 def may_retry(failure: Failure, repeatable: bool) -> bool:
     """Return whether another attempt is permitted after a failure."""
     row = CONSEQUENCES[attempt_state(failure)]
     return row.retry_repeatable if repeatable else row.retry_any
+
+
+def may_restart(failure: Failure) -> bool:
+    """Return whether a generation may begin anew for a caller who accepts it."""
+    return CONSEQUENCES[attempt_state(failure)].restart
--- a/src/baobabturn/entry/retries.py
+++ b/src/baobabturn/entry/retries.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 LEVEL_LIMIT = 20.0
 FIRST_LEVEL = 3.0
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LIMIT_S = 1.0
 
 
 class RetryBudget:
@@ -25,3 +29,9 @@
             return False
         self.levels[endpoint] = level - 1
         return True
+
+
+def backoff_s(tries: int) -> float:
+    """Return a random wait before the next try after some failed ones, from 1."""
+    limit = min(BACKOFF_FIRST_S * 2 ** (tries - 1), BACKOFF_LIMIT_S)
+    return random.uniform(0.0, limit)
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -179,6 +179,26 @@
         """Note a place that this entry holds."""
         self.holdings[held.reservation] = (pool, held)
 
+    def take_over(self, pool: str, held: Holding) -> None:
+        """Note a place that another entry held, and tell the scheduler at once."""
+        self.hold(pool, held)
+        client = self.link(pool)
+        if client is not None:
+            client.send(Holdings(pool=pool, items=[held], added=True))
+
+    def holds(self, held: Holding) -> bool:
+        """Return whether a place is still held for the stream that took it.
+
+        Another stream of this entry may have resumed the generation since.
+        """
+        found = self.holdings.get(held.reservation)
+        return found is not None and found[1] is held
+
+    def drop(self, reservation: str) -> None:
+        """Forget a place that another entry has taken over."""
+        self.holdings.pop(reservation, None)
+        self.progress.pop(reservation, None)
+
     def note(self, reservation: str, produced: int, gap_us: int, first_us: int) -> None:
         """Note a generation's progress, to be sent with the next batch."""
         entry = self.holdings.get(reservation)
--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
+import json
 import time
 from typing import Any
 
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure
-from baobabturn.endpoints.engine import Chunks
 from baobabturn.entry.answers import (
     SSE_HEADERS,
     send_failure,
@@ -17,12 +17,20 @@
     sse_error,
     sse_event,
 )
-from baobabturn.entry.generations import GenerationRun
+from baobabturn.entry.generations import (
+    Delivery,
+    GenerationRun,
+    Items,
+    Restart,
+    ResumedRun,
+)
 from baobabturn.entry.node import Node
 from baobabturn.entry.requests import GenerationRequest
-from baobabturn.entry.resume import Place, sign, verify
+from baobabturn.entry.resume import sign, verify
 
 DONE = b"data: [DONE]\n\n"
+COMMENT = b": waiting\n\n"
+LAST_WORD_S = 1.0
 
 
 async def gone(receive: Any) -> None:
@@ -31,12 +39,14 @@
         pass
 
 
-async def until_gone(work: Any, receive: Any) -> bool:
-    """Run work until it ends or the caller goes; return whether it ended."""
+async def until_gone(work: Any, receive: Any, limit_s: float) -> bool:
+    """Run work until it ends, the caller goes or the limit; return if it ended."""
     task = asyncio.create_task(work)
     watch = asyncio.create_task(gone(receive))
     try:
-        await asyncio.wait({task, watch}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            {task, watch}, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+        )
         if task.done():
             task.result()
             return True
@@ -52,67 +62,93 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Stream a generation to its caller."""
-    run = GenerationRun(node=node, wanted=wanted)
-    items = run.chunks()
-    work = relay(node, wanted.request, run, items, send)
-    ended = await until_gone(work, receive)
+    run = GenerationRun(node=node, wanted=wanted, silent_restart=False)
+    await deliver(run, run.chunks(), receive, send)
+
+
+async def deliver(run: Delivery, items: Items, receive: Any, send: Any) -> None:
+    """Relay items until they end, the caller goes or the deadline has passed.
+
+    A caller who doesn't read holds up the relay, so the limit is kept here.
+    """
+    limit_s = run.deadline - time.monotonic() + LAST_WORD_S
+    ended = await until_gone(relay(run, items, send), receive, limit_s)
     await items.aclose()
     if not ended:
-        node.events.emit(
+        run.node.events.emit(
             Event.REQUEST_FAILED,
-            request=wanted.request,
+            request=run.request,
             code=int(Code.CANCELLED),
             tokens=run.produced,
         )
 
 
-async def relay(
-    node: Node,
-    request: str,
-    run: GenerationRun,
-    items: Chunks,
-    send: Any,
-) -> None:
-    """Send each item as an event; a failure before the first is an answer."""
+async def relay(run: Delivery, items: Items, send: Any) -> None:
+    """Send each item as events; a failure before the first is an answer."""
+    keys = run.node.settings.entry.resume_keys
     begun = False
-    token = b""
+    prefix = b""
     async for item in items:
         if isinstance(item, Failure):
-            node.failed(item)
-            node.events.emit(
-                Event.REQUEST_FAILED,
-                request=request,
-                code=int(item.code),
-                run=item.run.value,
-                tokens=item.tokens,
-            )
-            if not begun:
-                await send_failure(send, item, request)
-                return
-            await finish(send, sse_error(item, request))
+            failed(run, item)
+            if begun:
+                await finish(send, sse_error(item, run.request))
+            else:
+                await send_failure(send, item, run.request)
             return
-        if not begun and run.place is not None:
+        if item is None:
+            if begun:
+                await send_part(send, COMMENT)
+            continue
+        if isinstance(item, Restart):
+            prefix = b""
+            await send_part(send, restart_event(run, item))
+            continue
+        if not prefix and run.place is not None:
+            prefix = sign(run.place, keys).encode() + b"."
+        if not begun:
             begun = True
-            token = sign(run.place, node.settings.entry.resume_keys).encode()
-            await send(start_message(request))
-        event_id = token + b"." + str(item.index).encode()
-        await send(
-            {
-                "type": "http.response.body",
-                "body": sse_event(event_id, item.raw),
-                "more_body": True,
-            }
-        )
-    node.events.emit(Event.REQUEST_FINISHED, request=request, tokens=run.produced)
+            await send(start_message(run.request))
+        events = [sse_event(prefix + b"%d" % each.index, each.raw) for each in item]
+        await send_part(send, b"".join(events))
+    run.node.events.emit(
+        Event.REQUEST_FINISHED, request=run.request, tokens=run.produced
+    )
     await finish(send, DONE)
 
 
+def failed(run: Delivery, failure: Failure) -> None:
+    """Count and log a failure that a caller is told."""
+    run.node.failed(failure)
+    run.node.events.emit(
+        Event.REQUEST_FAILED,
+        request=run.request,
+        code=int(failure.code),
+        run=failure.run.value,
+        tokens=failure.tokens,
+    )
+
+
+def restart_event(run: Delivery, item: Restart) -> bytes:
+    """Return the event that tells a caller to forget the tokens so far."""
+    run.node.events.emit(
+        Event.STREAM_RESTARTED, request=run.request, tokens=item.tokens
+    )
+    data = json.dumps({"request": run.request, "tokens": item.tokens}).encode()
+    return b"event: restart\ndata: " + data + b"\n\n"
+
+
 def start_message(request: str) -> dict[str, Any]:
     """Return the ASGI message that starts a stream."""
     headers = [*SSE_HEADERS, (b"x-request-id", request.encode())]
     return {"type": "http.response.start", "status": 200, "headers": headers}
 
 
+async def send_part(send: Any, data: bytes) -> None:
+    """Send some bytes of a stream; waits while the caller doesn't read."""
+    await send({"type": "http.response.body", "body": data, "more_body": True})
+
+
 async def finish(send: Any, data: bytes) -> None:
     """Send the last bytes of a stream."""
     await send({"type": "http.response.body", "body": data, "more_body": False})
@@ -122,20 +158,18 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Answer with a generation's whole text once it has finished."""
-    run = GenerationRun(node=node, wanted=wanted)
+    run = GenerationRun(node=node, wanted=wanted, silent_restart=True)
+    run.resumable = False
     items = run.chunks()
-    ended = await until_gone(collect(node, wanted, run, items, send), receive)
+    limit_s = run.deadline - time.monotonic() + LAST_WORD_S
+    ended = await until_gone(collect(wanted, run, items, send), receive, limit_s)
     await items.aclose()
-    if not ended and run.place is not None:
-        node.cancel_later(run.place, 0.0)
+    if not ended:
+        failed(run, Failure(Code.CANCELLED, "the caller went away"))
 
 
 async def collect(
-    node: Node,
-    wanted: GenerationRequest,
-    run: GenerationRun,
-    items: Chunks,
-    send: Any,
+    wanted: GenerationRequest, run: GenerationRun, items: Items, send: Any
 ) -> None:
     """Gather a generation's chunks and send them as one answer."""
     text: list[str] = []
@@ -143,21 +177,17 @@
     finish_reason = None
     async for item in items:
         if isinstance(item, Failure):
-            node.failed(item)
-            node.events.emit(
-                Event.REQUEST_FAILED,
-                request=wanted.request,
-                code=int(item.code),
-                run=item.run.value,
-                tokens=item.tokens,
-            )
+            failed(run, item)
             await send_failure(send, item, wanted.request)
             return
-        last = item.values
-        choice = item.values["choices"][0]
-        text.append(chunk_text(choice, wanted.chat))
-        finish_reason = item.finish
-    node.events.emit(
+        if isinstance(item, Restart):
+            text.clear()
+            continue
+        for chunk in item or ():
+            last = chunk.values
+            text.append(chunk_text(chunk.values["choices"][0], wanted.chat))
+            finish_reason = chunk.finish
+    run.node.events.emit(
         Event.REQUEST_FINISHED, request=wanted.request, tokens=run.produced
     )
     body = whole_body(wanted, "".join(text), finish_reason, last)
@@ -192,46 +222,28 @@
 
 
 async def resume_answer(
-    node: Node, workspace: str, event_id: str, receive: Any, send: Any
+    node: Node,
+    workspace: str,
+    event_id: str,
+    deadline: float,
+    receive: Any,
+    send: Any,
 ) -> None:
     """Stream a generation on from the place in a resume token."""
-    found = verify(event_id, node.settings.entry.resume_keys)
-    if isinstance(found, Failure) or found[0].workspace != workspace:
-        failure = Failure(Code.BAD_RESUME_TOKEN, "not a token of this workspace")
-        await send_failure(send, failure)
+    found = verify(event_id, workspace, node.settings.entry.resume_keys)
+    if isinstance(found, Failure):
+        node.failed(found)
+        await send_failure(send, found)
         return
     place, index = found
-    endpoint = node.state.endpoints.get(place.endpoint)
-    if endpoint is None:
-        await send_failure(send, Failure(Code.GENERATION_GONE, "endpoint is gone"))
-        return
-    stream = await node.engine.resume(endpoint.url, place.generation, index)
-    if isinstance(stream, Failure):
-        await send_failure(send, stream, place.request)
-        return
+    run = ResumedRun(node=node, place=place, seen=index + 1, deadline=deadline)
     node.events.emit(
-        Event.STREAM_RESUMED, request=place.request, after=index, endpoint=endpoint.name
+        Event.STREAM_RESUMED,
+        request=place.request,
+        after=index,
+        endpoint=place.endpoint,
     )
-    await until_gone(relay_resumed(node, place, stream, send), receive)
-
-
-async def relay_resumed(node: Node, place: Place, stream: Chunks, send: Any) -> None:
-    """Send the rest of a resumed generation."""
-    token = sign(place, node.settings.entry.resume_keys).encode()
-    await send(start_message(place.request))
-    async for item in stream:
-        if isinstance(item, Failure):
-            await finish(send, sse_error(item, place.request))
-            return
-        event_id = token + b"." + str(item.index).encode()
-        await send(
-            {
-                "type": "http.response.body",
-                "body": sse_event(event_id, item.raw),
-                "more_body": True,
-            }
-        )
-    await finish(send, DONE)
+    await deliver(run, run.chunks(), receive, send)
 
 
 def models_body(names: list[str]) -> dict[str, Any]:
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -76,6 +76,7 @@
                 EndpointReport: self.endpoint_report,
                 CacheEvents: self.cache_events,
                 StatsRequest: self.stats,
+                WhoHolds: self.who_holds,
             },
             opened=self.subscribe,
         )
@@ -208,14 +209,20 @@
 
     def release(self, link: Link, body: Release) -> None:
         """Take a place back."""
-        pool = self.places.pop(body.reservation, None)
-        if pool is not None:
-            pool.release(body)
+        pool = self.places.get(body.reservation)
+        if pool is None or held_by_another(pool, body.reservation, link):
+            return
+        del self.places[body.reservation]
+        pool.release(body)
 
     def holdings(self, link: Link, body: Holdings) -> Ack:
         """Take in the places that an entry holds."""
-        self.told.setdefault(body.pool, {})[link] = body.items
         pool = self.pools.get(body.pool)
+        told = self.told.setdefault(body.pool, {})
+        if not body.added:
+            told[link] = body.items
+        elif pool is None or not pool.settled:
+            told[link] = [*told.get(link, []), *body.items]
         if pool is not None and pool.settled:
             for item in body.items:
                 pool.hold(link, item)
@@ -224,14 +231,17 @@
         return Ack(revision=self.state.revision)
 
     def who_holds(self, link: Link, body: WhoHolds) -> Held:
-        """Return which of some generations are held by an entry."""
-        held = []
-        for name in body.generations:
-            pool = self.places.get(name)
-            if pool is not None and pool.knows(name):
-                held.append(name)
-        settled = all(pool.settled for pool in self.pools.values())
-        return Held(generations=held, settled=settled)
+        """Return which of some generations another process than the asker holds.
+
+        Settled only where the endpoint's pool is owned here and rebuilt.
+        """
+        owned = [p for p in self.pools.values() if body.endpoint in p.state.endpoints]
+        held = [
+            name
+            for name in body.generations
+            if any(held_by_another(pool, name, link) for pool in owned)
+        ]
+        return Held(generations=held, settled=any(pool.settled for pool in owned))
 
     def endpoint_report(self, link: Link, body: EndpointReport) -> None:
         """Hand a load report to its pool."""
@@ -257,6 +267,15 @@
             pool.holder_gone(link)
 
 
+def held_by_another(pool: PoolScheduler, reservation: str, link: Link) -> bool:
+    """Return whether a place is held by another process than a link's peer."""
+    holder = pool.holder_of(reservation)
+    if holder is None or holder.peer is None or link.peer is None:
+        return holder is not None and holder is not link
+    held, asked = holder.peer, link.peer
+    return (held.node, held.role) != (asked.node, asked.role)
+
+
 async def serve(program: Program) -> Failure | None:
     """Run the scheduler."""
     return await SchedulerProgram(program=program).run()
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -22,6 +22,7 @@
     Release,
 )
 
+DRAIN_ROLE = "drain"
 MS = 1000
 US = 1_000_000
 
@@ -52,7 +53,7 @@
             known.memory_tokens = endpoint.memory_tokens
             known.concurrency = endpoint.concurrency
             known.models = endpoint.models
-            known.leaving = name in leaving
+            known.leaving = name in leaving or endpoint.role == DRAIN_ROLE
         self.dispatch()
 
     async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
@@ -137,6 +138,11 @@
             return True
         return any(w.admit.reservation == reservation for w in self.state.queue)
 
+    def holder_of(self, reservation: str) -> Any:
+        """Return who holds a place, None where nobody does."""
+        held = self.reservations.get(reservation)
+        return held.holder if held is not None else None
+
     def progress(self, item: ProgressItem) -> None:
         """Take in a generation's progress."""
         held = self.reservations.get(item.reservation)
@@ -171,6 +177,10 @@
         endpoint = self.state.endpoints.get(item.endpoint)
         if endpoint is None:
             return
+        known = self.reservations.get(item.reservation)
+        if known is not None:
+            self.hand_over(known, holder, item)
+            return
         now = time.monotonic()
         held = Reservation(
             name=item.reservation,
@@ -185,10 +195,26 @@
             granted=now,
             updated=now,
             holder=holder,
+            taken=item.taken,
         )
         self.reservations[held.name] = held
         endpoint.reservations[held.name] = held
 
+    def hand_over(self, held: Reservation, holder: Any, item: Holding) -> None:
+        """Let a known place follow the entry that took it last.
+
+        An entry that resumes a stream doesn't know the request, so what is
+        known of it stays.
+        """
+        if held.holder is not None and item.taken < held.taken:
+            return
+        held.holder = holder
+        held.taken = max(held.taken, item.taken)
+        held.orphaned = 0.0
+        held.produced = max(held.produced, item.produced)
+        held.prompt_tokens = held.prompt_tokens or item.prompt_tokens
+        held.updated = time.monotonic()
+
     def report(self, body: EndpointReport) -> None:
         """Take in an endpoint's load report."""
         endpoint = self.state.endpoints.get(body.endpoint)
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -29,6 +29,7 @@
     first_token_us: int = 0
     gap_us: int = 0
     orphaned: float = 0.0
+    taken: int = 0
 
     @property
     def memory_tokens(self) -> int:
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -85,6 +85,7 @@
     default_deadline_s: float = number(0.1, 86_400)
     first_token_timeout_s: float = number(0.1, 3600)
     stall_timeout_s: float = number(0.1, 3600)
+    probe_s: float = number(0.05, 600)
     connect_timeout_s: float = number(0.05, 60)
     scheduler_wait_s: float = number(0, 60)
     retry_share: float = number(0, 1)
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -176,7 +176,10 @@
 
 @attrs.define(kw_only=True, slots=True)
 class Holding:
-    """A place that an entry holds, sent to a new owner of the pool."""
+    """A place that an entry holds, sent to a new owner of the pool.
+
+    ``taken`` is the hybrid time at which the entry took it; the newest holds.
+    """
 
     reservation: str = ""
     endpoint: str = ""
@@ -188,14 +191,16 @@
     produced: int = 0
     max_tokens: int = 0
     generation: str = ""
+    taken: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
 class Holdings:
-    """All places that an entry holds in one pool."""
+    """All places that an entry holds in one pool, or some that it took since."""
 
     pool: str = ""
     items: list[Holding] = attrs.Factory(list)
+    added: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -166,11 +166,13 @@
   produced @7 :UInt32;
   maxTokens @8 :UInt32;
   generation @9 :Text;
+  taken @10 :UInt64;
 }
 
 struct Holdings {
   pool @0 :Text;
   items @1 :List(Holding);
+  added @2 :Bool;
 }
 
 struct EndpointReport {
