Usage of streams comes as the OpenAI API sends it

Cause: the entry passed an engine's usage on in the finishing chunk, asked for or not, and lost it where an engine sends it in a chunk of its own. Change: the adapter waits up to 1 s for the usage after the finish marker; whole answers always have it, streams get a last chunk with no choices and no id of its own when stream_options.include_usage is set. Tokens pass as raw bytes.

--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -54,6 +54,7 @@
     blocks: list[int]
     chat: bool
     model: str
+    include_usage: bool = False
     arrived: float = attrs.Factory(time.monotonic)
     produced: int = 0
     state: str = "waiting"
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -155,6 +155,7 @@
             blocks=block_hashes(str(body.get("cache_salt", "")), prompt),
             chat=chat,
             model=str(body.get("model", "")),
+            include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
         )
         made.length = stop_length(made, body.get("stop"))
         return made
@@ -226,6 +227,8 @@
         if generation.finish != "cancelled" and not self.faults.no_finish:
             self.finished[generation.tag] = self.finished.get(generation.tag, 0) + 1
             await response.write(self.chunk(generation, index, generation.finish))
+            if generation.include_usage:
+                await response.write(self.usage_chunk(generation))
             await response.write(b"data: [DONE]\n\n")
         return response
 
@@ -274,8 +277,18 @@
         }
         if self.faults.padding_bytes:
             values["padding"] = "x" * self.faults.padding_bytes
-        if finish:
-            values["usage"] = usage(generation)
+        return b"data: " + json.dumps(values).encode() + b"\n\n"
+
+    def usage_chunk(self, generation: Generation) -> bytes:
+        """Return the SSE event that follows the last one, with the usage alone."""
+        values = {
+            "id": generation.name,
+            "object": object_name(generation, True),
+            "created": 0,
+            "model": generation.model,
+            "choices": [],
+            "usage": usage(generation),
+        }
         return b"data: " + json.dumps(values).encode() + b"\n\n"
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
--- a/features/openaiclient.feature
+++ b/features/openaiclient.feature
@@ -28,6 +28,19 @@
       | completions | s1  |
       | chat        | s2  |
 
+  Scenario Outline: Usage of streamed <kind> comes last and only when asked for
+    When the client streams <kind> of "<tag>" with 6 tokens and stream_options={"include_usage": true}
+    Then the text has the tokens 0 to 5 of "<tag>" and ended with "stop"
+    And the last chunk has no choices and usage of 6 completion tokens
+    And no other chunk has usage
+    When the client streams <kind> of "<tag>-without" with 6 tokens
+    Then no chunk has usage or no choices
+
+    Examples:
+      | kind        | tag |
+      | completions | u1  |
+      | chat        | u2  |
+
   Scenario Outline: max_tokens and stop end a generation early
     When the client streams <kind> of "<tag>" with 9 tokens and <option>
     Then the text has the tokens 0 to <last> of "<tag>" and ended with "<finish>"
--- a/features/steps/openaiclient.py
+++ b/features/steps/openaiclient.py
@@ -196,3 +196,22 @@
     assert type(error) is getattr(openai, kind), repr(error)
     assert error.body["code"] == code and error.body["run"] == run, error.body
     assert error.body["tokens"] == count == len(context.texts), error.body
+
+
+@then("the last chunk has no choices and usage of {count:d} completion tokens")
+def last_usage(context, count):
+    last = context.chunks.pop()
+    assert last.choices == [], last
+    context.usage = last.usage
+    usage_has(context, count)
+
+
+@then("no other chunk has usage")
+def no_other_usage(context):
+    assert not [chunk for chunk in context.chunks if chunk.usage], context.chunks
+
+
+@then("no chunk has usage or no choices")
+def no_usage(context):
+    found = [chunk for chunk in context.chunks if chunk.usage or not chunk.choices]
+    assert context.chunks and not found, found
--- a/src/baobabturn/endpoints/openaistream.py
+++ b/src/baobabturn/endpoints/openaistream.py
@@ -1,8 +1,16 @@
-"""Reads the chunks of an OpenAI-compatible stream of server-sent events."""
+"""Reads the chunks of an OpenAI-compatible stream of server-sent events.
+
+Usage comes in a chunk of its own after the one with the finish marker, as the
+OpenAI API sends it, or in that one, as some engines send it.  Either way it is
+handed on in the finishing chunk's ``values`` and not in its ``raw``.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
+from typing import Any
 
 import aiohttp
 
@@ -12,6 +20,8 @@
 LINE_LIMIT_BYTES = 1024 * 1024
 DATA = b"data:"
 DONE = b"[DONE]"
+USAGE = "usage"
+USAGE_WAIT_S = 1.0
 
 
 class OpenAIStream:
@@ -26,6 +36,7 @@
         self.count = first
         self.rest = b""
         self.failure: Failure | None = None
+        self.finishing: Chunk | None = None
 
     async def read(self) -> list[Chunk] | Failure:
         """Return the next chunks, at least one, or why there are no more."""
@@ -37,10 +48,25 @@
             if not data:
                 return Failure(Code.GENERATION_CUT, "closed with no finish marker")
             found = self.feed(data)
+            if self.finishing is not None:
+                return [*found, await self.finish()]
             if found:
                 return found
         return self.failure
 
+    async def finish(self) -> Chunk:
+        """Return the finishing chunk, with the usage if that comes soon."""
+        chunk = self.finishing
+        assert chunk is not None
+        with contextlib.suppress(TimeoutError, aiohttp.ClientError, OSError):
+            async with asyncio.timeout(USAGE_WAIT_S):
+                while not chunk.values.get(USAGE) and self.failure is None:
+                    data = await self.answer.content.readany()
+                    if not data:
+                        break
+                    self.feed(data)
+        return chunk
+
     def feed(self, data: bytes) -> list[Chunk]:
         """Return the chunks that some more bytes complete."""
         lines = (self.rest + data).split(b"\n")
@@ -67,16 +93,35 @@
             values = json.loads(data)
             choices = values["choices"]
             if not choices:
+                self.take_usage(values.get(USAGE))
                 return None
             index = int(values.get("sequence_number", self.count))
             finish = choices[0].get("finish_reason")
         except (ValueError, TypeError, LookupError, AttributeError, RecursionError):
             self.failure = Failure(Code.GENERATION_CUT, "an event that is not a chunk")
             return None
-        if finish is None:
-            self.count = max(self.count, index + 1)
-        return Chunk(index=index, raw=data, values=values, finish=finish)
+        if finish is not None:
+            self.finishing = finishing_chunk(index, data, values, finish)
+            return None
+        self.count = max(self.count, index + 1)
+        return Chunk(index=index, raw=data, values=values)
+
+    def take_usage(self, usage: Any) -> None:
+        """Note the usage in the finishing chunk."""
+        if self.finishing is not None and isinstance(usage, dict):
+            self.finishing.values[USAGE] = usage
 
     def close(self) -> None:
         """Drop the link; the generation goes on."""
         self.answer.close()
+
+
+def finishing_chunk(
+    index: int, data: bytes, values: dict[str, Any], finish: str
+) -> Chunk:
+    """Return the last chunk; its event data are without usage."""
+    raw = data
+    if USAGE in values:
+        rest = {name: value for name, value in values.items() if name != USAGE}
+        raw = json.dumps(rest).encode()
+    return Chunk(index=index, raw=raw, values=values, finish=finish)
--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -63,16 +63,18 @@
 ) -> None:
     """Stream a generation to its caller."""
     run = GenerationRun(node=node, wanted=wanted, silent_restart=False)
-    await deliver(run, run.chunks(), receive, send)
+    await deliver(run, run.chunks(), receive, send, wanted.include_usage)
 
 
-async def deliver(run: Delivery, items: Items, receive: Any, send: Any) -> None:
+async def deliver(
+    run: Delivery, items: Items, receive: Any, send: Any, include_usage: bool = False
+) -> None:
     """Relay items until they end, the caller goes or the deadline has passed.
 
     A caller who doesn't read holds up the relay, so the limit is kept here.
     """
     limit_s = run.deadline - time.monotonic() + LAST_WORD_S
-    ended = await until_gone(relay(run, items, send), receive, limit_s)
+    ended = await until_gone(relay(run, items, send, include_usage), receive, limit_s)
     await items.aclose()
     if not ended:
         run.node.events.emit(
@@ -83,7 +85,9 @@
         )
 
 
-async def relay(run: Delivery, items: Items, send: Any) -> None:
+async def relay(
+    run: Delivery, items: Items, send: Any, include_usage: bool = False
+) -> None:
     """Send each item as events; a failure before the first is an answer."""
     keys = run.node.settings.entry.resume_keys
     begun = False
@@ -110,6 +114,8 @@
             begun = True
             await send(start_message(run.request))
         events = [sse_event(prefix + b"%d" % each.index, each.raw) for each in item]
+        if include_usage and item[-1].finish is not None:
+            events.append(usage_event(item[-1].values))
         await send_part(send, b"".join(events))
     run.node.events.emit(
         Event.REQUEST_FINISHED, request=run.request, tokens=run.produced
@@ -117,6 +123,16 @@
     await finish(send, DONE)
 
 
+def usage_event(last: dict[str, Any]) -> bytes:
+    """Return the event with a generation's usage, which has no choices.
+
+    It has no id of its own, so that a caller's Last-Event-ID stays at a token.
+    """
+    data = {**last, "choices": [], "usage": last.get("usage")}
+    data.pop("sequence_number", None)
+    return b"data: " + json.dumps(data).encode() + b"\n\n"
+
+
 def failed(run: Delivery, failure: Failure) -> None:
     """Count and log a failure that a caller is told."""
     run.node.failed(failure)
