--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -17,6 +17,7 @@
 
 PREFIX = "baobabturn_"
 HELP = {
+    "engine_reconnects": "Streams joined to their generation again after a break.",
     "failures": "Failures that callers were told, by result code.",
     "heartbeat_sent_bytes": "Bytes sent in heartbeats.",
     "inner_received_bytes": "Bytes received over inner links.",
