--- a/examples/herd.py
+++ b/examples/herd.py
@@ -15,6 +15,7 @@
         declare.operation("GET", "/ledger/*", repeatable=True),
         declare.operation("POST", "/checks", repeatable=True),
         declare.operation("POST", "/tally", repeatable=False),
+        declare.operation("PUT", "/animals/*", repeatable=False),
     ],
 )
 for line in endpoints:
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -3,8 +3,13 @@
 Faults are set over ``POST /control``: ``down`` refuses every call, ``slow_s``
 delays answers, ``lose_answers`` carries out that share of writes and drops the
 connection in place of an answer, ``hosts_lag_s`` delays the host list, and
-``forget_before`` makes older watches answer 410.  ``GET /counts`` tells how
-often each kind of call was made, with a count for each second.
+``forget_before`` makes older watches answer 410.  ``write_faults`` lists what
+happens to the next writes of ``write_kind``, one each: ``ok``, ``lose`` (takes
+effect, no answer), ``drop`` (no effect, no answer), ``late`` (no answer, takes
+effect a second later), ``hang`` (neither, until the caller goes away) or
+``slow`` (carried out after four seconds).
+``GET /counts`` tells how often each kind of call was made, with a count for
+each second and for each kind of object.
 """
 
 from __future__ import annotations
@@ -12,6 +17,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -19,6 +25,8 @@
 
 VALUE_LIMIT_BYTES = 1_000_000
 HISTORY = 5000
+LATE_S = 1.0
+PAUSES_S = {"hang": 3600.0, "slow": 4.0}
 
 
 class FakePlatform:
@@ -38,9 +46,13 @@
             "lose_answers": 0.0,
             "hosts_lag_s": 0.0,
             "forget_before": 0,
+            "write_kind": "baobabturn-claim",
+            "write_faults": [],
         }
         self.counts: dict[str, int] = {}
+        self.by_kind: dict[str, int] = {}
         self.per_second: dict[int, int] = {}
+        self.late_writes: set[asyncio.Task] = set()
         self.server = Server(
             routes=[
                 web.get("/objects/{kind}", self.list_or_watch),
@@ -64,6 +76,8 @@
     async def fault(self, request: web.Request, kind: str) -> None:
         """Count a call and apply the faults that are set."""
         self.counts[kind] = self.counts.get(kind, 0) + 1
+        key = f"{kind}:{request.match_info.get('kind', '')}"
+        self.by_kind[key] = self.by_kind.get(key, 0) + 1
         second = int(time.time())
         self.per_second[second] = self.per_second.get(second, 0) + 1
         if self.faults["down"]:
@@ -72,9 +86,34 @@
         if self.faults["slow_s"]:
             await asyncio.sleep(self.faults["slow_s"])
 
-    def answer_write(self, request: web.Request, body: dict) -> web.Response:
+    async def write_fault(self, request: web.Request, write: Callable) -> str:
+        """Apply the fault that is set for the next write of a kind."""
+        kind = request.match_info["kind"]
+        if kind != self.faults["write_kind"] or not self.faults["write_faults"]:
+            return "ok"
+        fault = self.faults["write_faults"].pop(0)
+        await asyncio.sleep(PAUSES_S.get(fault, 0.0))
+        if fault == "late":
+            task = asyncio.create_task(self.write_late(write))
+            self.late_writes.add(task)
+            task.add_done_callback(self.late_writes.discard)
+        if fault in ("late", "drop"):
+            drop(request)
+            raise web.HTTPServiceUnavailable()
+        return fault
+
+    async def write_late(self, write: Callable) -> None:
+        """Carry out a write whose caller is long gone."""
+        await asyncio.sleep(LATE_S)
+        write()
+
+    def answer_write(
+        self, request: web.Request, body: dict | None, fault: str
+    ) -> web.Response:
         """Answer a write, or lose the answer where that fault is set."""
-        if self.random.random() < self.faults["lose_answers"]:
+        if body is None:
+            raise web.HTTPPreconditionFailed(text="{}")
+        if fault == "lose" or self.random.random() < self.faults["lose_answers"]:
             self.counts["lost"] = self.counts.get("lost", 0) + 1
             drop(request)
         return web.json_response(body)
@@ -116,23 +155,32 @@
         if len(raw) > VALUE_LIMIT_BYTES:
             raise web.HTTPRequestEntityTooLarge(VALUE_LIMIT_BYTES, len(raw), text="{}")
         value = await request.json()
-        if not self.holds(request, self.objects.get((kind, name))):
-            raise web.HTTPPreconditionFailed(text="{}")
-        held = self.record(kind, name, value)
-        self.objects[(kind, name)] = held
-        return self.answer_write(request, held)
+
+        def write() -> dict | None:
+            if not self.holds(request, self.objects.get((kind, name))):
+                return None
+            held = self.record(kind, name, value)
+            self.objects[(kind, name)] = held
+            return held
+
+        fault = await self.write_fault(request, write)
+        return self.answer_write(request, write(), fault)
 
     async def delete(self, request: web.Request) -> web.Response:
         """Delete one object if the condition is met."""
         await self.fault(request, "delete")
         kind, name = request.match_info["kind"], request.match_info["name"]
-        found = self.objects.get((kind, name))
-        if found is None:
+        if (kind, name) not in self.objects:
             raise web.HTTPNotFound(text="{}")
-        if not self.holds(request, found):
-            raise web.HTTPPreconditionFailed(text="{}")
-        del self.objects[(kind, name)]
-        return self.answer_write(request, self.record(kind, name, None))
+
+        def write() -> dict | None:
+            if not self.holds(request, self.objects.get((kind, name))):
+                return None
+            del self.objects[(kind, name)]
+            return self.record(kind, name, None)
+
+        fault = await self.write_fault(request, write)
+        return self.answer_write(request, write(), fault)
 
     async def list_or_watch(self, request: web.Request) -> web.Response:
         """List a kind's objects, or wait for changes after a version."""
@@ -203,6 +251,8 @@
         return web.json_response(
             {
                 "calls": self.counts,
+                "by_kind": self.by_kind,
+                "write_faults": self.faults["write_faults"],
                 "per_second": self.per_second,
                 "objects": len(self.objects),
             }
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -21,6 +21,9 @@
     reset_after_run: bool = False
     hang_after_run: bool = False
     truncate: bool = False
+    status: int = 200
+    body_bytes: int = 0
+    redirect: bool = False
     leaving: bool = False
 
 
@@ -66,10 +69,14 @@
                 await asyncio.sleep(3600)
             if self.faults.reset_after_run:
                 return abort(request)
+            if self.faults.redirect:
+                raise web.HTTPTemporaryRedirect(str(request.url))
             answer = {"ok": True, "tag": tag, "worker": self.name, "path": request.path}
+            if self.faults.body_bytes:
+                answer["filling"] = "x" * self.faults.body_bytes
             if self.faults.truncate:
                 return await truncated(request, json.dumps(answer).encode())
-            return web.json_response(answer)
+            return web.json_response(answer, status=self.faults.status)
         finally:
             self.open -= 1
 
--- a/src/baobabturn/config/check.py
+++ b/src/baobabturn/config/check.py
@@ -100,6 +100,8 @@
                 found.append(f"{at}: path: allowed is a path that starts with '/'")
             if not operation.timeout_s > 0:
                 found.append(f"{at}: timeout_s: allowed is a number over 0")
+            if not all(400 <= status <= 599 for status in operation.refusals):
+                found.append(f"{at}: refusals: allowed are statuses 400 to 599")
     return found
 
 
--- a/src/baobabturn/config/document.py
+++ b/src/baobabturn/config/document.py
@@ -69,12 +69,17 @@
 
 @attrs.frozen(kw_only=True)
 class Operation:
-    """One operation of a service and whether a call of it may be repeated."""
+    """One operation of a service and whether a call of it may be repeated.
+
+    ``refusals`` are the HTTP statuses by which the service says that it did not
+    run the call; without them no answer of the service proves that.
+    """
 
     method: str
     path: str
     repeatable: bool = False
     timeout_s: float = 30.0
+    refusals: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -70,6 +70,7 @@
     CLAIM_UNAVAILABLE = 1502
     CLAIM_MISMATCH = 1503
     CLAIM_UNRESOLVED = 1504
+    RESULT_NOT_KEPT = 1505
 
     DRAINING = 1601
     NO_CONFIGURATION = 1602
@@ -203,6 +204,9 @@
     Code.CLAIM_UNRESOLVED: CodeRow(
         409, _U, False, "An earlier call with this key may have run; not repeated."
     ),
+    Code.RESULT_NOT_KEPT: CodeRow(
+        409, _R, False, "The call ran; its answer was too large to be kept."
+    ),
     Code.DRAINING: CodeRow(503, _N, True, "This host is draining; use the others."),
     Code.NO_CONFIGURATION: CodeRow(
         503, _N, True, "This host has no configuration that it may serve from."
--- a/src/baobabturn/declare.py
+++ b/src/baobabturn/declare.py
@@ -73,14 +73,24 @@
 
 
 def operation(
-    method: str, path: str, *, repeatable: bool = False, timeout_s: float = 30.0
+    method: str,
+    path: str,
+    *,
+    repeatable: bool = False,
+    timeout_s: float = 30.0,
+    refusals: Sequence[int] = (),
 ) -> Operation:
-    """Return an operation of a service; a path may end with ``*``."""
+    """Return an operation of a service; a path may end with ``*``.
+
+    ``refusals`` are the statuses by which the service says that a call did not
+    run; a call that may not be repeated is tried elsewhere only after these.
+    """
     fields = {
         "method": method,
         "path": path,
         "repeatable": repeatable,
         "timeout_s": timeout_s,
+        "refusals": tuple(refusals),
     }
     return build(Operation, f"operation {path!r}", fields)
 
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -185,7 +185,7 @@
         if isinstance(call, Failure):
             await self.refuse(send, call, request)
             return
-        await self.counted(self.caller.answer(call, send))
+        await self.counted(self.caller.answer(call, receive, send))
 
     async def read_call(
         self, scope: Scope, headers: dict[bytes, bytes], receive: Receive, request: str
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -59,6 +59,7 @@
     node = Node(program=program)
     node.controller.start()
     program.background.start(node.report_progress(), "progress")
+    program.background.start(node.sweep.run(), "claim-sweep")
     program.metrics.gauge("open_requests", lambda: node.open_requests)
     server = make_server(program, node)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -10,6 +10,7 @@
 
 from baobabturn.config.state import ConfigState
 from baobabturn.core.events import Event
+from baobabturn.core.httpclient import send_once
 from baobabturn.core.idents import generation_id
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
@@ -18,9 +19,11 @@
 from baobabturn.entry.resume import Place
 from baobabturn.entry.retries import RetryBudget
 from baobabturn.entry.schedulers import Schedulers
-from baobabturn.membership.owners import ALIVE
+from baobabturn.membership.owners import ALIVE, DEAD, owner
 from baobabturn.platform.claims import Claims
+from baobabturn.platform.claimvalues import result_limit
 from baobabturn.platform.httpstore import HttpStore
+from baobabturn.platform.sweep import ClaimSweep
 from baobabturn.wire.link import Link, LinkClient
 from baobabturn.wire.messages import (
     ConfigUpdate,
@@ -55,13 +58,34 @@
         self.body_memory = BodyMemory(settings=self.settings.entry)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            middlewares=[send_once],
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self.settings.entry.connect_timeout_s
+            ),
+        )
+        self.once_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            middlewares=[send_once],
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self.settings.entry.connect_timeout_s
             ),
         )
         self.engine = OpenAIEngine(session=self.session)
         self.store = HttpStore(settings=self.settings.platform)
-        self.claims = Claims(store=self.store, node=program.identity.node)
+        self.claims = Claims(
+            store=self.store,
+            node=program.identity.node,
+            incarnation=program.identity.incarnation,
+            wait_s=self.settings.entry.claim_wait_s,
+            result_limit_bytes=result_limit(self.settings.platform),
+            gone=self.holder_gone,
+        )
+        self.sweep = ClaimSweep(
+            store=self.store,
+            lifetime_s=self.settings.entry.claim_lifetime_s,
+            interval_s=self.settings.entry.claim_sweep_s,
+            mine=self.sweeps,
+        )
         self.numbers = itertools.count(1)
         self.resumed: set[str] = set()
         self.controller = LinkClient(
@@ -98,6 +122,20 @@
         """Answer the controller; a ping needs no text."""
         return Stats()
 
+    def sweeps(self, prefix: str) -> bool:
+        """Return whether this host deletes the old claims with a prefix."""
+        region = self.settings.host.region
+        found = owner(f"claims/{prefix}", region, self.members)
+        return found is not None and found.name == self.program.identity.node
+
+    def holder_gone(self, node: str, incarnation: int) -> bool:
+        """Return whether an entry that held a claim is known to have ended."""
+        who = self.program.identity
+        if node == who.node:
+            return incarnation != who.incarnation
+        states = {member.name: member.state for member in self.members}
+        return states.get(node, ALIVE) == DEAD
+
     def own_state(self) -> str:
         """Return this host's state as its controller sees it."""
         name = self.program.identity.node
@@ -168,4 +206,6 @@
         """Close the connections."""
         await self.controller.stop()
         await self.session.close()
+        await self.once_session.close()
+        await self.claims.background.stop()
         await self.store.close()
--- a/src/baobabturn/platform/httpstore.py
+++ b/src/baobabturn/platform/httpstore.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from baobabturn.core.httpclient import send_once
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.platform.store import (
     ABSENT,
@@ -98,7 +99,7 @@
         if self.session is None:
             token = self.settings.token
             auth = {"Authorization": f"Bearer {token}"} if token else {}
-            self.session = aiohttp.ClientSession(headers=auth)
+            self.session = aiohttp.ClientSession(headers=auth, middlewares=[send_once])
         limit = timeout_s or self.settings.call_timeout_s
         try:
             async with self.session.request(
--- /dev/null
+++ b/src/baobabturn/platform/sweep.py
@@ -0,0 +1,72 @@
+"""Deletes claims whose lifetime has passed, a few at a time.
+
+The names of claims are hashes.  All hosts together list one prefix of them
+every ``interval_s``; the host that owns a prefix by rendezvous hashing does it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from baobabturn.core.results import Failure
+from baobabturn.platform.claimvalues import read_value
+from baobabturn.platform.objects import CLAIM_KIND
+from baobabturn.platform.store import ObjectStore, StoredObject
+
+PREFIX_DIGITS = 3
+PREFIXES = 16**PREFIX_DIGITS
+DELETES_PER_LIST = 20
+DELETE_PAUSE_S = 0.05
+
+
+class ClaimSweep:
+    """The share of one host in the deletion of old claims."""
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        lifetime_s: float,
+        interval_s: float,
+        mine: Callable[[str], bool],
+    ):
+        self.store = store
+        self.lifetime_s = lifetime_s
+        self.interval_s = interval_s
+        self.mine = mine
+        self.next_prefix = int(time.time() / interval_s) % PREFIXES
+        self.deleted = 0
+
+    async def run(self) -> None:
+        """Sweep this host's prefixes for ever, at the rate of all hosts together."""
+        while True:
+            await asyncio.sleep(self.interval_s)
+            prefix = f"{self.next_prefix:0{PREFIX_DIGITS}x}"
+            self.next_prefix = (self.next_prefix + 1) % PREFIXES
+            if self.mine(prefix):
+                await self.sweep(prefix)
+
+    async def sweep(self, prefix: str) -> int | Failure:
+        """Delete old claims with a prefix, up to a bound; return how many.
+
+        A claim that changed since it was read is left, since the deletion is
+        conditional on its version.
+        """
+        found = await self.store.find(CLAIM_KIND, prefix)
+        if isinstance(found, Failure):
+            return found
+        old = [claim for claim in found if self.is_old(claim)][:DELETES_PER_LIST]
+        count = 0
+        for claim in old:
+            failure = await self.store.delete(CLAIM_KIND, claim.name, claim.version)
+            count += failure is None
+            await asyncio.sleep(DELETE_PAUSE_S)
+        self.deleted += count
+        return count
+
+    def is_old(self, claim: StoredObject) -> bool:
+        """Return whether a claim's call ended a lifetime ago."""
+        value = read_value(claim.value)
+        return time.time() > max(value.at, value.until) + self.lifetime_s
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -93,6 +93,8 @@
     resume_grace_s: float = number(0, 600)
     resume_keys: list[str]
     claim_lifetime_s: float = number(1, 604_800)
+    claim_wait_s: float = number(0.1, 600)
+    claim_sweep_s: float = number(0.01, 3600)
     keepalive_s: float = number(0.5, 600)
     tls_cert: str
     tls_key: str
