--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -39,7 +39,7 @@
         pass
 
 
-async def until_gone(work: Any, receive: Any, limit_s: float) -> bool:
+async def until_gone(work: Any, receive: Any, limit_s: float | None = None) -> bool:
     """Run work until it ends, the caller goes or the limit; return if it ended."""
     task = asyncio.create_task(work)
     watch = asyncio.create_task(gone(receive))
