--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -94,13 +94,13 @@
         if isinstance(found, Failure):
             raise CommandError(found)
         if base is not None and base != found.manifest.revision:
-            raise CommandError(conflict(found, document))
+            raise CommandError(conflict(found, document, "differs from this file by"))
         limit = settings.platform.value_limit_bytes
         result = await publish(store, document, found, getpass.getuser(), limit)
         if isinstance(result, Failure) and result.code is Code.CONFIG_CONFLICT:
             newer = await current(store)
             if not isinstance(newer, Failure):
-                result = conflict(newer, found.document)
+                result = conflict(newer, found.document, "changed")
     finally:
         await store.close()
     if isinstance(result, Failure):
@@ -108,11 +108,12 @@
     return result
 
 
-def conflict(newer: Published, document: Document) -> Failure:
+def conflict(newer: Published, document: Document, verb: str) -> Failure:
     """Return the conflict that shows what the other operator changed."""
     lines = [each.line() for each in differences(document, newer.document)]
     who = f"revision {newer.manifest.revision} by {newer.manifest.author}"
-    return Failure(Code.CONFIG_CONFLICT, f"{who} came first: " + "; ".join(lines))
+    shown = "; ".join(lines) or "nothing"
+    return Failure(Code.CONFIG_CONFLICT, f"{who} came first and {verb}: {shown}")
 
 
 class Watch:
