--- a/features/helper.py
+++ b/features/helper.py
@@ -4,7 +4,11 @@
 
 import http.client
 import json
+import os
+import pathlib
 import socket
+import subprocess
+import sys
 import threading
 import time
 import urllib.parse
@@ -16,6 +20,7 @@
 from dev.deployments import DEPLOYMENTS
 from dev.fleet import Fleet
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
 POLL_S = 0.05
 
@@ -259,3 +264,19 @@
         indexes.append(int(index))
     assert len(runs) <= 1, f"tokens of {len(runs)} generations"
     return indexes
+
+
+def run_module(
+    module: str, *arguments: str, stdin: str = ""
+) -> subprocess.CompletedProcess[str]:
+    """Run a module of the project as a process and return what it did."""
+    path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    return subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        input=stdin,
+        timeout=2 * WAIT_S,
+    )
--- a/src/baobabturn/commands/timeline.py
+++ b/src/baobabturn/commands/timeline.py
@@ -11,8 +11,10 @@
     print_json,
     read_settings,
 )
+from baobabturn.commands.progress import with_progress
 from baobabturn.core.results import Code, Failure
-from baobabturn.timeline.merge import Line, merge, parse_lines
+from baobabturn.timeline.merge import Line, Wanted, merge, parse_lines
+from baobabturn.timeline.picture import picture
 
 
 def run(
@@ -21,6 +23,7 @@
     request: str = "",
     node: str = "",
     event: str = "",
+    html: str = "",
     settings: str | None = None,
     set: list[str] | None = None,
     json: bool = False,
@@ -34,11 +37,13 @@
     entry:
         The URL of an entry whose host's newest events are read; may be repeated.
     request:
-        Keep the events of this request only.
+        Keep the events of this request and of its attempts only.
     node:
-        Keep the events of this host only.
+        Keep the events of this host, or this host/role, only.
     event:
         Keep the events of this name only.
+    html:
+        Write a picture with a lane for each process to this file instead.
     settings:
         The settings file; its admin key is used.
     set:
@@ -48,17 +53,29 @@
     """
     key = read_settings(settings, set).entry.admin_key
     lines = [line for file in files for line in parse_lines(read_log(file))]
-    for url in entry or []:
-        lines.extend(parse_lines(asyncio.run(ask_entry(url, "/admin/events", key))))
-    wanted = {"request": request, "node": node, "event": event}
-    found = merge(lines, {name: value for name, value in wanted.items() if value})
+    reading = with_progress(ask_all(entry or [], key), lambda: "reading the entries")
+    lines.extend(asyncio.run(reading))
+    found = merge(lines, Wanted(request=request, node=node, event=event))
+    if html:
+        write_page(html, picture(found))
     if json:
         print_json([line.fields for line in found])
+    elif html:
+        print(f"wrote {len(found)} events to {html}")
     else:
-        print("\n".join(show(line) for line in found))
+        for line in found:
+            print(show(line))
     return 0
 
 
+async def ask_all(entries: list[str], key: str) -> list[Line]:
+    """Return the newest events of the hosts of some entries."""
+    texts = await asyncio.gather(
+        *(ask_entry(url, "/admin/events", key) for url in entries)
+    )
+    return [line for text in texts for line in parse_lines(text)]
+
+
 def read_log(file: str) -> str:
     """Return a log file's text."""
     try:
@@ -68,14 +85,17 @@
         raise CommandError(failure) from None
 
 
-def show(line: Line) -> str:
-    """Return a line of the time line for people."""
-    rest = " ".join(
-        f"{name}={value}" for name, value in line.fields.items() if name not in HEAD
-    )
-    fields = line.fields
-    who = f"{fields['node']}/{fields['role']}"
-    return f"{fields['hlc']:<20} {who:<24} {fields['event']:<22} {rest}"
+def write_page(file: str, text: str) -> None:
+    """Write the picture's page."""
+    try:
+        pathlib.Path(file).write_text(text, "utf-8")
+    except OSError as error:
+        failure = Failure(Code.BAD_FIELD, f"{file}: {error.strerror}")
+        raise CommandError(failure) from None
 
 
-HEAD = ("hlc", "node", "role", "domain", "event")
+def show(line: Line) -> str:
+    """Return a line of the time line for people."""
+    event = line.fields["event"]
+    text = f"{line.fields['hlc']:<20} {line.process:<24} {event:<22} {line.rest}"
+    return text.rstrip()
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -13,11 +13,13 @@
 import collections
 import enum
 import logging
+import re
 import sys
 
 from baobabturn.core.clock import HybridClock, stamp_counter, stamp_ms
 
 RING_LINES = 4000
+PLAIN = re.compile(r"[^\s'\"=\\]+")
 
 log = logging.getLogger("baobabturn.events")
 
@@ -117,21 +119,27 @@
 }
 
 
+def escaped(character: str) -> str:
+    """Return a character as it stands between quotes in a log line."""
+    if character in "'\\":
+        return "\\" + character
+    if character == "\n":
+        return "\\n"
+    return character if character.isprintable() else f"\\u{ord(character):06x}"
+
+
 def quoted(value: object) -> str:
-    """Return a value as it stands in a log line, quoted where it has spaces.
+    """Return a value as it stands in a log line, quoted where it must be.
 
     Example::
 
-        >>> quoted('a "b"')
-        "'a \\\\'b\\\\''"
+        >>> quoted("it's")
+        "'it\\\\'s'"
     """
     text = str(value)
-    if not text:
-        return "''"
-    if any(ch in text for ch in " '\"=\n\r\t"):
-        body = text.replace("\\", "\\\\").replace('"', "'").replace("'", "\\'")
-        return "'" + body.replace("\n", "\\n").replace("\r", "\\r") + "'"
-    return text
+    if PLAIN.fullmatch(text) and text.isprintable():
+        return text
+    return "'" + "".join(escaped(character) for character in text) + "'"
 
 
 class EventLog:
