An entry that stops leaves the address answers before it stops serving

Cause: SIGTERM to an entry alone told nobody; the other hosts named it until its process had ended, and callers sent there met a refused connection. Change: a draining entry refuses its controller's ping, so that the controller marks it down and the next heartbeat takes it out of all address answers; the entry waits for that, then for the answers' lifetime, then for open requests. Conclusion: a rolling restart of entries needs no drain command first.

--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 
 import uvicorn
 
@@ -75,9 +76,17 @@
 
 
 async def drain(program: Program, node: Node) -> None:
-    """Serve on for as long as addresses may be held and requests are open."""
+    """Serve on for as long as addresses may be held and requests are open.
+
+    Other hosts hear with the next heartbeat that this entry is to be left out.
+    """
     node.draining = True
     program.events.emit(Event.PROCESS_DRAINING, open=node.open_requests)
+    membership = program.settings.membership
+    end = time.monotonic() + membership.suspect_s
+    while node.is_listed() and time.monotonic() < end:
+        await asyncio.sleep(DRAIN_CHECK_S)
+    await asyncio.sleep(membership.interval_s)
     await asyncio.sleep(program.settings.entry.address_lifetime_s)
     while node.open_requests:
         await asyncio.sleep(DRAIN_CHECK_S)
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -11,7 +11,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.httpclient import send_once
 from baobabturn.core.program import Program
-from baobabturn.core.results import Failure
+from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.cancels import Cancels
@@ -115,10 +115,23 @@
             self.events.emit(Event.CONFIG_IN_FORCE, revision=self.state.revision)
             self.schedulers.update(self.members, self.leaving_endpoints)
 
-    def stats(self, link: Link, body: StatsRequest) -> Stats:
-        """Answer the controller; a ping needs no text."""
+    def stats(self, link: Link, body: StatsRequest) -> Stats | Failure:
+        """Answer the controller's ping, which needs no text.
+
+        A refusal while draining takes this entry out of all address answers.
+        """
+        if self.draining:
+            return Failure(Code.DRAINING, "draining")
         return Stats()
 
+    def is_listed(self) -> bool:
+        """Return whether address answers name this entry, as far as it knows."""
+        name = self.program.identity.node
+        return any(
+            member.name == name and member.state == ALIVE and not member.entry_down
+            for member in self.members
+        )
+
     def sweeps(self, prefix: str) -> bool:
         """Return whether this host deletes the old claims with a prefix."""
         region = self.settings.host.region
