--- a/src/baobabturn/controller/localprocesses.py
+++ b/src/baobabturn/controller/localprocesses.py
@@ -18,7 +18,7 @@
     """Holds the links of the local processes and pings each in a task.
 
     A process is down while it has no link, and while it doesn't answer a ping
-    within ``membership.suspect_s``.
+    within ``controller.ping_timeout_s``.
     """
 
     def __init__(self, *, program: Program, changed: Callable[[str, bool], None]):
@@ -48,9 +48,9 @@
 
     async def ping(self, link: Link, role: str) -> None:
         """Ask a process for a sign of life for as long as its link is open."""
-        membership = self.program.settings.membership
+        settings = self.program.settings.controller
         while not link.closed:
-            await asyncio.sleep(membership.interval_s)
-            answer = await link.call(StatsRequest(kind=PING), membership.suspect_s)
+            await asyncio.sleep(settings.ping_interval_s)
+            answer = await link.call(StatsRequest(kind=PING), settings.ping_timeout_s)
             if self.links.get(role) is link:
                 self.changed(role, isinstance(answer, Failure))
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -123,6 +123,8 @@
     status_interval_s: float = number(1, 3600)
     lease_duration_s: float = number(0.5, 600)
     clock_rate_margin: float = number(0, 0.5)
+    ping_interval_s: float = number(0.02, 60)
+    ping_timeout_s: float = number(0.05, 60)
     order_shards: int = number(1, 64)
     order_send_s: float = number(0.1, 60)
     order_interval_s: float = number(0.05, 600)
