--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -35,6 +35,7 @@
     MEMBER_SUSPECT = "member-suspect"
     MEMBER_DEAD = "member-dead"
     MEMBER_LEAVING = "member-leaving"
+    MEMBER_REFUTED = "member-refuted"
     REQUEST_RECEIVED = "request-received"
     REQUEST_QUEUED = "request-queued"
     REQUEST_GRANTED = "request-granted"
--- /dev/null
+++ b/src/baobabturn/membership/datagrams.py
@@ -0,0 +1,34 @@
+"""Seals datagrams with a proof that covers all of their bytes, and opens them."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+TAG_BYTES = 16
+KEY_BYTES = 32
+PURPOSE = b"heartbeat"
+
+
+class Seal:
+    """Puts a keyed BLAKE2b hash of the whole datagram before it."""
+
+    def __init__(self, *, secret: str):
+        self.key = hashlib.blake2b(
+            secret.encode(), digest_size=KEY_BYTES, person=PURPOSE
+        ).digest()
+
+    def tag(self, data: bytes) -> bytes:
+        """Return the proof for some bytes."""
+        return hashlib.blake2b(data, key=self.key, digest_size=TAG_BYTES).digest()
+
+    def close(self, data: bytes) -> bytes:
+        """Return a datagram that carries some bytes and their proof."""
+        return self.tag(data) + data
+
+    def open(self, datagram: bytes) -> bytes | None:
+        """Return the bytes that a datagram carries, None where they aren't proved."""
+        data = datagram[TAG_BYTES:]
+        if not hmac.compare_digest(datagram[:TAG_BYTES], self.tag(data)):
+            return None
+        return data
--- /dev/null
+++ b/src/baobabturn/membership/messenger.py
@@ -0,0 +1,165 @@
+"""Sends and receives the members' datagrams, with rumours on each."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from baobabturn.core.results import Code, Failure
+from baobabturn.membership.datagrams import Seal
+from baobabturn.wire import codec
+from baobabturn.wire.messages import Heartbeat, Member
+
+if TYPE_CHECKING:
+    from baobabturn.membership.heartbeat import Membership
+
+Address = tuple[str, int]
+
+DATAGRAM_LIMIT_BYTES = 1200
+HEAD_BYTES = 160
+GOSSIP_BYTES_PER_S = 2500
+GOSSIP_BURST_BYTES = 24_000
+SPREAD_DELAY_S = 0.05
+NEWS = "news"
+
+
+def address_of(member: Member) -> Address:
+    """Return where a member's controller listens."""
+    return member.address, member.controller_port
+
+
+class Messenger:
+    """The datagram socket of one member, and the budget of rumours on it.
+
+    ``passes`` tells whether a datagram to an address may go out; tests cut
+    ways with it.
+    """
+
+    def __init__(self, *, membership: Membership, secret: str):
+        self.membership = membership
+        self.seal = Seal(secret=secret)
+        self.transport: asyncio.DatagramTransport | None = None
+        self.passes: Callable[[Address], bool] = lambda address: True
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.last_contact = 0.0
+        self.gossip_room = float(GOSSIP_BURST_BYTES)
+        self.refilled = time.monotonic()
+        self.spreading = False
+
+    async def start(self, address: Address) -> Failure | None:
+        """Listen for datagrams."""
+        loop = asyncio.get_running_loop()
+        try:
+            self.transport, _ = await loop.create_datagram_endpoint(
+                lambda: Receiver(messenger=self), local_addr=address
+            )
+        except OSError as error:
+            reason = f"{address[0]}:{address[1]}/udp: {error.strerror}"
+            return Failure(Code.ADDRESS_IN_USE, reason)
+        return None
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
+    def gossip_allowance(self) -> float:
+        """Return how many bytes of rumours may be sent now."""
+        now = time.monotonic()
+        earned = (now - self.refilled) * GOSSIP_BYTES_PER_S
+        self.gossip_room = min(self.gossip_room + earned, GOSSIP_BURST_BYTES)
+        self.refilled = now
+        return self.gossip_room
+
+    def spread(self) -> None:
+        """Pass news on soon to a few members; news of one moment go together."""
+        if not self.spreading:
+            self.spreading = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(SPREAD_DELAY_S, self.spread_now)
+
+    def spread_now(self) -> None:
+        """Pass news on, as far as the byte budget allows."""
+        self.spreading = False
+        membership = self.membership
+        for member in membership.some(membership.settings.fanout):
+            if self.gossip_allowance() >= DATAGRAM_LIMIT_BYTES:
+                self.send(NEWS, address_of(member))
+
+    def send(
+        self,
+        kind: str,
+        address: Address,
+        sequence: int = 0,
+        target: str = "",
+        first: list[Member] | None = None,
+    ) -> None:
+        """Send one datagram with as many rumours as fit."""
+        if self.transport is None or not self.passes(address):
+            return
+        datagram = self.seal.close(self.pack(kind, sequence, target, first or []))
+        self.transport.sendto(datagram, address)
+        self.sent_bytes += len(datagram)
+
+    def pack(
+        self, kind: str, sequence: int, target: str, first: list[Member]
+    ) -> bytes:
+        """Return a datagram's bytes, this host's own word among them."""
+        membership = self.membership
+        table = membership.table
+        members = [table.me, *first]
+        used = sum(len(table.packer.pack(member)) for member in members)
+        room = min(
+            DATAGRAM_LIMIT_BYTES - HEAD_BYTES - used, int(self.gossip_allowance())
+        )
+        rumours = table.rumours.take(room, len(table.records))
+        self.gossip_room -= sum(len(table.packer.pack(each)) for each in rumours)
+        told = {member.name for member in members}
+        members += [member for member in rumours if member.name not in told]
+        beat = Heartbeat(
+            node=table.me.name,
+            incarnation=table.me.incarnation,
+            revision=table.me.revision,
+            records=[table.packer.pack(member) for member in members],
+            kind=kind,
+            sequence=sequence,
+            target=target,
+            digest=table.digest,
+            domains=membership.domains.to_send(),
+            leaving_stamp=membership.leaving_stamp,
+        )
+        stamp = membership.program.clock.now()
+        return codec.pack(codec.Envelope(body=beat, hlc=stamp))
+
+    def receive(self, datagram: bytes, address: Address) -> None:
+        """Take in one datagram; anything unproved is dropped."""
+        self.received_bytes += len(datagram)
+        data = self.seal.open(datagram)
+        envelope = None if data is None else codec.unpack(data)
+        if not isinstance(envelope, codec.Envelope):
+            return
+        beat = envelope.body
+        if not isinstance(beat, Heartbeat) or beat.node == self.membership.me.name:
+            return
+        packer = self.membership.table.packer
+        read = [packer.unpack(record) for record in beat.records]
+        beat.members = [member for member in read if isinstance(member, Member)]
+        self.membership.program.clock.observe(envelope.hlc)
+        self.last_contact = time.monotonic()
+        self.membership.take(beat, address)
+
+
+
+class Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams to the messenger."""
+
+    def __init__(self, *, messenger: Messenger):
+        self.messenger = messenger
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take in one datagram."""
+        self.messenger.receive(data, (addr[0], addr[1]))
--- a/src/baobabturn/membership/owners.py
+++ b/src/baobabturn/membership/owners.py
@@ -12,6 +12,7 @@
 SUSPECT = "suspect"
 LEAVING = "leaving"
 DEAD = "dead"
+LIVE_STATES = (ALIVE, LEAVING)
 
 
 def weight(name: str, key: str) -> int:
--- a/src/baobabturn/wire/codec.py
+++ b/src/baobabturn/wire/codec.py
@@ -145,4 +145,18 @@
         return Failure(Code.MALFORMED, f"not a message: {type(error).__name__}")
 
 
+def pack_item(item: Any) -> bytes:
+    """Return the bytes of one message class on its own, without an envelope."""
+    schema = getattr(SCHEMA, type(item).__name__)
+    return schema.new_message(**to_dict(item)).to_bytes_packed()
+
+
+def unpack_item(kind: type, data: bytes) -> Any:
+    """Return the item in some bytes, or why there is none."""
+    try:
+        return from_reader(kind, getattr(SCHEMA, kind.__name__).from_bytes_packed(data))
+    except (capnp.KjException, ValueError, UnicodeDecodeError, RuntimeError) as error:
+        return Failure(Code.MALFORMED, f"not a message: {type(error).__name__}")
+
+
 Handler = Callable[..., Any]
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -75,12 +75,55 @@
     scheduler_down: bool = False
 
 
+@attrs.define(kw_only=True, slots=True)
+class DomainDigest:
+    """A failure domain in aggregate, as one of its watchers counts it.
+
+    ``revision`` is the lowest that a live host of the domain has in force,
+    ``behind`` counts the live hosts that lack the newest one.
+    """
+
+    failure_domain: str = ""
+    node: str = ""
+    stamp: int = 0
+    hosts: int = 0
+    behind: int = 0
+    revision: int = 0
+    newest: int = 0
+
+
 @attrs.define(kw_only=True, slots=True)
 class MemberView:
     """The members and leaving endpoints as a controller knows them."""
 
     members: list[Member] = attrs.Factory(list)
     leaving_endpoints: list[str] = attrs.Factory(list)
+    partial: bool = False
+    removed: list[str] = attrs.Factory(list)
+    domains: list[DomainDigest] = attrs.Factory(list)
+    leaving_stamp: int = 0
+    wanted: list[str] = attrs.Factory(list)
+    platform_contact_ms: int = 0
+    peer_contact_ms: int = 0
+    cut_off: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class MemberDigest:
+    """Which word about a member a host holds."""
+
+    name: str = ""
+    incarnation: int = 0
+    state: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class MemberSync:
+    """Compares two hosts' members: digests first, then the records asked for."""
+
+    node: str = ""
+    digests: list[MemberDigest] = attrs.Factory(list)
+    members: list[Member] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -236,6 +279,13 @@
     members: list[Member] = attrs.Factory(list)
     proof: str = ""
     reply: bool = False
+    kind: str = ""
+    sequence: int = 0
+    target: str = ""
+    digest: int = 0
+    domains: list[DomainDigest] = attrs.Factory(list)
+    leaving_stamp: int = 0
+    records: list[bytes] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -318,4 +368,5 @@
     Learned,
     WhoHolds,
     Held,
+    MemberSync,
 )
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -35,6 +35,7 @@
     learned @26 :Learned;
     whoHolds @27 :WhoHolds;
     held @28 :Held;
+    memberSync @29 :MemberSync;
   }
 }
 
@@ -89,6 +90,36 @@
 struct MemberView {
   members @0 :List(Member);
   leavingEndpoints @1 :List(Text);
+  partial @2 :Bool;            # only what changed since the last view
+  removed @3 :List(Text);
+  domains @4 :List(DomainDigest);
+  leavingStamp @5 :UInt64;
+  wanted @6 :List(Text);       # names whose records the answerer lacks
+  platformContactMs @7 :UInt64;
+  peerContactMs @8 :UInt64;
+  cutOff @9 :Bool;
+}
+
+struct DomainDigest {
+  failureDomain @0 :Text;
+  node @1 :Text;
+  stamp @2 :UInt64;
+  hosts @3 :UInt32;
+  behind @4 :UInt32;
+  revision @5 :UInt64;
+  newest @6 :UInt64;
+}
+
+struct MemberDigest {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  state @2 :Text;
+}
+
+struct MemberSync {
+  node @0 :Text;
+  digests @1 :List(MemberDigest);
+  members @2 :List(Member);
 }
 
 struct Part {
@@ -202,6 +233,13 @@
   members @3 :List(Member);
   proof @4 :Text;
   reply @5 :Bool;
+  kind @6 :Text;
+  sequence @7 :UInt64;
+  target @8 :Text;
+  digest @9 :UInt64;
+  domains @10 :List(DomainDigest);
+  leavingStamp @11 :UInt64;
+  records @12 :List(Data);  # packed members
 }
 
 struct StatsRequest {
