--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -25,10 +25,12 @@
     block_hashes,
     parse_mark,
 )
+from fakes.orders import OrderBook
 from fakes.server import Server
 
 KEEP_ENDED_S = 30.0
 NO_LIMIT = 1_000_000
+RUN_NUMBERS = 1_000_000_000
 
 
 @attrs.define
@@ -44,6 +46,11 @@
     die_after: int = -1
     leaving: bool = False
     hang_before_headers: bool = False
+    late_chunks: bool = False
+    faulty_links: int = -1
+    no_room: bool = False
+    no_finish: bool = False
+    padding_bytes: int = 0
     report_lag_s: float = -1.0
     cache_event_loss: float = -1.0
 
@@ -61,20 +68,21 @@
         seed: int = 1,
     ):
         self.name = name
-        self.models = dict.fromkeys(models, "1")
-        self.adapters: set[str] = set()
+        self.book = OrderBook(
+            models=dict.fromkeys(models, "1"), checks_fencing=checks_fencing
+        )
         self.model = model or EngineModel()
         self.batcher = Batcher(model=self.model)
-        self.checks_fencing = checks_fencing
         self.random = random.Random(f"{seed}/{name}")
         self.faults = Faults()
         self.generations: dict[str, Generation] = {}
-        self.runs = itertools.count(1)
+        first_run = random.Random(f"runs/{seed}/{name}").randrange(RUN_NUMBERS)
+        self.runs = itertools.count(first_run)
         self.started: dict[str, int] = {}
         self.finished: dict[str, int] = {}
         self.cancelled = 0
-        self.orders: list[dict] = []
-        self.term = 0
+        self.attempts = 0
+        self.resumes = 0
         self.reports: list[tuple[float, dict]] = []
         self.tasks: list[asyncio.Task] = []
         self.server = Server(
@@ -118,7 +126,7 @@
                 "used_tokens": batcher.used(),
                 "total_tokens": self.model.memory_tokens,
                 "preemptions": batcher.preemptions,
-                "leaving": self.faults.leaving,
+                "leaving": self.faults.leaving or self.book.role != "serve",
             }
             self.reports.append((time.monotonic(), report))
             del self.reports[:-200]
@@ -126,7 +134,7 @@
 
     async def list_models(self, request: web.Request) -> web.Response:
         """List models and adapters as the OpenAI API does."""
-        names = [*self.models, *sorted(self.adapters)]
+        names = [*self.book.models, *sorted(self.book.adapters)]
         data = [{"id": name, "object": "model", "owned_by": "engine"} for name in names]
         return web.json_response({"object": "list", "data": data})
 
@@ -136,7 +144,7 @@
         tag, length = parse_mark(prompt)
         limit = body.get("max_tokens") or body.get("max_completion_tokens")
         run = next(self.runs)
-        return Generation(
+        made = Generation(
             name=str(body.get("request_id") or f"cmpl-{self.name}-{run}"),
             run=run,
             tag=tag,
@@ -148,16 +156,19 @@
             chat=chat,
             model=str(body.get("model", "")),
         )
+        made.length = stop_length(made, body.get("stop"))
+        return made
 
     async def create(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer with its stream or its whole."""
+        self.attempts += 1
         if self.faults.refuse:
             return error(503, "engine refuses new work")
         body = await request.json()
         if self.faults.hang_before_headers:
             await asyncio.sleep(3600)
         base = str(body.get("model", "")).partition(":")[0]
-        if base not in self.models:
+        if base not in self.book.models:
             return error(404, f"model {base} is not loaded")
         generation = self.make(body, request.path.endswith("chat/completions"))
         known = self.generations.get(generation.name)
@@ -206,22 +217,40 @@
                 await response.write(chunk)
                 if self.faults.duplicate_chunks:
                     await response.write(chunk)
+                if self.faults.late_chunks and index:
+                    await response.write(self.chunk(generation, index - 1, None))
                 index += 1
             if generation.finish:
                 break
             await changed.wait()
-        if generation.finish != "cancelled":
+        if generation.finish != "cancelled" and not self.faults.no_finish:
             self.finished[generation.tag] = self.finished.get(generation.tag, 0) + 1
             await response.write(self.chunk(generation, index, generation.finish))
             await response.write(b"data: [DONE]\n\n")
         return response
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes wait in this process for readers of streams."""
+        server = self.server.runner.server
+        links = server.connections if server is not None else []
+        transports = [link.transport for link in links if link.transport is not None]
+        return sum(each.get_write_buffer_size() for each in transports)
+
     async def fault_at(self, request: web.Request, index: int) -> bool:
-        """Apply the faults of a stream; return whether the stream is over."""
+        """Apply the faults of a stream; return whether the stream is over.
+
+        ``faulty_links`` bounds how many links stall or are cut, -1 for all.
+        """
         faults = self.faults
-        if 0 <= faults.stall_after <= index:
+        if faults.faulty_links == 0:
+            return False
+        stalls = 0 <= faults.stall_after <= index
+        cuts = 0 <= faults.cut_after <= index
+        if faults.faulty_links > 0 and (stalls or cuts):
+            faults.faulty_links -= 1
+        if stalls:
             await asyncio.sleep(3600)
-        if 0 <= faults.cut_after <= index:
+        if cuts:
             if request.transport is not None:
                 request.transport.abort()
             return True
@@ -243,6 +272,8 @@
             "choices": [choice],
             "sequence_number": index,
         }
+        if self.faults.padding_bytes:
+            values["padding"] = "x" * self.faults.padding_bytes
         if finish:
             values["usage"] = usage(generation)
         return b"data: " + json.dumps(values).encode() + b"\n\n"
@@ -252,6 +283,7 @@
         generation = self.generations.get(request.match_info["name"])
         if generation is None or generation.state == "cancelled":
             return error(404, "no such generation")
+        self.resumes += 1
         after = int(request.query.get("starting_after", "-1"))
         return await self.stream(request, generation, after + 1)
 
@@ -291,7 +323,7 @@
         at, report = old[-1] if old else self.reports[0]
         age = time.monotonic() - at
         return web.json_response(
-            {**report, "age_s": round(age, 3), "models": dict(self.models)}
+            {**report, "age_s": round(age, 3), "models": dict(self.book.models)}
         )
 
     async def cache_events(self, request: web.Request) -> web.Response:
@@ -312,27 +344,22 @@
 
     async def order(self, request: web.Request) -> web.Response:
         """Carry out an order, unless its fencing number is old and is checked."""
-        body = await request.json()
-        term = body.get("term")
-        stale = term is not None and term < self.term
-        self.orders.append({**body, "stale": stale, "at": time.time()})
-        if stale and self.checks_fencing:
-            return error(409, f"term {term} is older than {self.term}")
-        self.term = max(self.term, term or 0)
-        carry_out(self, body)
-        return web.json_response({"models": self.models, "term": self.term})
+        if not self.book.take(await request.json()):
+            return error(409, f"the term is older than {self.book.term}")
+        return await self.show_orders(request)
 
     async def show_orders(self, request: web.Request) -> web.Response:
         """Return the state that orders have made."""
-        state = {"models": self.models, "adapters": sorted(self.adapters)}
-        return web.json_response({**state, "term": self.term})
+        return web.json_response(self.book.state(len(self.open_generations())))
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set faults by name."""
+        """Set faults by name; ``load_s`` and ``fail_versions`` are of orders."""
         for name, value in (await request.json()).items():
-            setattr(self.faults, name, value)
+            place = self.book if name in ("load_s", "fail_versions") else self.faults
+            setattr(place, name, value)
         self.batcher.slow_factor = self.faults.slow_factor
         self.batcher.frozen = self.faults.frozen
+        self.batcher.no_room = self.faults.no_room
         self.batcher.wakeup.set()
         return web.json_response(attrs.asdict(self.faults))
 
@@ -345,27 +372,29 @@
                 "started": self.started,
                 "finished": self.finished,
                 "cancelled": self.cancelled,
+                "attempts": self.attempts,
+                "resumes": self.resumes,
+                "unread_bytes": self.unread_bytes(),
                 "open": [g.name for g in self.open_generations()],
                 "preemptions": self.batcher.preemptions,
                 "stalled_s": round(stalled, 3),
                 "cache_hits": self.batcher.cache_hits,
                 "prefilled_tokens": self.batcher.prefilled_tokens,
-                "orders": self.orders,
+                "orders": self.book.given,
             }
         )
 
 
-def carry_out(engine: FakeEngine, body: dict) -> None:
-    """Apply an order, which states the wanted end."""
-    match body.get("order"):
-        case "load":
-            engine.models[body["model"]] = body.get("version", "1")
-        case "unload":
-            engine.models.pop(body["model"], None)
-        case "load_adapter":
-            engine.adapters.add(f"{body['model']}:{body['adapter']}")
-        case "unload_adapter":
-            engine.adapters.discard(f"{body['model']}:{body['adapter']}")
+def stop_length(generation: Generation, stop: str | list[str] | None) -> int:
+    """Return how many whole tokens come before the first stop sequence."""
+    stops = [stop] if isinstance(stop, str) else stop or []
+    if not stops:
+        return generation.length
+    texts = [generation.text(index) for index in range(generation.goal)]
+    whole = "".join(texts)
+    found = [whole.find(each) for each in stops if each in whole]
+    ends = itertools.accumulate(len(text) for text in texts)
+    return sum(end <= min(found) for end in ends) if found else generation.length
 
 
 def chat_text(messages: list[dict]) -> str:
--- a/src/baobabturn/endpoints/engine.py
+++ b/src/baobabturn/endpoints/engine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
 from typing import Any, Protocol
 
 import attrs
@@ -25,7 +24,26 @@
     finish: str | None = None
 
 
-Chunks = AsyncGenerator[Chunk | Failure, None]
+class ChunkStream(Protocol):
+    """An open link that delivers a generation's chunks."""
+
+    async def read(self) -> list[Chunk] | Failure:
+        """Return the next chunks, at least one, or why there are no more.
+
+        What arrived together comes together.  May be cancelled and called
+        again without loss.
+        """
+
+    def close(self) -> None:
+        """Drop the link; the generation goes on."""
+
+
+@attrs.frozen(kw_only=True)
+class OpenGeneration:
+    """A generation that has not ended; ``waiting`` for room or preempted."""
+
+    age_s: float
+    waiting: bool
 
 
 @attrs.frozen(kw_only=True)
@@ -67,22 +85,41 @@
     term: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class EngineState:
+    """What an engine really holds: read at once, not from a lagging report.
+
+    ``loading`` names a model that is being loaded, ``failed`` has the versions
+    whose last load failed, by model.
+    """
+
+    models: dict[str, str]
+    adapters: frozenset[str]
+    role: str
+    term: int
+    loading: str
+    failed: dict[str, str]
+    open_count: int
+
+
 class Engine(Protocol):
     """A model engine that streams, resumes, cancels, reports and takes orders."""
 
     async def start(
         self, url: str, chat: bool, body: dict[str, Any]
-    ) -> Chunks | Failure:
+    ) -> ChunkStream | Failure:
         """Start a generation; return its chunks, or why it did not start."""
 
-    async def resume(self, url: str, generation: str, after: int) -> Chunks | Failure:
-        """Return the chunks of a generation after a token index."""
+    async def resume(
+        self, url: str, generation: str, after: int
+    ) -> ChunkStream | Failure:
+        """Return the chunks of a generation after a token index, -1 for all."""
 
     async def cancel(self, url: str, generation: str) -> bool | Failure:
         """Cancel a generation; return whether the engine confirmed it."""
 
-    async def open_generations(self, url: str) -> dict[str, float] | Failure:
-        """Return the open generations with their age in seconds."""
+    async def open_generations(self, url: str) -> dict[str, OpenGeneration] | Failure:
+        """Return the open generations by id."""
 
     async def load(self, url: str) -> LoadReport | Failure:
         """Return the engine's newest load report."""
@@ -90,5 +127,8 @@
     async def cache_changes(self, url: str, after: int) -> CacheChange | Failure:
         """Return the cache events after a sequence number."""
 
-    async def order(self, url: str, order: Order) -> None | Failure:
-        """Give an order."""
+    async def state(self, url: str) -> EngineState | Failure:
+        """Return what the engine holds now."""
+
+    async def order(self, url: str, order: Order, timeout_s: float) -> None | Failure:
+        """Give an order; ``FENCED`` where its fencing number is too old."""
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -3,39 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import time
 
 import aiohttp
 
 from baobabturn.config.state import ConfigState
 from baobabturn.core.events import Event
-from baobabturn.core.idents import generation_id
+from baobabturn.core.httpclient import send_once
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.entry.bodies import BodyMemory
-from baobabturn.entry.resume import Place
+from baobabturn.entry.cancels import Cancels
 from baobabturn.entry.retries import RetryBudget
 from baobabturn.entry.schedulers import Schedulers
-from baobabturn.membership.owners import ALIVE
+from baobabturn.membership.owners import ALIVE, DEAD, owner
 from baobabturn.platform.claims import Claims
+from baobabturn.platform.claimvalues import result_limit
 from baobabturn.platform.httpstore import HttpStore
+from baobabturn.platform.sweep import ClaimSweep
 from baobabturn.wire.link import Link, LinkClient
 from baobabturn.wire.messages import (
     ConfigUpdate,
-    Held,
     Member,
     MemberView,
     Stats,
     StatsRequest,
     Subscribe,
-    WhoHolds,
 )
 
-CANCEL_RETRY_S = 0.5
-CANCEL_TRIES = 10
-
 
 class Node:
     """The shared state of one entry process."""
@@ -55,15 +51,40 @@
         self.body_memory = BodyMemory(settings=self.settings.entry)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            middlewares=[send_once],
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self.settings.entry.connect_timeout_s
+            ),
+        )
+        self.once_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            middlewares=[send_once],
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self.settings.entry.connect_timeout_s
             ),
         )
         self.engine = OpenAIEngine(session=self.session)
         self.store = HttpStore(settings=self.settings.platform)
-        self.claims = Claims(store=self.store, node=program.identity.node)
-        self.numbers = itertools.count(1)
-        self.resumed: set[str] = set()
+        self.cancels = Cancels(
+            program=program,
+            state=self.state,
+            schedulers=self.schedulers,
+            engine=self.engine,
+        )
+        self.claims = Claims(
+            store=self.store,
+            node=program.identity.node,
+            incarnation=program.identity.incarnation,
+            wait_s=self.settings.entry.claim_wait_s,
+            result_limit_bytes=result_limit(self.settings.platform),
+            gone=self.holder_gone,
+        )
+        self.sweep = ClaimSweep(
+            store=self.store,
+            lifetime_s=self.settings.entry.claim_lifetime_s,
+            interval_s=self.settings.entry.claim_sweep_s,
+            mine=self.sweeps,
+        )
         self.controller = LinkClient(
             address=self.settings.host.address,
             port=self.settings.ports.controller,
@@ -98,6 +119,20 @@
         """Answer the controller; a ping needs no text."""
         return Stats()
 
+    def sweeps(self, prefix: str) -> bool:
+        """Return whether this host deletes the old claims with a prefix."""
+        region = self.settings.host.region
+        found = owner(f"claims/{prefix}", region, self.members)
+        return found is not None and found.name == self.program.identity.node
+
+    def holder_gone(self, node: str, incarnation: int) -> bool:
+        """Return whether an entry that held a claim is known to have ended."""
+        who = self.program.identity
+        if node == who.node:
+            return incarnation != who.incarnation
+        states = {member.name: member.state for member in self.members}
+        return states.get(node, ALIVE) == DEAD
+
     def own_state(self) -> str:
         """Return this host's state as its controller sees it."""
         name = self.program.identity.node
@@ -106,47 +141,6 @@
                 return member.state
         return ALIVE
 
-    def next_generation(self) -> str:
-        """Return a new generation's id."""
-        who = self.program.identity
-        return generation_id(who.node, who.incarnation, next(self.numbers))
-
-    def cancel_later(self, place: Place, grace_s: float) -> None:
-        """Cancel a generation at its engine unless it is resumed within a grace."""
-        work = self.cancel(place, grace_s)
-        self.program.background.start(work, f"cancel-{place.generation}")
-
-    async def cancel(self, place: Place, grace_s: float) -> None:
-        """Cancel a generation and repeat until the engine has confirmed it."""
-        await asyncio.sleep(grace_s)
-        if grace_s and await self.is_held(place):
-            return
-        endpoint = self.state.endpoints.get(place.endpoint)
-        if endpoint is None:
-            return
-        for _ in range(CANCEL_TRIES):
-            confirmed = await self.engine.cancel(endpoint.url, place.generation)
-            if confirmed is True:
-                self.events.emit(
-                    Event.GENERATION_CANCELLED,
-                    request=place.request,
-                    attempt=place.generation,
-                    endpoint=place.endpoint,
-                )
-                return
-            await asyncio.sleep(CANCEL_RETRY_S)
-
-    async def is_held(self, place: Place) -> bool:
-        """Return whether some entry has resumed a generation."""
-        if place.generation in self.schedulers.holdings:
-            return True
-        client = self.schedulers.link(place.pool)
-        if client is None:
-            return False
-        asked = WhoHolds(endpoint=place.endpoint, generations=[place.generation])
-        answer = await client.call(asked)
-        return isinstance(answer, Held) and place.generation in answer.generations
-
     async def report_progress(self) -> None:
         """Send progress to the schedulers, once an interval."""
         while True:
@@ -168,4 +162,6 @@
         """Close the connections."""
         await self.controller.stop()
         await self.session.close()
+        await self.once_session.close()
+        await self.claims.background.stop()
         await self.store.close()
