Members probe at random, pass rumours on, and push differences to entry and scheduler

Heartbeats went from every host to every other, so bytes per host grew with the fleet. Now each host probes one other an interval, directly and through relays; words about members travel on the same datagrams, under a proof of the whole datagram. Watchers of a failure domain alone follow the platform and the host list, count their domain for the others, and a gate holds configuration back until platform and peers were asked. The platform client tells outages apart and probes cheaply while one lasts.

--- a/bench/members.py
+++ b/bench/members.py
@@ -31,7 +31,7 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free for TCP and UDP now."""
-    held = []
+    held: list[socket.socket] = []
     try:
         while len(held) < 2 * count:
             tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -137,12 +137,15 @@
     async def look(self) -> None:
         """Read which failure domains have the revision in force on every host."""
         status = await ask_entry(self.entry, "/admin/status", self.key)
-        domains: dict[str, bool] = {}
-        for member in status["members"]:
-            if member["state"] != DEAD:
-                domain = member["failure_domain"]
-                here = member["revision"] >= self.revision
-                domains[domain] = domains.get(domain, True) and here
+        domains = {
+            member["failure_domain"]: False
+            for member in status["members"]
+            if member["state"] != DEAD
+        }
+        for counted in status["failure_domains"]:
+            if counted["failure_domain"] in domains:
+                here = counted["revision"] >= self.revision
+                domains[counted["failure_domain"]] = here
         self.domains = domains
 
     async def run(self, limit_s: float) -> dict[str, float]:
--- a/src/baobabturn/config/publish.py
+++ b/src/baobabturn/config/publish.py
@@ -18,7 +18,7 @@
     packed,
     unpacked,
 )
-from baobabturn.platform.store import ABSENT, ObjectStore
+from baobabturn.platform.store import ABSENT, ANY_VERSION, ObjectStore
 
 TRIES = 8
 RETRY_S = 0.3
@@ -88,11 +88,15 @@
 
 
 async def write_part(store: ObjectStore, sum_: str, body: bytes) -> Failure | None:
-    """Write an immutable part; one that is there already is as good."""
+    """Write an immutable part, also where it is there already.
+
+    Its name says what is in it, so writing it again does no harm; its new
+    version keeps a sweep from deleting it as one that nobody names.
+    """
     found: object = None
     for _ in range(TRIES):
-        found = await store.put(PART_KIND, sum_, packed(body), ABSENT)
-        if not isinstance(found, Failure) or found.code is Code.VERSION_CONFLICT:
+        found = await store.put(PART_KIND, sum_, packed(body), ANY_VERSION)
+        if not isinstance(found, Failure):
             return None
         await asyncio.sleep(max(RETRY_S, found.retry_after_s))
     return found if isinstance(found, Failure) else None
--- /dev/null
+++ b/src/baobabturn/controller/hostlist.py
@@ -0,0 +1,57 @@
+"""Follows the platform's host list, on the hosts that watch the platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.core.results import Failure
+from baobabturn.membership.heartbeat import Membership
+from baobabturn.platform.store import ObjectStore, PlatformHost
+
+ENTRY_ROLE = "entry"
+LIVE = "live"
+
+
+class HostList:
+    """Seeds the membership, and tells it which endpoints are leaving.
+
+    Every host reads the list when it starts; after that only the watchers of
+    each failure domain do, and a host that sees no peers.
+    """
+
+    def __init__(self, *, program: Program, store: ObjectStore, membership: Membership):
+        self.program = program
+        self.store = store
+        self.membership = membership
+        self.read = False
+        self.last: list[str] | None = None
+
+    async def follow(self) -> None:
+        """Read the list from time to time."""
+        while True:
+            if not self.read or self.membership.is_watcher():
+                hosts = await self.store.hosts()
+                if not isinstance(hosts, Failure):
+                    self.take(hosts)
+            await asyncio.sleep(self.program.settings.controller.host_poll_s)
+
+    def take(self, hosts: list[PlatformHost]) -> None:
+        """Take in the list as the platform gave it."""
+        self.read = True
+        port = self.program.settings.ports.controller
+        for host in hosts:
+            if host.role == ENTRY_ROLE:
+                self.membership.add_seed(host.address, port)
+        leaving = sorted(
+            host.name
+            for host in hosts
+            if host.role != ENTRY_ROLE and host.state != LIVE
+        )
+        if leaving == self.last:
+            return
+        self.last = leaving
+        for name in sorted(set(leaving) - set(self.membership.leaving_endpoints)):
+            self.program.events.emit(Event.ENDPOINT_LEAVING, endpoint=name)
+        self.membership.set_leaving_endpoints(leaving)
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -9,9 +9,15 @@
 from baobabturn.config.document import Endpoint
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.configsync import ConfigSync
+from baobabturn.controller.contact import Contact
+from baobabturn.controller.gate import Gate
+from baobabturn.controller.hostlist import HostList
 from baobabturn.controller.localprocesses import LocalProcesses
 from baobabturn.controller.orders import OrderGiver
+from baobabturn.controller.partsweep import PartSweep
+from baobabturn.controller.peers import call_peer
 from baobabturn.controller.polling import Poller
+from baobabturn.controller.views import Views
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Failure
@@ -19,15 +25,15 @@
 from baobabturn.membership.heartbeat import Membership
 from baobabturn.membership.owners import ALIVE, LEAVING, owner
 from baobabturn.platform.httpstore import HttpStore
-from baobabturn.wire.link import Link, LinkClient, LinkServer
+from baobabturn.wire.link import Link, LinkServer
 from baobabturn.wire.messages import (
     Ack,
     CancelGeneration,
-    ConfigAnnounce,
     ConfigFetch,
     ConfigUpdate,
     Drain,
     Member,
+    MemberSync,
     MemberView,
     Stats,
     StatsRequest,
@@ -42,16 +48,41 @@
         self.program = program
         settings = program.settings
         self.state = ConfigState(pool_size=settings.scheduler.pool_size)
-        self.store = HttpStore(settings=settings.platform)
+        self.store = HttpStore(settings=settings.platform, events=program.events)
         self.session = aiohttp.ClientSession()
         self.engine = OpenAIEngine(session=self.session)
-        self.membership = Membership(program=program, changed=self.members_changed)
+        self.membership = Membership(
+            program=program,
+            changed=self.members_changed,
+            newer=lambda member: self.sync.newer_at(member),
+            exchange=self.exchange,
+        )
         self.sync = ConfigSync(
             program=program,
             store=self.store,
             state=self.state,
+            membership=self.membership,
             changed=self.config_changed,
         )
+        self.gate = Gate(
+            program=program,
+            membership=self.membership,
+            state=self.state,
+            sync=self.sync,
+            opened=self.config_changed,
+        )
+        self.views = Views(
+            membership=self.membership,
+            state=self.state,
+            may_serve=lambda: self.gate.is_open,
+            contact=Contact(membership=self.membership, store=self.store).read,
+        )
+        self.hosts = HostList(
+            program=program, store=self.store, membership=self.membership
+        )
+        self.parts = PartSweep(
+            program=program, store=self.store, membership=self.membership
+        )
         self.poller = Poller(
             program=program, engine=self.engine, forward=self.to_scheduler
         )
@@ -65,8 +96,6 @@
         self.local = LocalProcesses(
             program=program, changed=self.membership.set_process_down
         )
-        self.subscribers: dict[Link, int] = {}
-        self.leaving_endpoints: set[str] = set()
         self.server = LinkServer(
             identity=program.identity,
             inner=settings.inner,
@@ -74,7 +103,7 @@
             handlers={
                 Subscribe: self.subscribe,
                 ConfigFetch: self.config_fetch,
-                ConfigAnnounce: self.config_announced,
+                MemberSync: self.member_sync,
                 StatsRequest: self.stats,
                 Drain: self.drain,
                 CancelGeneration: self.cancel_generation,
@@ -94,11 +123,16 @@
             return failed
         self.local.start()
         program.background.start(self.sync.watch(), "config-watch")
-        program.background.start(self.follow_hosts(), "host-list")
+        program.background.start(self.hosts.follow(), "host-list")
+        program.background.start(self.gate.watch(), "config-gate")
+        program.background.start(self.views.rounds(), "view-rounds")
+        program.background.start(self.parts.run(), "part-sweep")
         self.orders.start()
-        metrics = program.metrics
+        metrics, messenger = program.metrics, self.membership.messenger
         metrics.gauge("platform_calls", lambda: self.store.calls)
-        metrics.gauge("heartbeat_sent_bytes", lambda: self.membership.sent_bytes)
+        metrics.gauge("heartbeat_sent_bytes", lambda: messenger.sent_bytes)
+        metrics.gauge("heartbeat_received_bytes", lambda: messenger.received_bytes)
+        metrics.gauge("member_pushes", lambda: self.views.pushes)
         program.events.emit(Event.PROCESS_READY, port=port)
         await program.stopping.wait()
         program.events.emit(Event.PROCESS_DRAINING)
@@ -113,49 +147,14 @@
         await self.store.close()
         await self.session.close()
 
-    async def follow_hosts(self) -> None:
-        """Read the platform's host list from time to time."""
-        while True:
-            hosts = await self.store.hosts()
-            if not isinstance(hosts, Failure):
-                self.take_hosts(hosts)
-            await asyncio.sleep(self.program.settings.controller.host_poll_s)
-
-    def take_hosts(self, hosts) -> None:
-        """Seed the membership and note endpoints on hosts that leave."""
-        leaving = set()
-        for host in hosts:
-            if host.role == "entry":
-                port = self.program.settings.ports.controller
-                self.membership.add_seed(host.address, port)
-            elif host.state != "live":
-                leaving.add(host.name)
-        if leaving != self.leaving_endpoints:
-            self.leaving_endpoints = leaving
-            for name in sorted(leaving):
-                self.program.events.emit(Event.ENDPOINT_LEAVING, endpoint=name)
-            self.push_members()
-
-    def member_view(self) -> MemberView:
-        """Return the members for entry and scheduler."""
-        return MemberView(
-            members=self.membership.members(),
-            leaving_endpoints=sorted(self.leaving_endpoints),
-        )
-
-    def push_members(self) -> None:
-        """Send the members to the subscribers and poll what is owned here."""
-        view = self.member_view()
-        for link in self.subscribers:
-            link.send(view)
-        self.watch_owned()
+    async def exchange(self, member: Member, body: object) -> object:
+        """Return a peer's answer to a message."""
+        return await call_peer(self.program, member, body)
 
     def members_changed(self) -> None:
-        """Follow a change of membership; fetch what a peer has newer."""
-        self.push_members()
-        newest = max(self.membership.alive(), key=lambda member: member.revision)
-        if newest.revision > self.state.revision:
-            self.program.background.start(self.fetch_from(newest), "config-fetch")
+        """Push a change of members, and poll what is owned here."""
+        if self.views.push_members():
+            self.watch_owned()
 
     def watch_owned(self) -> None:
         """Poll the endpoints of the pools that this host's scheduler owns."""
@@ -169,29 +168,20 @@
 
     def config_changed(self) -> None:
         """Send the revision in force to subscribers and peers."""
-        self.membership.me.revision = self.state.revision
-        for link, revision in self.subscribers.items():
-            self.push_config(link, revision)
-        self.membership.send_all()
+        if self.membership.me.revision != self.state.revision:
+            self.membership.set_revision(self.state.revision)
+        self.views.push_all_config()
         self.watch_owned()
 
-    def push_config(self, link: Link, revision: int) -> None:
-        """Bring one subscriber from a revision to the one in force."""
-        if revision < self.state.revision:
-            link.send(self.state.update_since(revision, set()))
-            self.subscribers[link] = self.state.revision
-
     def subscribe(self, link: Link, body: Subscribe) -> Ack:
         """Send views to a link from now on."""
-        self.subscribers[link] = body.revision
         self.local.opened(link)
-        link.send(self.member_view())
-        self.push_config(link, body.revision)
+        self.views.subscribe(link, body.revision)
         return Ack(revision=self.state.revision)
 
     def link_closed(self, link: Link) -> None:
         """Forget a subscriber."""
-        self.subscribers.pop(link, None)
+        self.views.closed(link)
         self.local.closed(link)
 
     def to_scheduler(self, body: object) -> None:
@@ -204,31 +194,9 @@
         """Return the newest configuration, less the parts the peer holds."""
         return self.state.update_since(body.revision, set(body.parts))
 
-    async def fetch_from(self, member: Member) -> None:
-        """Take the newest configuration from a peer."""
-        client = LinkClient(
-            address=member.address,
-            port=member.controller_port,
-            identity=self.program.identity,
-            inner=self.program.settings.inner,
-            clock=self.program.clock,
-        )
-        link = await client.open()
-        if isinstance(link, Failure):
-            return
-        self.program.background.start(link.serve({}), "config-link")
-        held = list(self.state.bodies)
-        update = await link.call(ConfigFetch(revision=self.state.revision, parts=held))
-        link.close()
-        if isinstance(update, ConfigUpdate):
-            self.sync.accept(update, source=member.name)
-
-    def config_announced(self, link: Link, body: ConfigAnnounce) -> Ack:
-        """Fetch a revision that a peer announces."""
-        for member in self.membership.members():
-            if member.name == body.node and body.revision > self.state.revision:
-                self.program.background.start(self.fetch_from(member), "config-fetch")
-        return Ack(revision=self.state.revision)
+    def member_sync(self, link: Link, body: MemberSync) -> MemberView:
+        """Compare members with a peer."""
+        return self.membership.syncer.answer(body)
 
     def stats(self, link: Link, body: StatsRequest) -> Stats:
         """Return metrics, events or state as text."""
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -33,6 +33,7 @@
     PROCESS_STOPPED = "process-stopped"
     CONFIG_IN_FORCE = "config-in-force"
     CONFIG_ACCEPTED = "config-accepted"
+    CONFIG_ASKED = "config-asked"
     MEMBER_ALIVE = "member-alive"
     MEMBER_SUSPECT = "member-suspect"
     MEMBER_DEAD = "member-dead"
@@ -81,7 +82,9 @@
     Event.MEMBER_ALIVE: "A host answers heartbeats.",
     Event.MEMBER_SUSPECT: "A host has been silent for `membership.suspect_s`.",
     Event.MEMBER_DEAD: "A host has been silent for `membership.dead_s`.",
+    Event.CONFIG_ASKED: "A controller has asked platform and peers, and may serve.",
     Event.MEMBER_LEAVING: "A host drains or stops.",
+    Event.MEMBER_REFUTED: "This host was said to be suspect or dead, and objected.",
     Event.REQUEST_RECEIVED: "An entry has a caller's request.",
     Event.REQUEST_QUEUED: "A request waits in a pool's queue.",
     Event.REQUEST_GRANTED: "A request has a place at an endpoint.",
--- a/src/baobabturn/entry/admin.py
+++ b/src/baobabturn/entry/admin.py
@@ -89,12 +89,23 @@
             }
             for member in sorted(self.node.members, key=lambda m: m.name)
         ]
+        domains = [
+            {
+                "failure_domain": digest.failure_domain,
+                "hosts": digest.hosts,
+                "revision": digest.revision,
+                "behind": digest.behind,
+            }
+            for digest in self.node.view.domains
+        ]
         return JSONResponse(
             {
                 "host": self.node.program.identity.node,
                 "revision": self.node.state.revision,
                 "open_requests": self.node.open_requests,
                 "members": members,
+                "failure_domains": domains,
+                **self.node.contact,
             }
         )
 
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -84,7 +84,8 @@
         failure = self.unready()
         if failure is not None:
             return failure_response(failure)
-        return JSONResponse({"ready": True, "revision": self.node.state.revision})
+        revision = self.node.state.revision
+        return JSONResponse({"ready": True, "revision": revision, **self.node.contact})
 
     def unready(self) -> Failure | None:
         """Return why this entry should not be used, None where it may be."""
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import time
+from typing import Any
 
 import aiohttp
 
 from baobabturn.config.state import ConfigState
+from baobabturn.core.clock import MS_PER_S, wall_ms
 from baobabturn.core.events import Event
 from baobabturn.core.httpclient import send_once
 from baobabturn.core.program import Program
@@ -18,6 +20,7 @@
 from baobabturn.entry.retries import RetryBudget
 from baobabturn.entry.schedulers import Schedulers
 from baobabturn.membership.owners import ALIVE, DEAD, owner
+from baobabturn.membership.view import merged
 from baobabturn.platform.claims import Claims
 from baobabturn.platform.claimvalues import result_limit
 from baobabturn.platform.httpstore import HttpStore
@@ -43,6 +46,7 @@
         self.metrics = program.metrics
         self.state = ConfigState(pool_size=self.settings.scheduler.pool_size)
         self.members: list[Member] = []
+        self.view = MemberView()
         self.leaving_endpoints: set[str] = set()
         self.draining = False
         self.open_requests = 0
@@ -64,7 +68,7 @@
             ),
         )
         self.engine = OpenAIEngine(session=self.session)
-        self.store = HttpStore(settings=self.settings.platform)
+        self.store = HttpStore(settings=self.settings.platform, events=program.events)
         self.cancels = Cancels(
             program=program,
             state=self.state,
@@ -105,9 +109,25 @@
 
     def member_view(self, link: Link, body: MemberView) -> None:
         """Follow the members."""
-        self.members = body.members
-        self.leaving_endpoints = set(body.leaving_endpoints)
-        self.schedulers.update(self.members, self.leaving_endpoints)
+        self.members, changed = merged(self.members, body)
+        self.view = body
+        leaving = set(body.leaving_endpoints)
+        if changed or leaving != self.leaving_endpoints:
+            self.leaving_endpoints = leaving
+            self.schedulers.update(self.members, leaving)
+
+    @property
+    def contact(self) -> dict[str, Any]:
+        """Return whether this host is cut off, and since when from whom."""
+        if not self.view.cut_off:
+            return {"cut_off": False}
+        now = wall_ms()
+        platform, peers = self.view.platform_contact_ms, self.view.peer_contact_ms
+        return {
+            "cut_off": True,
+            "platform_silent_s": (now - platform) / MS_PER_S if platform else None,
+            "peers_silent_s": (now - peers) / MS_PER_S if peers else None,
+        }
 
     def config_update(self, link: Link, body: ConfigUpdate) -> None:
         """Follow the configuration."""
--- a/src/baobabturn/membership/domains.py
+++ b/src/baobabturn/membership/domains.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from baobabturn.membership.messenger import NEWS, address_of
-from baobabturn.membership.owners import ALIVE, weight
+from baobabturn.membership.owners import ALIVE, DEAD, weight
 from baobabturn.wire.messages import DomainDigest, Member
 
 if TYPE_CHECKING:
@@ -33,13 +33,13 @@
 def count_domain(
     domain: str, node: str, stamp: int, members: Iterable[Member]
 ) -> DomainDigest:
-    """Return the aggregate over the live members of a failure domain."""
+    """Return the aggregate over a failure domain's members but the dead ones."""
     members = list(members)
     newest = max((member.revision for member in members), default=0)
     held = [
         member.revision
         for member in members
-        if member.state == ALIVE and member.failure_domain == domain
+        if member.state != DEAD and member.failure_domain == domain
     ]
     return DomainDigest(
         failure_domain=domain,
@@ -128,8 +128,9 @@
         """Ask members whose revision seems old, which tells them the newest."""
         late = [
             member
-            for member in self.membership.alive()
-            if member.failure_domain == digest.failure_domain
+            for member in self.membership.members()
+            if member.state != DEAD
+            and member.failure_domain == digest.failure_domain
             and member.revision < digest.newest
             and member.name != self.membership.me.name
         ]
--- a/src/baobabturn/membership/messenger.py
+++ b/src/baobabturn/membership/messenger.py
@@ -105,9 +105,7 @@
         self.transport.sendto(datagram, address)
         self.sent_bytes += len(datagram)
 
-    def pack(
-        self, kind: str, sequence: int, target: str, first: list[Member]
-    ) -> bytes:
+    def pack(self, kind: str, sequence: int, target: str, first: list[Member]) -> bytes:
         """Return a datagram's bytes, this host's own word among them."""
         membership = self.membership
         table = membership.table
@@ -153,7 +151,6 @@
         self.membership.take(beat, address)
 
 
-
 class Receiver(asyncio.DatagramProtocol):
     """Hands datagrams to the messenger."""
 
--- a/src/baobabturn/membership/table.py
+++ b/src/baobabturn/membership/table.py
@@ -73,7 +73,10 @@
 
 @attrs.define(kw_only=True)
 class Record:
-    """A member, when it was last heard itself, and since when it is in doubt."""
+    """A member, when it was last heard itself, and since when it is in doubt.
+
+    ``heard`` is 0 while only others have spoken of it.
+    """
 
     member: Member
     heard: float
@@ -110,7 +113,6 @@
                 self.waiting[name] = (sent + 1, member)
         return chosen
 
-
     def known_elsewhere(self) -> None:
         """Take in that a peer knows every word; they need fewer sends then."""
         for name, (sent, member) in list(self.waiting.items()):
@@ -168,7 +170,7 @@
         now = self.clock()
         record = self.records.get(member.name)
         if record is None:
-            record = Record(member=member, heard=now)
+            record = Record(member=member, heard=0.0)
             self.records[member.name] = record
             self.digest ^= fingerprint(member)
         else:
--- /dev/null
+++ b/src/baobabturn/platform/budget.py
@@ -0,0 +1,116 @@
+"""Which calls to the platform may be made now: a budget, and outages.
+
+Two failures in a row are an outage.  While it lasts only a cheap probe goes
+out, after growing pauses with jitter; every other call fails at once and says
+when to come back.  The first answer ends the outage, and the rate of calls then
+grows over some seconds, so that processes don't all rush back together.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+
+from baobabturn.core.events import Event, EventLog
+from baobabturn.core.results import Code, Failure
+from baobabturn.settings.model import Platform
+
+DOWN_AFTER_FAILURES = 2
+RAMP_S = 5.0
+RAMP_FIRST_SHARE = 0.2
+DOUBLINGS_LIMIT = 16
+
+
+class CallBudget:
+    """A token bucket over calls, closed to all but a probe during an outage."""
+
+    def __init__(
+        self,
+        *,
+        settings: Platform,
+        seed: int | None = None,
+        events: EventLog | None = None,
+    ):
+        self.settings = settings
+        self.events = events
+        self.random = random.Random(seed)
+        self.level = float(settings.burst_calls)
+        self.updated = time.monotonic()
+        self.failures = 0
+        self.probes = 0
+        self.next_probe = 0.0
+        self.down_since = 0.0
+        self.up_since = 0.0
+        self.last_answer = 0.0
+
+    @property
+    def is_down(self) -> bool:
+        """Return whether there is an outage."""
+        return self.down_since > 0
+
+    def rate(self, now: float) -> float:
+        """Return the calls a second that are allowed now."""
+        if not self.up_since:
+            return self.settings.calls_per_s
+        share = (now - self.up_since) / RAMP_S
+        return self.settings.calls_per_s * min(1.0, max(RAMP_FIRST_SHARE, share))
+
+    def refuse(self) -> Failure | None:
+        """Return a failure where no call may be made now; take one otherwise."""
+        now = time.monotonic()
+        if self.is_down:
+            return Failure(
+                Code.PLATFORM_UNREACHABLE,
+                "the platform doesn't answer",
+                retry_after_s=max(0.0, self.next_probe - now) + self.pause_floor(),
+            )
+        rate = self.rate(now)
+        earned = (now - self.updated) * rate
+        self.level = min(self.level + earned, float(self.settings.burst_calls))
+        self.updated = now
+        if self.level < 1:
+            wait = (1 - self.level) / rate
+            return Failure(
+                Code.PLATFORM_BUDGET, "no calls are left", retry_after_s=wait
+            )
+        self.level -= 1
+        return None
+
+    def pause_floor(self) -> float:
+        """Return the shortest pause after which another try makes sense."""
+        return self.settings.backoff_first_s
+
+    def succeeded(self) -> None:
+        """Note an answer; ends an outage."""
+        now = time.monotonic()
+        self.failures = 0
+        self.last_answer = now
+        if not self.is_down:
+            return
+        lasted = now - self.down_since
+        self.down_since = 0.0
+        self.up_since = self.updated = now
+        self.level = 1.0
+        if self.events is not None:
+            self.events.emit(Event.PLATFORM_UP, after_s=f"{lasted:.1f}")
+
+    def failed(self, reason: str) -> None:
+        """Note a failure; the second in a row begins an outage."""
+        self.failures += 1
+        if self.is_down or self.failures < DOWN_AFTER_FAILURES:
+            return
+        self.down_since = time.monotonic()
+        self.probes = 0
+        self.plan_probe()
+        if self.events is not None:
+            self.events.emit(Event.PLATFORM_DOWN, reason=reason)
+
+    def plan_probe(self) -> float:
+        """Return the pause before the next probe: doubled each time, with jitter."""
+        doublings = min(self.probes, DOUBLINGS_LIMIT)
+        ceiling = self.settings.backoff_first_s * 2**doublings
+        ceiling = min(ceiling, self.settings.backoff_limit_s)
+        self.probes += 1
+        pause = self.random.uniform(ceiling / 2, ceiling)
+        self.next_probe = time.monotonic() + pause
+        return pause
--- a/src/baobabturn/platform/httpstore.py
+++ b/src/baobabturn/platform/httpstore.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
-import random
-import time
+import asyncio
 from typing import Any
 
 import aiohttp
 
+from baobabturn.core.background import Background
+from baobabturn.core.events import EventLog
 from baobabturn.core.httpclient import send_once
 from baobabturn.core.results import Code, Failure, Run
+from baobabturn.platform.budget import CallBudget
+from baobabturn.platform.objects import STATUS_KIND
 from baobabturn.platform.store import (
     ABSENT,
     ANY_VERSION,
@@ -25,59 +28,23 @@
 from baobabturn.settings.model import Platform
 
 WATCH_SLACK_S = 5.0
-
-
-class CallBudget:
-    """A token bucket over calls, with back-off after failures."""
-
-    def __init__(self, *, settings: Platform, seed: int | None = None):
-        self.settings = settings
-        self.random = random.Random(seed)
-        self.level = float(settings.burst_calls)
-        self.updated = time.monotonic()
-        self.failures = 0
-        self.closed_until = 0.0
-
-    def refuse(self) -> Failure | None:
-        """Return a failure where no call may be made now; take one otherwise."""
-        now = time.monotonic()
-        earned = (now - self.updated) * self.settings.calls_per_s
-        self.level = min(self.level + earned, float(self.settings.burst_calls))
-        self.updated = now
-        if now < self.closed_until:
-            wait = self.closed_until - now
-            return Failure(
-                Code.PLATFORM_UNREACHABLE,
-                "backing off after failures",
-                retry_after_s=wait,
-            )
-        if self.level < 1:
-            wait = (1 - self.level) / self.settings.calls_per_s
-            return Failure(
-                Code.PLATFORM_BUDGET, "no calls are left", retry_after_s=wait
-            )
-        self.level -= 1
-        return None
-
-    def succeeded(self) -> None:
-        """Note an answer; ends the back-off."""
-        self.failures = 0
-        self.closed_until = 0.0
-
-    def failed(self) -> None:
-        """Note a failure; doubles the back-off with full jitter."""
-        self.failures += 1
-        ceiling = self.settings.backoff_first_s * 2 ** min(self.failures - 1, 16)
-        ceiling = min(ceiling, self.settings.backoff_limit_s)
-        self.closed_until = time.monotonic() + self.random.uniform(0, ceiling)
+PROBE_PATH = f"/objects/{STATUS_KIND}/probe"
 
 
 class HttpStore:
     """The adapter; one per process."""
 
-    def __init__(self, *, settings: Platform, seed: int | None = None):
+    def __init__(
+        self,
+        *,
+        settings: Platform,
+        seed: int | None = None,
+        events: EventLog | None = None,
+    ):
         self.settings = settings
-        self.budget = CallBudget(settings=settings, seed=seed)
+        self.budget = CallBudget(settings=settings, seed=seed, events=events)
+        self.background = Background()
+        self.probing = False
         self.session: aiohttp.ClientSession | None = None
         self.calls = 0
 
@@ -94,7 +61,39 @@
         """Return status and decoded body of one call, or why there is none."""
         refused = self.budget.refuse()
         if refused is not None:
+            self.probe_soon()
             return refused
+        return await self.send(
+            method, path, timeout_s=timeout_s, headers=headers, params=params, body=body
+        )
+
+    def probe_soon(self) -> None:
+        """See to it that probes go out while there is an outage."""
+        if self.budget.is_down and not self.probing:
+            self.probing = True
+            self.background.start(self.probe(), "platform-probe")
+
+    async def probe(self) -> None:
+        """Make the cheapest call there is until one is answered."""
+        try:
+            while self.budget.is_down:
+                await asyncio.sleep(self.budget.plan_probe())
+                if self.budget.is_down:
+                    await self.send("GET", PROBE_PATH)
+        finally:
+            self.probing = False
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float | None = None,
+        headers: dict[str, str] | None = None,
+        params: dict[str, str] | None = None,
+        body: Any = None,
+    ) -> tuple[int, Any] | Failure:
+        """Make one call without asking the budget."""
         self.calls += 1
         if self.session is None:
             token = self.settings.token
@@ -113,16 +112,16 @@
                 values = await answer.json(content_type=None)
                 status = answer.status
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
-            self.budget.failed()
+            self.budget.failed("connect")
             return Failure(
                 Code.PLATFORM_UNREACHABLE, f"connect: {error}", run=Run.NOT_RUN
             )
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            self.budget.failed()
             reason = f"answer lost: {type(error).__name__}"
+            self.budget.failed(reason)
             return Failure(Code.WRITE_UNRESOLVED, reason)
         if status >= 500:
-            self.budget.failed()
+            self.budget.failed(f"status {status}")
             return Failure(Code.WRITE_UNRESOLVED, f"status {status}")
         self.budget.succeeded()
         return status, values
@@ -189,6 +188,18 @@
         )
         return Changes(changes=changes, version=values["version"])
 
+    async def snapshot(self, kind: str) -> Changes | Failure:
+        """Return all objects of a kind, with the version to watch from."""
+        answer = await self.read(f"/objects/{kind}")
+        if isinstance(answer, Failure):
+            return answer
+        _, values = answer
+        changes = tuple(
+            Change(name=o["name"], version=o["version"], value=o["value"])
+            for o in values["objects"]
+        )
+        return Changes(changes=changes, version=values["version"])
+
     async def hosts(self) -> list[PlatformHost] | Failure:
         """Return the platform's list of live and leaving hosts."""
         answer = await self.read("/hosts")
@@ -198,6 +209,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
+        await self.background.stop()
         if self.session is not None:
             await self.session.close()
 
--- a/src/baobabturn/platform/store.py
+++ b/src/baobabturn/platform/store.py
@@ -84,5 +84,8 @@
         Gives ``VERSION_TOO_OLD`` where the platform no longer holds them.
         """
 
+    async def snapshot(self, kind: str) -> Changes | Failure:
+        """Return all objects of a kind, with the version to watch from."""
+
     async def hosts(self) -> list[PlatformHost] | Failure:
         """Return the platform's list of live and leaving hosts."""
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -11,6 +11,7 @@
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import ALIVE, owner
+from baobabturn.membership.view import merged
 from baobabturn.scheduler.describe import describe
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
@@ -137,9 +138,11 @@
 
     def member_view(self, link: Link, body: MemberView) -> None:
         """Follow the members; ownership may change."""
-        self.members = body.members
-        self.leaving = set(body.leaving_endpoints)
-        self.own()
+        self.members, changed = merged(self.members, body)
+        leaving = set(body.leaving_endpoints)
+        if changed or leaving != self.leaving:
+            self.leaving = leaving
+            self.own()
 
     def config_update(self, link: Link, body: ConfigUpdate) -> None:
         """Follow the configuration; pools may change."""
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -118,6 +118,9 @@
     """The controller program: platform, membership, configuration, orders."""
 
     watchers_per_domain: int = number(1, 100)
+    ask_wait_s: float = number(0, 600)
+    part_keep_s: float = number(1, 86_400)
+    part_sweep_s: float = number(0.1, 3600)
     endpoint_poll_s: float = number(0.05, 60)
     host_poll_s: float = number(0.2, 600)
     status_interval_s: float = number(1, 3600)
