--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -19,9 +19,11 @@
 HELP = {
     "engine_reconnects": "Links to engines opened again for a running generation.",
     "failures": "Failures that callers were told, by result code.",
+    "heartbeat_received_bytes": "Bytes received in heartbeats.",
     "heartbeat_sent_bytes": "Bytes sent in heartbeats.",
     "inner_received_bytes": "Bytes received over inner links.",
     "inner_sent_bytes": "Bytes sent over inner links.",
+    "member_pushes": "Views of the members sent to the host's own processes.",
     "open_requests": "Requests that the entry is answering.",
     "orders": "Orders sent to engines, by kind.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
