--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -23,7 +23,7 @@
     "heartbeat_sent_bytes": "Bytes sent in heartbeats.",
     "inner_received_bytes": "Bytes received over inner links.",
     "inner_sent_bytes": "Bytes sent over inner links.",
-    "member_pushes": "Views of the members sent to the host's own processes.",
+    "member_pushes": "Messages with members sent to this host's processes.",
     "open_requests": "Requests that the entry is answering.",
     "orders": "Orders sent to engines, by kind.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
