--- a/dev/fleet.py
+++ b/dev/fleet.py
@@ -89,6 +89,7 @@
         engines: int | None = None,
         workers: int | None = None,
         overrides: dict[str, Any] | None = None,
+        engine_options: tuple[str, ...] = (),
         python: str = sys.executable,
     ):
         self.deployment = deployment
@@ -96,6 +97,7 @@
         self.engine_count = engines if engines is not None else deployment.engines
         self.worker_count = workers if workers is not None else deployment.workers
         self.overrides = overrides or {}
+        self.engine_options = engine_options
         self.python = python
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="baobabturn-fleet-"))
         self.processes: dict[str, subprocess.Popen] = {}
@@ -185,7 +187,7 @@
             if is_engine:
                 memory = str(deployment.memory_tokens)
                 arguments = ["engine", name, "--models", deployment.model]
-                arguments += ["--memory-tokens", memory]
+                arguments += ["--memory-tokens", memory, *self.engine_options]
                 if number % 2 == 0:
                     arguments.append("--checks-fencing")
             url = self.start_fake(name, arguments, address)
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -124,6 +124,7 @@
         self.slow_factor = 1.0
         self.frozen = False
         self.preemptions = 0
+        self.stalled_s = 0.0
         self.cache_hits = 0
         self.prefilled_tokens = 0
 
@@ -147,12 +148,18 @@
             self.waiting.pop(0)
             head.state = "running"
             head.prefill_left = self.prefill_cost(head)
-            if head.preempted_at:
-                head.stalled_s += time.monotonic() - head.preempted_at
-                head.preempted_at = 0.0
+            self.end_stall(head)
             self.running.append(head)
             used += head.memory
 
+    def end_stall(self, generation: Generation) -> None:
+        """Count the time that a preempted generation has waited."""
+        if generation.preempted_at:
+            waited = time.monotonic() - generation.preempted_at
+            generation.stalled_s += waited
+            self.stalled_s += waited
+            generation.preempted_at = 0.0
+
     def prefill_cost(self, generation: Generation) -> int:
         """Return how many tokens must be read in, less those that are cached."""
         hit = 0
@@ -199,6 +206,7 @@
         for place in (self.running, self.waiting):
             if generation in place:
                 place.remove(generation)
+        self.end_stall(generation)
         generation.finish = reason
         generation.state = "cancelled" if reason == "cancelled" else "completed"
         generation.ended_at = time.monotonic()
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -338,7 +338,6 @@
 
     async def counts(self, request: web.Request) -> web.Response:
         """Return what ran, what is open, and what the batcher suffered."""
-        stalled = sum(g.stalled_s for g in self.generations.values())
         return web.json_response(
             {
                 "name": self.name,
@@ -347,7 +346,10 @@
                 "cancelled": self.cancelled,
                 "open": [g.name for g in self.open_generations()],
                 "preemptions": self.batcher.preemptions,
-                "stalled_s": round(stalled, 3),
+                "stalled_s": round(self.batcher.stalled_s, 3),
+                "running": len(self.batcher.running),
+                "waiting": len(self.batcher.waiting),
+                "used_tokens": self.batcher.used(),
                 "cache_hits": self.batcher.cache_hits,
                 "prefilled_tokens": self.batcher.prefilled_tokens,
                 "orders": self.orders,
--- a/fakes/main.py
+++ b/fakes/main.py
@@ -41,6 +41,10 @@
     address: str = "127.0.0.1",
     port: int = 0,
     memory_tokens: int = 40_000,
+    slots: int = 64,
+    step_s: float = 0.012,
+    step_per_sequence_s: float = 0.0004,
+    prefill_per_token_s: float = 0.00004,
     checks_fencing: bool = False,
     seed: int = 1,
 ) -> None:
@@ -48,7 +52,13 @@
     fake = FakeEngine(
         name=name,
         models=[each for each in models.split(",") if each],
-        model=EngineModel(memory_tokens=memory_tokens),
+        model=EngineModel(
+            memory_tokens=memory_tokens,
+            slots=slots,
+            step_s=step_s,
+            step_per_sequence_s=step_per_sequence_s,
+            prefill_per_token_s=prefill_per_token_s,
+        ),
         checks_fencing=checks_fencing,
         seed=seed,
     )
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -132,6 +132,8 @@
     attempt: int = 0
     pool: str = ""
     reservation: str = ""
+    hedgeable: bool = False
+    hedges: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -275,6 +277,13 @@
     body: bytes = b""
 
 
+@attrs.define(kw_only=True, slots=True)
+class Hedge:
+    """Asks an entry to try a generation at a second endpoint as well."""
+
+    reservation: str = ""
+
+
 @attrs.define(kw_only=True, slots=True)
 class WhoHolds:
     """Asks a scheduler which of these generations someone holds."""
@@ -316,4 +325,5 @@
     Learned,
     WhoHolds,
     Held,
+    Hedge,
 )
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -35,6 +35,7 @@
     learned @26 :Learned;
     whoHolds @27 :WhoHolds;
     held @28 :Held;
+    hedge @29 :Hedge;
   }
 }
 
@@ -125,6 +126,8 @@
   attempt @10 :UInt16;
   pool @11 :Text;
   reservation @12 :Text;
+  hedgeable @13 :Bool;   # the caller has no token of it yet
+  hedges @14 :Text;      # the reservation whose second attempt this is
 }
 
 struct Grant {
@@ -226,6 +229,11 @@
   body @1 :Data;
 }
 
+# Asks an entry to try a generation at a second endpoint as well.
+struct Hedge {
+  reservation @0 :Text;
+}
+
 struct WhoHolds {
   endpoint @0 :Text;
   generations @1 :List(Text);
