Scheduler: admit by the chance that an engine's memory overflows

Cause: the policy counted what is held now and let engines fill mid-decode. Change: learned length hazards, memory bound, room for short work, fair shares, limits, prefix affinity and straggler detection as modules of their own; the baselines stay as they were.

--- /dev/null
+++ b/src/baobabturn/scheduler/chance.py
@@ -0,0 +1,276 @@
+"""The product's policy: admit by the chance that an engine's memory overflows.
+
+Requests wait in the scheduler, not in the engines.  Short work goes first and
+has room that long work can't take; what can no longer end in time goes last;
+between equals the workspace that lags most behind its share is next.  The
+endpoint is chosen by how full its memory will get and by what its prefix
+cache spares, and slow endpoints get probes only.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from baobabturn.scheduler.fairness import FairShares
+from baobabturn.scheduler.flows import Flows, Rank
+from baobabturn.scheduler.lengths import Lengths
+from baobabturn.scheduler.overflow import terms
+from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
+from baobabturn.scheduler.stragglers import SILENCE_S, Stragglers
+from baobabturn.settings.model import Scheduler
+
+SHORT_FIRST = -100_000
+PRIORITY_STEP = 10.0
+FADED = 0.5
+JUDGE_S = 0.1
+LEAST_BATCH = 4.0
+BATCH_STEP = 0.5
+BATCH_CUT = 0.95
+HEDGE_BURST = 20.0
+FINISHED = "finished"
+
+
+class ChanceBound:
+    """Holds what one pool's scheduler learns, and decides by it."""
+
+    def __init__(self, *, settings: Scheduler, seed: int):
+        self.settings = settings
+        self.lengths = Lengths(
+            half_life_samples=settings.length_half_life, key_limit=settings.length_keys
+        )
+        self.stragglers = Stragglers(settings=settings)
+        self.shares = FairShares()
+        self.flows = Flows()
+        self.full: set[bool] = set()
+        self.judged = 0.0
+        self.hedge_budget = HEDGE_BURST
+
+    def queued(self, waiting: Waiting, now: float) -> None:
+        """Class a request by what is learned of its like, and queue it."""
+        admit = waiting.admit
+        curve = self.lengths.curve(admit.workspace, admit.model, admit.kind)
+        waiting.curve = curve
+        limit = self.settings.short_tokens
+        over = curve.survival(0, limit) if limit < admit.max_tokens else 0.0
+        waiting.short = over <= 1 - self.settings.short_chance
+        waiting.terms = terms(curve, admit.prompt_tokens, 0, admit.max_tokens)
+        waiting.chance = self.chance_in_time(waiting, waiting.deadline - now)
+        self.flows.add(waiting)
+        self.shares.queued(admit.workspace)
+
+    def unqueued(self, waiting: Waiting) -> None:
+        """Take a request out of its flow."""
+        self.flows.remove(waiting)
+        self.shares.unqueued(waiting.admit.workspace)
+
+    def chance_in_time(self, waiting: Waiting, left_s: float) -> float:
+        """Return the chance that a request ends in time if it starts now."""
+        gap_s = self.stragglers.typical_gap_s or self.settings.token_gap_goal_s
+        tokens = left_s / gap_s
+        if tokens < 1:
+            return 0.0
+        return 1 - waiting.curve.survival(0, min(tokens, waiting.admit.max_tokens))
+
+    def order(self, pool: PoolState, now: float) -> Iterator[Waiting]:
+        """Yield the waiting requests; a class that finds no room is passed over."""
+        self.full.clear()
+        for waiting in self.flows.ordered(lambda each: self.rank(each, now)):
+            if waiting.short not in self.full:
+                yield waiting
+
+    def rank(self, waiting: Waiting, now: float) -> Rank:
+        """Return the order of service of a request, smaller first."""
+        settings = self.settings
+        admit = waiting.admit
+        waited = now - waiting.arrived
+        level = admit.priority / PRIORITY_STEP + waited / settings.aging_s
+        faded = 0.0
+        chance = self.chance_in_time(waiting, waiting.deadline - now)
+        if chance < FADED * waiting.chance:
+            faded = 1.0
+        if waiting.short or admit.hedges:
+            level += settings.short_levels
+        level = min(int(level), settings.top_level)
+        return faded, -level, self.shares.start(admit.workspace), waiting.arrived
+
+    def choose(
+        self, pool: PoolState, waiting: Waiting, now: float
+    ) -> EndpointState | None:
+        """Return the endpoint that suits a request best, None if none has room."""
+        admit = waiting.admit
+        best = None
+        least = 0.0
+        for endpoint in pool.usable(admit):
+            if not self.stragglers.may_take(endpoint.name, endpoint.in_flight, now):
+                continue
+            uncached = self.uncached(endpoint, waiting, now)
+            if not self.has_room(endpoint, waiting, uncached):
+                continue
+            cost = self.cost(endpoint, uncached)
+            if best is None or cost < least:
+                best, least = endpoint, cost
+        if best is None and not admit.excluded:
+            self.full.add(waiting.short)
+            if waiting.short:
+                self.full.add(False)
+        return best
+
+    def uncached(self, endpoint: EndpointState, waiting: Waiting, now: float) -> int:
+        """Return how many prompt tokens an endpoint is likely to read in."""
+        admit = waiting.admit
+        held = endpoint.cached.held_tokens(admit.prefixes, now)
+        return max(1, admit.prompt_tokens - held)
+
+    def has_room(
+        self, endpoint: EndpointState, waiting: Waiting, uncached: int
+    ) -> bool:
+        """Return whether a request fits an endpoint's batch, reading and memory."""
+        settings = self.settings
+        if not endpoint.reservations:
+            return True
+        batch = endpoint.concurrency or endpoint.batch_limit or settings.batch_limit
+        if endpoint.in_flight >= batch:
+            return False
+        reading = endpoint.reading_tokens
+        if reading and reading + uncached > settings.prefill_limit_tokens:
+            return False
+        memory = endpoint.memory_tokens
+        if not endpoint.growth.fits(
+            waiting.terms, memory, settings.overflow_deviations
+        ):
+            return False
+        if waiting.short:
+            return True
+        left = 1 - settings.short_share
+        if endpoint.long_count >= batch * left:
+            return False
+        return endpoint.long_growth.fits(
+            waiting.terms, memory * left, settings.overflow_deviations
+        )
+
+    def cost(self, endpoint: EndpointState, uncached: int) -> float:
+        """Return how much a request would burden an endpoint, in memory shares."""
+        memory = max(1, endpoint.memory_tokens)
+        full = endpoint.growth.peak(0.0) / memory
+        reading = (uncached + endpoint.reading_tokens) / self.settings.affinity_tokens
+        return full + reading
+
+    def engine_priority(self, waiting: Waiting) -> int:
+        """Return the priority for the engine: short work first, then as declared."""
+        return (SHORT_FIRST if waiting.short else 0) - waiting.admit.priority
+
+    def granted(self, endpoint: EndpointState, held: Reservation, now: float) -> None:
+        """Count a place's expected growth, and what it is expected to cost."""
+        if held.curve is None:
+            held.curve = self.lengths.curve(held.workspace, held.model, held.kind)
+        held.terms = terms(
+            held.curve, held.memory_tokens, held.produced, held.max_tokens
+        )
+        self.count(endpoint, held, 1.0)
+        endpoint.long_count += not held.short
+        held.first_token_seen = held.produced > 0
+        if not held.first_token_seen:
+            endpoint.reading_tokens += held.uncached_tokens
+        self.stragglers.taken(endpoint.name, now)
+        expected = held.curve.mean_left(0, held.max_tokens)
+        held.expected_tokens = held.prompt_tokens + expected
+        self.shares.charge(held.workspace, held.expected_tokens, held.weight)
+        if not held.hedges:
+            share = self.settings.hedge_share
+            self.hedge_budget = min(HEDGE_BURST, self.hedge_budget + share)
+
+    def count(self, endpoint: EndpointState, held: Reservation, sign: float) -> None:
+        """Add a place's terms to its endpoint, or take them away."""
+        endpoint.growth.add(held.terms, sign)
+        if not held.short:
+            endpoint.long_growth.add(held.terms, sign)
+
+    def progressed(
+        self, endpoint: EndpointState, held: Reservation, before: int, now: float
+    ) -> None:
+        """Follow a generation's growth and its pace."""
+        if not held.first_token_seen and held.produced:
+            held.first_token_seen = True
+            endpoint.reading_tokens -= held.uncached_tokens
+        elif held.produced > before:
+            seconds = now - held.updated
+            self.stragglers.seen(endpoint.name, held.produced - before, seconds, now)
+        self.count(endpoint, held, -1.0)
+        held.terms = terms(
+            held.curve, held.memory_tokens, held.produced, held.max_tokens
+        )
+        self.count(endpoint, held, 1.0)
+
+    def released(
+        self, endpoint: EndpointState | None, held: Reservation, outcome: str
+    ) -> None:
+        """Learn a length, and take a place's growth away."""
+        finished = outcome == FINISHED and held.produced < held.max_tokens
+        if held.produced:
+            self.lengths.observe(
+                held.workspace, held.model, held.kind, held.produced, finished
+            )
+        used = held.prompt_tokens + held.produced
+        self.shares.correct(held.workspace, used - held.expected_tokens, held.weight)
+        if endpoint is None:
+            return
+        self.count(endpoint, held, -1.0)
+        endpoint.long_count -= not held.short
+        if not held.first_token_seen:
+            endpoint.reading_tokens -= held.uncached_tokens
+
+    def hedges(self, pool: PoolState, now: float) -> list[Reservation]:
+        """Judge the endpoints; return the places worth a second attempt."""
+        if now - self.judged < JUDGE_S:
+            return []
+        self.judged = now
+        batches = {
+            endpoint.name: (endpoint.in_flight, silence(endpoint, now))
+            for endpoint in pool.endpoints.values()
+        }
+        self.stragglers.judge(batches, now)
+        found = []
+        for endpoint in pool.endpoints.values():
+            self.tune_batch(endpoint)
+            for held in endpoint.reservations.values():
+                if self.hedge_budget >= 1 and self.worth_hedging(held, now):
+                    held.hedged = True
+                    self.hedge_budget -= 1
+                    found.append(held)
+        return found
+
+    def worth_hedging(self, held: Reservation, now: float) -> bool:
+        """Return whether a second attempt is likely to end sooner."""
+        if held.hedged or held.hedges or held.holder is None:
+            return False
+        if held.produced and not held.hedgeable:
+            return False
+        pace = self.stragglers.pace(held.endpoint)
+        if not pace.straggles:
+            late = now - held.granted > self.settings.hedge_first_token_s
+            return late and not held.produced
+        left = held.curve.mean_left(held.produced, held.max_tokens)
+        return held.produced + left < left * pace.slow
+
+    def tune_batch(self, endpoint: EndpointState) -> None:
+        """Follow the batch size that keeps the gaps between tokens in bound."""
+        settings = self.settings
+        pace = self.stragglers.pace(endpoint.name)
+        limit = endpoint.batch_limit or settings.batch_limit
+        if pace.straggles or pace.tokens < 1:
+            return
+        if pace.gap(0.0) > settings.token_gap_goal_s:
+            limit = min(limit, endpoint.in_flight) * BATCH_CUT
+        else:
+            limit += BATCH_STEP
+        endpoint.batch_limit = min(settings.batch_limit, max(LEAST_BATCH, limit))
+
+
+def silence(endpoint: EndpointState, now: float) -> float:
+    """Return the seconds for which nothing was heard of generations, in sum."""
+    total = 0.0
+    for held in endpoint.reservations.values():
+        quiet = now - held.updated
+        if quiet > SILENCE_S:
+            total += quiet
+    return total
--- /dev/null
+++ b/src/baobabturn/scheduler/lengths.py
@@ -0,0 +1,201 @@
+"""Learned distributions of output lengths, by workspace, model and kind.
+
+Lengths fall into bins whose width grows with the length.  For each bin a
+hazard is learned: of the generations that got as far as the bin, the share
+that ended in it.  A generation that was cut off counts up to where it got, so
+that cut ones don't make the lengths look short.  A key with few samples leans
+on the next coarser one, and the coarsest on a prior.
+
+Example: ``Lengths(...).curve("w", "m", "chat").survival(10, 50)`` is the
+chance that a generation with 10 tokens has at least 50 more.
+"""
+
+from __future__ import annotations
+
+import bisect
+import math
+from array import array
+from collections import OrderedDict
+
+import attrs
+
+BINS_PER_OCTAVE = 4
+OCTAVES = 17
+PRIOR_MEDIAN_TOKENS = 100.0
+PRIOR_SIGMA = 1.6
+PSEUDO_SAMPLES = 8.0
+REBUILD_SAMPLES = 8
+WEIGHT_LIMIT = 1e6
+HAZARD_LIMIT = 0.999
+
+Key = tuple[str, str, str]
+
+
+def make_edges() -> list[int]:
+    """Return the lower edges of the bins, in tokens."""
+    raw = (2 ** (n / BINS_PER_OCTAVE) for n in range(OCTAVES * BINS_PER_OCTAVE + 1))
+    return sorted({math.ceil(value) for value in raw})
+
+
+EDGES = make_edges()
+BINS = len(EDGES) - 1
+
+
+def bin_of(tokens: int) -> int:
+    """Return the bin of a length."""
+    place = bisect.bisect_right(EDGES, max(1, tokens)) - 1
+    return min(place, BINS - 1)
+
+
+def prior_hazards() -> list[float]:
+    """Return the hazards of a broad lognormal distribution."""
+
+    def below(tokens: float) -> float:
+        score = (math.log(tokens) - math.log(PRIOR_MEDIAN_TOKENS)) / PRIOR_SIGMA
+        return 0.5 * (1 + math.erf(score / math.sqrt(2)))
+
+    hazards = []
+    for low, high in zip(EDGES, EDGES[1:], strict=False):
+        start = 0.0 if low == 1 else below(low)
+        hazards.append((below(high) - start) / max(1e-9, 1 - start))
+    return [min(HAZARD_LIMIT, hazard) for hazard in hazards]
+
+
+@attrs.define(kw_only=True)
+class Counts:
+    """How many generations got as far as each bin, and ended in it.
+
+    Newer samples weigh more: the weight of a sample grows instead of the older
+    ones being made smaller, until the numbers get large.
+    """
+
+    reached: array
+    ended: array
+    weight: float = 1.0
+    fresh: int = 0
+
+    @classmethod
+    def empty(cls) -> Counts:
+        """Return counts of nothing."""
+        return cls(reached=array("d", [0.0] * BINS), ended=array("d", [0.0] * BINS))
+
+    def add(self, tokens: int, finished: bool, growth: float) -> None:
+        """Count one generation."""
+        self.weight *= growth
+        if self.weight > WEIGHT_LIMIT:
+            self.scale(1 / self.weight)
+        last = bin_of(tokens)
+        reached = self.reached
+        for place in range(last):
+            reached[place] += self.weight
+        if finished:
+            reached[last] += self.weight
+            self.ended[last] += self.weight
+        self.fresh += 1
+
+    def scale(self, factor: float) -> None:
+        """Multiply everything by a factor."""
+        for place in range(BINS):
+            self.reached[place] *= factor
+            self.ended[place] *= factor
+        self.weight *= factor
+
+    def hazards(self, parent: list[float]) -> list[float]:
+        """Return the hazards, leaning on the coarser key's where samples are few."""
+        pseudo = PSEUDO_SAMPLES * self.weight
+        return [
+            min(HAZARD_LIMIT, (ended + pseudo * coarse) / (reached + pseudo))
+            for reached, ended, coarse in zip(
+                self.reached, self.ended, parent, strict=True
+            )
+        ]
+
+
+class Curve:
+    """A distribution of lengths, ready to be asked."""
+
+    def __init__(self, *, hazards: list[float]):
+        self.hazards = hazards
+        self.cumulative = [0.0]
+        for hazard in hazards:
+            self.cumulative.append(self.cumulative[-1] - math.log1p(-hazard))
+
+    def passed(self, tokens: float) -> float:
+        """Return the cumulative hazard up to a length."""
+        if tokens <= 1:
+            return 0.0
+        place = bisect.bisect_right(EDGES, tokens) - 1
+        if place >= BINS:
+            return self.cumulative[-1]
+        low = EDGES[place]
+        share = (tokens - low) / (EDGES[place + 1] - low)
+        start = self.cumulative[place]
+        return start + share * (self.cumulative[place + 1] - start)
+
+    def survival(self, produced: int, more: float) -> float:
+        """Return the chance of at least ``more`` tokens beyond those produced."""
+        return math.exp(self.passed(produced) - self.passed(produced + more))
+
+    def mean_left(self, produced: int, limit: int) -> float:
+        """Return the expected tokens still to come, with a limit on the total."""
+        start = self.passed(max(1, produced))
+        total = 0.0
+        at = float(max(1, produced))
+        chance = 1.0
+        for place in range(bin_of(max(1, produced)), BINS):
+            end = min(EDGES[place + 1], limit)
+            if end <= at:
+                break
+            after = math.exp(start - self.passed(end))
+            total += (end - at) * (chance + after) / 2
+            at, chance = end, after
+            if chance < 0.001:
+                break
+        return max(1.0, total)
+
+
+class Lengths:
+    """The learned distributions of one process."""
+
+    def __init__(self, *, half_life_samples: float, key_limit: int):
+        self.growth = 2 ** (1 / half_life_samples)
+        self.key_limit = key_limit
+        self.counts: OrderedDict[Key, Counts] = OrderedDict()
+        self.curves: dict[Key, Curve] = {}
+        self.prior = Curve(hazards=prior_hazards())
+
+    def observe(
+        self, workspace: str, model: str, kind: str, tokens: int, finished: bool
+    ) -> None:
+        """Learn from one generation that ended or was cut off."""
+        for key in levels(workspace, model, kind):
+            counts = self.counts.get(key)
+            if counts is None:
+                counts = self.counts[key] = Counts.empty()
+            self.counts.move_to_end(key)
+            counts.add(tokens, finished, self.growth)
+            if counts.fresh >= REBUILD_SAMPLES:
+                counts.fresh = 0
+                self.curves.pop(key, None)
+        while len(self.counts) > self.key_limit:
+            old, _ = self.counts.popitem(last=False)
+            self.curves.pop(old, None)
+
+    def curve(self, workspace: str, model: str, kind: str) -> Curve:
+        """Return the distribution for a key."""
+        parent = self.prior
+        for key in reversed(levels(workspace, model, kind)):
+            counts = self.counts.get(key)
+            if counts is None:
+                continue
+            found = self.curves.get(key)
+            if found is None:
+                found = Curve(hazards=counts.hazards(parent.hazards))
+                self.curves[key] = found
+            parent = found
+        return parent
+
+
+def levels(workspace: str, model: str, kind: str) -> tuple[Key, Key, Key]:
+    """Return a key and the coarser ones it leans on, the finest first."""
+    return (workspace, model, kind), ("", model, kind), ("", model, "")
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -113,6 +113,7 @@
                 if not pool.settled and late > settings.scheduler.settle_s:
                     pool.settle()
                 pool.drop_orphans(settings.controller.orphan_grace_s)
+                pool.advise_hedges()
                 pool.dispatch()
             self.forget_places()
 
@@ -169,7 +170,12 @@
         """Begin to own a pool."""
         settings = self.program.settings.scheduler
         policy = POLICIES[settings.policy](settings=settings, seed=1)
-        self.pools[name] = PoolScheduler(name=name, program=self.program, policy=policy)
+        self.pools[name] = PoolScheduler(
+            name=name,
+            program=self.program,
+            policy=policy,
+            workspaces=lambda: self.state.workspaces,
+        )
         self.program.events.emit(Event.POOL_OWNED, pool=name)
 
     def learn_holdings(self, name: str) -> None:
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.document import Endpoint, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.scheduler.fairness import Limits
 from baobabturn.scheduler.policy import Policy
 from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
 from baobabturn.wire.messages import (
@@ -17,6 +19,7 @@
     CacheEvents,
     EndpointReport,
     Grant,
+    Hedge,
     Holding,
     ProgressItem,
     Release,
@@ -29,9 +32,19 @@
 class PoolScheduler:
     """Decides for one pool for as long as this host owns it."""
 
-    def __init__(self, *, name: str, program: Program, policy: Policy):
+    def __init__(
+        self,
+        *,
+        name: str,
+        program: Program,
+        policy: Policy,
+        workspaces: Callable[[], dict[str, Workspace]] = dict,
+    ):
         self.program = program
         self.policy = policy
+        self.workspaces = workspaces
+        self.limits = Limits()
+        self.dispatching = False
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.taken_over = time.monotonic()
@@ -61,14 +74,19 @@
             limit = self.program.settings.scheduler.queue_limit
             return Failure(Code.QUEUE_LIMIT, f"{limit} requests wait")
         now = time.monotonic()
+        workspace = self.workspaces().get(body.workspace)
+        refusal = self.limits.refusal(workspace, now)
+        if refusal is not None and not body.hedges:
+            return refusal
         waiting = Waiting(
             admit=body,
             holder=holder,
             arrived=now,
             deadline=now + body.deadline_ms / MS,
             future=asyncio.get_running_loop().create_future(),
+            weight=workspace.weight if workspace is not None else 1.0,
         )
-        self.state.queue.append(waiting)
+        self.enqueue(waiting, now)
         self.dispatch()
         if not waiting.future.done():
             self.program.events.emit(
@@ -80,11 +98,31 @@
         except TimeoutError:
             return Failure(Code.DEADLINE_NOT_RUN, "the deadline passed in the queue")
         finally:
-            if waiting in self.state.queue:
-                self.state.queue.remove(waiting)
+            self.dequeue(waiting)
+
+    def enqueue(self, waiting: Waiting, now: float) -> None:
+        """Let a request wait."""
+        self.state.queue[waiting.admit.reservation] = waiting
+        self.limits.begun(waiting.admit.workspace)
+        self.policy.queued(waiting, now)
+
+    def dequeue(self, waiting: Waiting, granted: bool = False) -> None:
+        """Take a request out of the queue, if it is still there."""
+        if self.state.queue.pop(waiting.admit.reservation, None) is None:
+            return
+        self.policy.unqueued(waiting)
+        if not granted:
+            self.limits.ended(waiting.admit.workspace, 0, time.monotonic())
+
+    def dispatch_soon(self) -> None:
+        """Dispatch once for all the messages that are at hand."""
+        if not self.dispatching:
+            self.dispatching = True
+            asyncio.get_running_loop().call_soon(self.dispatch)
 
     def dispatch(self) -> None:
         """Grant places to those that wait, as far as the policy allows."""
+        self.dispatching = False
         if not self.settled:
             return
         now = time.monotonic()
@@ -110,10 +148,17 @@
             granted=now,
             updated=now,
             holder=waiting.holder,
+            hedgeable=admit.hedgeable,
+            hedges=admit.hedges,
+            weight=waiting.weight,
+            short=waiting.short,
+            curve=waiting.curve,
         )
-        self.reservations[held.name] = held
-        endpoint.reservations[held.name] = held
-        self.state.queue.remove(waiting)
+        cached = endpoint.cached.held_tokens(admit.prefixes, now)
+        held.uncached_tokens = max(1, admit.prompt_tokens - cached)
+        self.dequeue(waiting, granted=True)
+        self.place(endpoint, held, now)
+        endpoint.cached.store(admit.prefixes, now)
         queued_us = int((now - waiting.arrived) * US)
         self.program.metrics.record("queue_time_us", queued_us, kind=admit.kind)
         self.program.events.emit(
@@ -131,40 +176,53 @@
             )
         )
 
+    def place(self, endpoint: EndpointState, held: Reservation, now: float) -> None:
+        """Note a place that is held from now on."""
+        self.reservations[held.name] = held
+        endpoint.add(held)
+        self.policy.granted(endpoint, held, now)
+
     def knows(self, reservation: str) -> bool:
         """Return whether a place is held or waited for."""
         if reservation in self.reservations:
             return True
-        return any(w.admit.reservation == reservation for w in self.state.queue)
+        return reservation in self.state.queue
 
     def progress(self, item: ProgressItem) -> None:
         """Take in a generation's progress."""
         held = self.reservations.get(item.reservation)
         if held is None:
             return
-        held.produced = max(held.produced, item.produced)
+        now = time.monotonic()
+        before = held.produced
+        endpoint = self.state.endpoints.get(held.endpoint)
         held.first_token_us = item.first_token_us
         held.gap_us = item.gap_us
-        held.updated = time.monotonic()
+        if endpoint is not None and item.produced > before:
+            endpoint.grow(held, item.produced)
+            self.policy.progressed(endpoint, held, before, now)
+            self.dispatch_soon()
+        held.updated = now
 
     def release(self, body: Release) -> None:
         """Take a place back, or a request out of the queue."""
-        for waiting in self.state.queue:
-            if waiting.admit.reservation == body.reservation:
-                self.state.queue.remove(waiting)
-                if not waiting.future.done():
-                    waiting.future.set_result(Failure(Code.CANCELLED, "withdrawn"))
-                return
+        waiting = self.state.queue.get(body.reservation)
+        if waiting is not None:
+            self.dequeue(waiting)
+            if not waiting.future.done():
+                waiting.future.set_result(Failure(Code.CANCELLED, "withdrawn"))
+            return
         held = self.reservations.pop(body.reservation, None)
         if held is None:
             return
         endpoint = self.state.endpoints.get(held.endpoint)
         if endpoint is not None:
-            endpoint.reservations.pop(held.name, None)
+            endpoint.remove(held)
         held.produced = max(held.produced, body.produced)
         held.first_token_us = body.first_token_us or held.first_token_us
-        self.policy.released(held, body.outcome, time.monotonic())
-        self.dispatch()
+        self.policy.released(endpoint, held, body.outcome)
+        self.limits.ended(held.workspace, held.memory_tokens, time.monotonic())
+        self.dispatch_soon()
 
     def hold(self, holder: Any, item: Holding) -> None:
         """Take in a place that an entry already holds."""
@@ -186,8 +244,9 @@
             updated=now,
             holder=holder,
         )
-        self.reservations[held.name] = held
-        endpoint.reservations[held.name] = held
+        if held.name not in self.reservations:
+            self.limits.begun(held.workspace)
+            self.place(endpoint, held, now)
 
     def report(self, body: EndpointReport) -> None:
         """Take in an endpoint's load report."""
@@ -205,11 +264,8 @@
             return
         if body.cleared:
             endpoint.cached.clear()
-        now = time.monotonic()
-        for block in body.stored:
-            endpoint.cached[block] = now
-        for block in body.removed:
-            endpoint.cached.pop(block, None)
+        endpoint.cached.store(body.stored, time.monotonic())
+        endpoint.cached.remove(body.removed)
 
     def settle(self) -> None:
         """Begin to grant; what the entries hold is known."""
@@ -220,17 +276,24 @@
 
     def give_up(self) -> None:
         """Send those that wait away; the pool has another owner."""
-        for waiting in self.state.queue:
+        for waiting in list(self.state.queue.values()):
             if not waiting.future.done():
                 moved = Failure(Code.POOL_MOVED, f"{self.state.name} has moved")
                 waiting.future.set_result(moved)
 
+    def advise_hedges(self) -> None:
+        """Ask entries to try places at a second endpoint as well."""
+        for held in self.policy.hedges(self.state, time.monotonic()):
+            if held.holder is not None:
+                held.holder.send(Hedge(reservation=held.name))
+                self.program.metrics.count("hedges_advised")
+
     def holder_gone(self, holder: Any) -> None:
         """Drop what an entry waited for and mark what it held as orphaned."""
         now = time.monotonic()
-        for waiting in list(self.state.queue):
+        for waiting in list(self.state.queue.values()):
             if waiting.holder is holder:
-                self.state.queue.remove(waiting)
+                self.dequeue(waiting)
                 if not waiting.future.done():
                     waiting.future.set_result(Failure(Code.LINK_LOST, "entry gone"))
         for held in self.reservations.values():
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -7,8 +7,13 @@
 
 import attrs
 
+from baobabturn.scheduler.affinity import CachedBlocks
+from baobabturn.scheduler.overflow import Growth
 from baobabturn.wire.messages import Admit, EndpointReport
 
+CACHED_BLOCK_LIMIT = 4096
+CACHE_TRUST_S = 60.0
+
 
 @attrs.define(kw_only=True)
 class Reservation:
@@ -23,6 +28,16 @@
     prompt_tokens: int
     max_tokens: int
     granted: float
+    hedgeable: bool = False
+    hedges: str = ""
+    hedged: bool = False
+    first_token_seen: bool = False
+    weight: float = 1.0
+    short: bool = False
+    uncached_tokens: int = 0
+    expected_tokens: float = 0.0
+    curve: Any = None
+    terms: list[tuple[float, float]] = attrs.Factory(list)
     holder: Any = None
     produced: int = 0
     updated: float = 0.0
@@ -49,17 +64,37 @@
     report_at: float = 0.0
     leaving: bool = False
     reservations: dict[str, Reservation] = attrs.Factory(dict)
-    cached: dict[int, float] = attrs.Factory(dict)
+    used_tokens: int = 0
+    long_count: int = 0
+    reading_tokens: int = 0
+    batch_limit: float = 0.0
+    cached: CachedBlocks = attrs.Factory(
+        lambda: CachedBlocks(limit=CACHED_BLOCK_LIMIT, trust_s=CACHE_TRUST_S)
+    )
+    growth: Growth = attrs.Factory(Growth)
+    long_growth: Growth = attrs.Factory(Growth)
 
     @property
     def in_flight(self) -> int:
         """Return the number of places held."""
         return len(self.reservations)
 
-    @property
-    def used_tokens(self) -> int:
-        """Return the memory that the known generations hold, in tokens."""
-        return sum(held.memory_tokens for held in self.reservations.values())
+    def add(self, held: Reservation) -> None:
+        """Count a place in."""
+        self.reservations[held.name] = held
+        self.used_tokens += held.memory_tokens
+
+    def remove(self, held: Reservation) -> None:
+        """Count a place out."""
+        if self.reservations.pop(held.name, None) is not None:
+            self.used_tokens -= held.memory_tokens
+
+    def grow(self, held: Reservation, produced: int) -> None:
+        """Count the tokens that a place's generation has produced."""
+        more = max(0, produced - held.produced)
+        held.produced += more
+        if held.name in self.reservations:
+            self.used_tokens += more
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -71,6 +106,11 @@
     arrived: float
     deadline: float
     future: asyncio.Future
+    weight: float = 1.0
+    curve: Any = None
+    short: bool = False
+    chance: float = 1.0
+    terms: list[tuple[float, float]] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True)
@@ -79,7 +119,7 @@
 
     name: str
     endpoints: dict[str, EndpointState] = attrs.Factory(dict)
-    queue: list[Waiting] = attrs.Factory(list)
+    queue: dict[str, Waiting] = attrs.Factory(dict)
 
     def usable(self, admit: Admit) -> list[EndpointState]:
         """Return the endpoints that may take a request now."""
