Scheduler: hedging by advice, cheaper choice of an endpoint

Cause: a whole answer on a slowed endpoint stayed there; each admission tested the memory bound at every endpoint of the pool. Change: the scheduler advises a second attempt, the entry races the two; offers are tested in order of cost, so that the first that fits ends the search.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -109,7 +109,7 @@
             workspace=item.workspace,
             stream=item.stream,
             length=item.length,
-            deadline_s=item.kind.deadline_s,
+            deadline_s=item.deadline_s,
             at=item.at,
             late_s=self.now() - item.at,
         )
@@ -118,7 +118,7 @@
         body = {"model": self.model, "prompt": item.prompt, "stream": item.stream}
         headers = {
             "Authorization": f"Bearer {self.keys[item.workspace]}",
-            "X-Baobabturn-Deadline": str(item.kind.deadline_s),
+            "X-Baobabturn-Deadline": str(item.deadline_s),
             "X-Baobabturn-Kind": item.kind.name,
         }
         try:
--- a/bench/run.py
+++ b/bench/run.py
@@ -25,8 +25,10 @@
 STEP_PER_SEQUENCE_S = 0.0004
 PREFILL_PER_TOKEN_S = 0.00004
 SLOW_FACTOR = 5
+TOKEN_GAP_GOAL_S = 0.055
 SAMPLE_S = 0.25
 DRAIN_LIMIT_S = 25.0
+SLOWED_DRAIN_LIMIT_S = 45.0
 SETTLE_LIMIT_S = 15.0
 CREST_LEAD_S = 1.0
 WARM_S = 1.0
@@ -62,7 +64,11 @@
 def overrides(policy: str, extra: dict[str, Any]) -> dict[str, Any]:
     """Return the settings of a run."""
     return {
-        "scheduler": {"policy": policy, **extra},
+        "scheduler": {
+            "policy": policy,
+            "token_gap_goal_s": TOKEN_GAP_GOAL_S * TIME_SCALE,
+            **extra,
+        },
         "log": {"level": "warning"},
     }
 
@@ -172,7 +178,7 @@
         slow = asyncio.create_task(slow_some(fleet, SLOWED[0]))
         await slowed.run(
             plan(deployment=name, phases=SLOWED, seed=seed, first=100_000),
-            DRAIN_LIMIT_S,
+            SLOWED_DRAIN_LIMIT_S,
         )
         await slow
         measures.update(slowed_measures(slowed.records))
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -145,6 +145,10 @@
         self.wanted = wanted
         self.restart = wanted.restart or silent_restart
         self.excluded: list[str] = []
+        self.whole = silent_restart
+        self.first_attempt = 1
+        self.hedges = ""
+        self.hedge_asked = asyncio.Event()
 
     async def chunks(self) -> Items:
         """Yield the generation's chunks, each token once and in order.
@@ -223,6 +227,7 @@
         pool = node.schedulers.pick_pool(self.pools_left())
         if pool is None:
             return Failure(Code.NO_ENDPOINT, f"no endpoint serves {wanted.model.name}")
+        number += self.first_attempt - 1
         generation = generation_id(wanted.request, number)
         body = Admit(
             request=wanted.request,
@@ -238,6 +243,8 @@
             prefixes=wanted.prefixes,
             excluded=self.excluded,
             attempt=number,
+            hedgeable=self.whole,
+            hedges=self.hedges,
         )
         try:
             grant = await node.schedulers.admit(body)
@@ -273,6 +280,7 @@
             taken=self.node.program.clock.now(),
         )
         self.node.schedulers.hold(self.pool, self.held)
+        self.node.schedulers.hedge_calls[generation] = self.hedge_asked.set
 
     def begin(self, grant: Grant) -> Following | Failure:
         """Start the generation at the granted engine."""
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -5,15 +5,17 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from baobabturn.config.state import ConfigState, Pool
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import owner
-from baobabturn.wire.link import LinkClient
+from baobabturn.wire.link import Link, LinkClient
 from baobabturn.wire.messages import (
     Admit,
     Grant,
+    Hedge,
     Holding,
     Holdings,
     Member,
@@ -47,6 +49,13 @@
         self.progress: dict[str, ProgressItem] = {}
         self.random = random.Random(program.identity.node)
         self.changed = asyncio.Event()
+        self.hedge_calls: dict[str, Callable[[], None]] = {}
+
+    def hedge(self, link: Link, body: Hedge) -> None:
+        """Pass on a scheduler's advice to try a second endpoint as well."""
+        call = self.hedge_calls.get(body.reservation)
+        if call is not None:
+            call()
 
     def update(self, members: list[Member], leaving: set[str]) -> None:
         """Follow the members; links to new owners are opened, old ones closed.
@@ -82,6 +91,7 @@
             identity=self.program.identity,
             inner=self.program.settings.inner,
             clock=self.program.clock,
+            handlers={Hedge: self.hedge},
             opened=lambda link: self.opened(place),
         )
         client.start()
@@ -200,17 +210,28 @@
         self.progress.pop(reservation, None)
 
     def note(self, reservation: str, produced: int, gap_us: int, first_us: int) -> None:
-        """Note a generation's progress, to be sent with the next batch."""
+        """Note a generation's progress, to be sent with the next batch.
+
+        The first token is told at once: the engine has read the prompt in, and
+        its scheduler may send the next.
+        """
         entry = self.holdings.get(reservation)
         if entry is None:
             return
+        began = not entry[1].produced
         entry[1].produced = produced
-        self.progress[reservation] = ProgressItem(
+        item = ProgressItem(
             reservation=reservation,
             produced=produced,
             gap_us=gap_us,
             first_token_us=first_us,
         )
+        if not began:
+            self.progress[reservation] = item
+            return
+        client = self.link(entry[0])
+        if client is not None:
+            client.send(Progress(items=[item]))
 
     def send_progress(self) -> None:
         """Send the noted progress to the schedulers, one message for each."""
@@ -230,6 +251,7 @@
     ) -> None:
         """Give a place back."""
         entry = self.holdings.pop(reservation, None)
+        self.hedge_calls.pop(reservation, None)
         self.progress.pop(reservation, None)
         client = self.link(pool)
         if client is not None:
--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -19,11 +19,11 @@
 )
 from baobabturn.entry.generations import (
     Delivery,
-    GenerationRun,
     Items,
     Restart,
     ResumedRun,
 )
+from baobabturn.entry.hedging import HedgedRun
 from baobabturn.entry.node import Node
 from baobabturn.entry.requests import GenerationRequest
 from baobabturn.entry.resume import sign, verify
@@ -62,11 +62,13 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Stream a generation to its caller."""
-    run = GenerationRun(node=node, wanted=wanted, silent_restart=False)
+    run = HedgedRun(node=node, wanted=wanted, whole=False)
     await deliver(run, run.chunks(), receive, send)
 
 
-async def deliver(run: Delivery, items: Items, receive: Any, send: Any) -> None:
+async def deliver(
+    run: Delivery | HedgedRun, items: Items, receive: Any, send: Any
+) -> None:
     """Relay items until they end, the caller goes or the deadline has passed.
 
     A caller who doesn't read holds up the relay, so the limit is kept here.
@@ -83,7 +85,7 @@
         )
 
 
-async def relay(run: Delivery, items: Items, send: Any) -> None:
+async def relay(run: Delivery | HedgedRun, items: Items, send: Any) -> None:
     """Send each item as events; a failure before the first is an answer."""
     keys = run.node.settings.entry.resume_keys
     begun = False
@@ -117,7 +119,7 @@
     await finish(send, DONE)
 
 
-def failed(run: Delivery, failure: Failure) -> None:
+def failed(run: Delivery | HedgedRun, failure: Failure) -> None:
     """Count and log a failure that a caller is told."""
     run.node.failed(failure)
     run.node.events.emit(
@@ -129,7 +131,7 @@
     )
 
 
-def restart_event(run: Delivery, item: Restart) -> bytes:
+def restart_event(run: Delivery | HedgedRun, item: Restart) -> bytes:
     """Return the event that tells a caller to forget the tokens so far."""
     run.node.events.emit(
         Event.STREAM_RESTARTED, request=run.request, tokens=item.tokens
@@ -158,8 +160,7 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Answer with a generation's whole text once it has finished."""
-    run = GenerationRun(node=node, wanted=wanted, silent_restart=True)
-    run.resumable = False
+    run = HedgedRun(node=node, wanted=wanted, whole=True)
     items = run.chunks()
     limit_s = run.deadline - time.monotonic() + LAST_WORD_S
     ended = await until_gone(collect(wanted, run, items, send), receive, limit_s)
@@ -169,7 +170,7 @@
 
 
 async def collect(
-    wanted: GenerationRequest, run: GenerationRun, items: Items, send: Any
+    wanted: GenerationRequest, run: HedgedRun, items: Items, send: Any
 ) -> None:
     """Gather a generation's chunks and send them as one answer."""
     text: list[str] = []
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
+import operator
 from collections.abc import Iterator
 
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
-from baobabturn.scheduler.lengths import Lengths
+from baobabturn.scheduler.lengths import Curve, Lengths
 from baobabturn.scheduler.overflow import terms
 from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
 from baobabturn.scheduler.stragglers import SILENCE_S, Stragglers
@@ -28,6 +29,7 @@
 BATCH_CUT = 0.95
 HEDGE_BURST = 20.0
 FINISHED = "finished"
+COST = operator.itemgetter(0)
 
 
 class ChanceBound:
@@ -50,14 +52,18 @@
         admit = waiting.admit
         curve = self.lengths.curve(admit.workspace, admit.model, admit.kind)
         waiting.curve = curve
-        limit = self.settings.short_tokens
-        over = curve.survival(0, limit) if limit < admit.max_tokens else 0.0
-        waiting.short = over <= 1 - self.settings.short_chance
+        waiting.short = self.is_short(curve, admit.max_tokens)
         waiting.terms = terms(curve, admit.prompt_tokens, 0, admit.max_tokens)
         waiting.chance = self.chance_in_time(waiting, waiting.deadline - now)
         self.flows.add(waiting)
         self.shares.queued(admit.workspace)
 
+    def is_short(self, curve: Curve, max_tokens: int) -> bool:
+        """Return whether answers are likely to be short."""
+        limit = self.settings.short_tokens
+        over = curve.survival(0, limit) if limit < max_tokens else 0.0
+        return over <= 1 - self.settings.short_chance
+
     def unqueued(self, waiting: Waiting) -> None:
         """Take a request out of its flow."""
         self.flows.remove(waiting)
@@ -98,22 +104,20 @@
     ) -> EndpointState | None:
         """Return the endpoint that suits a request best, None if none has room."""
         admit = waiting.admit
-        best = None
-        least = 0.0
+        offers = []
         for endpoint in pool.usable(admit):
-            if not self.stragglers.may_take(endpoint.name, endpoint.in_flight, now):
-                continue
-            uncached = self.uncached(endpoint, waiting, now)
-            if not self.has_room(endpoint, waiting, uncached):
-                continue
-            cost = self.cost(endpoint, uncached)
-            if best is None or cost < least:
-                best, least = endpoint, cost
-        if best is None and not admit.excluded:
+            if self.stragglers.may_take(endpoint.name, endpoint.in_flight, now):
+                uncached = self.uncached(endpoint, waiting, now)
+                offers.append((self.cost(endpoint, uncached), uncached, endpoint))
+        offers.sort(key=COST)
+        for _, uncached, endpoint in offers:
+            if self.has_room(endpoint, waiting, uncached):
+                return endpoint
+        if not admit.excluded:
             self.full.add(waiting.short)
             if waiting.short:
                 self.full.add(False)
-        return best
+        return None
 
     def uncached(self, endpoint: EndpointState, waiting: Waiting, now: float) -> int:
         """Return how many prompt tokens an endpoint is likely to read in."""
@@ -151,7 +155,7 @@
     def cost(self, endpoint: EndpointState, uncached: int) -> float:
         """Return how much a request would burden an endpoint, in memory shares."""
         memory = max(1, endpoint.memory_tokens)
-        full = endpoint.growth.peak(0.0) / memory
+        full = endpoint.growth.peak() / memory
         reading = (uncached + endpoint.reading_tokens) / self.settings.affinity_tokens
         return full + reading
 
@@ -163,6 +167,7 @@
         """Count a place's expected growth, and what it is expected to cost."""
         if held.curve is None:
             held.curve = self.lengths.curve(held.workspace, held.model, held.kind)
+            held.short = self.is_short(held.curve, held.max_tokens)
         held.terms = terms(
             held.curve, held.memory_tokens, held.produced, held.max_tokens
         )
--- a/src/baobabturn/scheduler/overflow.py
+++ b/src/baobabturn/scheduler/overflow.py
@@ -47,12 +47,9 @@
             means[place] += sign * mean
             variances[place] += sign * variance
 
-    def peak(self, deviations: float) -> float:
-        """Return the highest bound on the memory in use, in tokens."""
-        return max(
-            mean + deviations * math.sqrt(max(0.0, variance))
-            for mean, variance in zip(self.means, self.variances, strict=True)
-        )
+    def peak(self) -> float:
+        """Return the highest mean of the memory in use, in tokens."""
+        return max(self.means)
 
     def fits(self, more: Terms, memory_tokens: float, deviations: float) -> bool:
         """Return whether the bound holds with one more generation."""
