--- a/bench/main.py
+++ b/bench/main.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import subprocess
 import sys
@@ -54,7 +55,8 @@
         return 2
     names = [name for name in policies.split(",") if name]
     extra = {
-        field: float(value) for field, _, value in (each.partition("=") for each in set)
+        field: json.loads(value)
+        for field, _, value in (each.partition("=") for each in set)
     }
     runs = []
     started = time.monotonic()
--- /dev/null
+++ b/features/lengths.feature
@@ -0,0 +1,48 @@
+Feature: Learned lengths
+  Lengths are learned from what has ended and from what was cut off, by
+  workspace, model and kind.
+
+  Scenario: With no sample a broad distribution is assumed
+    Given learned lengths that hold at most 50 keys
+    Then the chance of "w/m/k" over 100 tokens is 0.3 to 0.7
+    And the chance of "w/m/k" over 4000 tokens is 0.001 to 0.1
+
+  Scenario: A kind's lengths are learned, and a new workspace leans on them
+    Given learned lengths that hold at most 50 keys
+    When 300 generations of "w/m/read" of about 10 tokens ended
+    And 300 generations of "w/m/summary" of about 400 tokens ended
+    Then the chance of "w/m/read" over 64 tokens is 0 to 0.02
+    And the chance of "other/m/read" over 64 tokens is 0 to 0.05
+    And the chance of "w/m/summary" over 64 tokens is 0.9 to 1
+
+  Scenario: Generations that were cut off don't make lengths look short
+    Given learned lengths that hold at most 50 keys
+    When 300 generations of "w/m/k" of 200 tokens ended, as many cut at 5
+    Then the chance of "w/m/k" over 100 tokens is 0.9 to 1
+
+  Scenario: What has run long is expected to run longer
+    Given learned lengths that hold at most 50 keys
+    Then more is expected of "w/m/k" after 800 tokens than after 8
+
+  Scenario: A change of lengths is followed
+    Given learned lengths that hold at most 50 keys
+    When 400 generations of "w/m/k" of about 10 tokens ended
+    And 800 generations of "w/m/k" of about 400 tokens ended
+    Then the chance of "w/m/k" over 100 tokens is 0.7 to 1
+
+  Scenario: Kinds that callers invent don't fill the memory
+    Given learned lengths that hold at most 50 keys
+    When a generation of each of 500 kinds ended
+    Then no more than 50 keys are held
+
+  Scenario: What was learned is handed on in a compact form
+    Given learned lengths that hold at most 50 keys
+    When 300 generations of "w/m/read" of about 10 tokens ended
+    And other learned lengths take in what these hand on
+    Then the chance of "w/m/read" over 64 tokens is 0 to 0.05
+    And what was handed on is at most 2000 bytes
+
+  Scenario: Garbage that is handed on changes nothing
+    Given learned lengths that hold at most 50 keys
+    When other learned lengths take in garbage
+    Then the chance of "w/m/k" over 100 tokens is 0.3 to 0.7
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -11,6 +11,7 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import owner
+from baobabturn.scheduler.sharing import LearnedStore
 from baobabturn.wire.link import Link, LinkClient
 from baobabturn.wire.messages import (
     Admit,
@@ -18,6 +19,7 @@
     Hedge,
     Holding,
     Holdings,
+    Learned,
     Member,
     Progress,
     ProgressItem,
@@ -50,6 +52,11 @@
         self.random = random.Random(program.identity.node)
         self.changed = asyncio.Event()
         self.hedge_calls: dict[str, Callable[[], None]] = {}
+        self.kept = LearnedStore()
+
+    def learned(self, link: Link, body: Learned) -> None:
+        """Keep what a pool's scheduler has learned, for its next owner."""
+        self.kept.keep(body, self.state.pools)
 
     def hedge(self, link: Link, body: Hedge) -> None:
         """Pass on a scheduler's advice to try a second endpoint as well."""
@@ -91,7 +98,7 @@
             identity=self.program.identity,
             inner=self.program.settings.inner,
             clock=self.program.clock,
-            handlers={Hedge: self.hedge},
+            handlers={Hedge: self.hedge, Learned: self.learned},
             opened=lambda link: self.opened(place),
         )
         client.start()
@@ -113,6 +120,9 @@
         client = self.link(pool)
         if client is not None:
             items = [held for name, held in self.holdings.values() if name == pool]
+            body = self.kept.bodies.get(pool)
+            if body is not None:
+                client.send(Learned(pool=pool, body=body))
             client.send(Holdings(pool=pool, items=items))
 
     def link(self, pool: str) -> LinkClient | None:
--- a/src/baobabturn/scheduler/baselines.py
+++ b/src/baobabturn/scheduler/baselines.py
@@ -57,6 +57,13 @@
         """Return none."""
         return []
 
+    def learned(self) -> bytes:
+        """Return nothing."""
+        return b""
+
+    def take_learned(self, body: bytes) -> None:
+        """Learn nothing."""
+
 
 class TwoChoices(LeastLoad):
     """The less loaded of two endpoints drawn at random."""
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -14,6 +14,7 @@
 
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
+from baobabturn.scheduler.learned import pack, take_in
 from baobabturn.scheduler.lengths import Curve, Lengths
 from baobabturn.scheduler.overflow import terms
 from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
@@ -168,16 +169,17 @@
         if held.curve is None:
             held.curve = self.lengths.curve(held.workspace, held.model, held.kind)
             held.short = self.is_short(held.curve, held.max_tokens)
-        held.terms = terms(
-            held.curve, held.memory_tokens, held.produced, held.max_tokens
-        )
+        if not held.terms:
+            held.terms = terms(
+                held.curve, held.memory_tokens, held.produced, held.max_tokens
+            )
         self.count(endpoint, held, 1.0)
         endpoint.long_count += not held.short
         held.first_token_seen = held.produced > 0
         if not held.first_token_seen:
             endpoint.reading_tokens += held.uncached_tokens
         self.stragglers.taken(endpoint.name, now)
-        expected = held.curve.mean_left(0, held.max_tokens)
+        expected = held.curve.mean(held.max_tokens)
         held.expected_tokens = held.prompt_tokens + expected
         self.shares.charge(held.workspace, held.expected_tokens, held.weight)
         if not held.hedges:
@@ -244,6 +246,14 @@
                     found.append(held)
         return found
 
+    def learned(self) -> bytes:
+        """Return the learned lengths in compact form."""
+        return pack(self.lengths) if self.lengths.counts else b""
+
+    def take_learned(self, body: bytes) -> None:
+        """Take in lengths that another scheduler has learned."""
+        take_in(self.lengths, body)
+
     def worth_hedging(self, held: Reservation, now: float) -> bool:
         """Return whether a second attempt is likely to end sooner."""
         if held.hedged or held.hedges or held.holder is None:
--- a/src/baobabturn/scheduler/lengths.py
+++ b/src/baobabturn/scheduler/lengths.py
@@ -27,6 +27,7 @@
 REBUILD_SAMPLES = 8
 WEIGHT_LIMIT = 1e6
 HAZARD_LIMIT = 0.999
+MEANS_KEPT = 64
 
 Key = tuple[str, str, str]
 
@@ -119,6 +120,7 @@
         self.cumulative = [0.0]
         for hazard in hazards:
             self.cumulative.append(self.cumulative[-1] - math.log1p(-hazard))
+        self.means: dict[int, float] = {}
 
     def passed(self, tokens: float) -> float:
         """Return the cumulative hazard up to a length."""
@@ -136,6 +138,15 @@
         """Return the chance of at least ``more`` tokens beyond those produced."""
         return math.exp(self.passed(produced) - self.passed(produced + more))
 
+    def mean(self, limit: int) -> float:
+        """Return the expected length, with a limit on it."""
+        found = self.means.get(limit)
+        if found is None:
+            if len(self.means) >= MEANS_KEPT:
+                self.means.clear()
+            found = self.means[limit] = self.mean_left(0, limit)
+        return found
+
     def mean_left(self, produced: int, limit: int) -> float:
         """Return the expected tokens still to come, with a limit on the total."""
         start = self.passed(max(1, produced))
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -13,6 +13,7 @@
 from baobabturn.membership.owners import ALIVE, owner
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
+from baobabturn.scheduler.sharing import LearnedStore, keepers
 from baobabturn.wire.link import Link, LinkClient, LinkServer
 from baobabturn.wire.messages import (
     Ack,
@@ -23,6 +24,7 @@
     Held,
     Holding,
     Holdings,
+    Learned,
     Member,
     MemberView,
     Progress,
@@ -49,6 +51,8 @@
         self.leaving: set[str] = set()
         self.pools: dict[str, PoolScheduler] = {}
         self.places: dict[str, PoolScheduler] = {}
+        self.store = LearnedStore()
+        self.handed_on = 0.0
         self.told: dict[str, dict[Link, list[Holding]]] = {}
         self.server = LinkServer(
             identity=program.identity,
@@ -61,6 +65,7 @@
                 Holdings: self.holdings,
                 WhoHolds: self.who_holds,
                 StatsRequest: self.stats,
+                Learned: self.learned,
             },
             closed=self.link_closed,
         )
@@ -117,6 +122,29 @@
                 pool.advise_hedges()
                 pool.dispatch()
             self.forget_places()
+            if (
+                time.monotonic() - self.handed_on
+                > settings.scheduler.learned_interval_s
+            ):
+                self.hand_on()
+
+    def hand_on(self) -> None:
+        """Send what the pools have learned to the entries that keep it."""
+        self.handed_on = time.monotonic()
+        count = self.program.settings.scheduler.learned_keepers
+        for name, pool in self.pools.items():
+            body = pool.policy.learned()
+            if body:
+                for link in keepers(self.server.links, name, count):
+                    link.send(Learned(pool=name, body=body))
+
+    def learned(self, link: Link, body: Learned) -> None:
+        """Take in what a pool's former owner had learned."""
+        pool = self.pools.get(body.pool)
+        if pool is not None:
+            pool.policy.take_learned(body.body)
+            return
+        self.store.keep(body, self.state.pools)
 
     def forget_places(self) -> None:
         """Forget places that are neither held nor waited for any more."""
@@ -177,6 +205,7 @@
             policy=policy,
             workspaces=lambda: self.state.workspaces,
         )
+        policy.take_learned(self.store.bodies.pop(name, b""))
         self.program.events.emit(Event.POOL_OWNED, pool=name)
 
     def learn_holdings(self, name: str) -> None:
--- a/src/baobabturn/scheduler/policy.py
+++ b/src/baobabturn/scheduler/policy.py
@@ -46,6 +46,12 @@
     def hedges(self, pool: PoolState, now: float) -> list[Reservation]:
         """Return the places to be tried at a second endpoint as well."""
 
+    def learned(self) -> bytes:
+        """Return what is learned in compact form, empty where there is nothing."""
+
+    def take_learned(self, body: bytes) -> None:
+        """Take in what another scheduler has learned."""
+
 
 POLICIES: dict[str, type] = {
     "baobabturn": ChanceBound,
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -154,6 +154,7 @@
             weight=waiting.weight,
             short=waiting.short,
             curve=waiting.curve,
+            terms=waiting.terms,
         )
         cached = endpoint.cached.held_tokens(admit.prefixes, now)
         held.uncached_tokens = max(1, admit.prompt_tokens - cached)
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -127,6 +127,8 @@
     probe_interval_s: float = number(0.05, 600)
     hedge_share: float = number(0, 1)
     hedge_first_token_s: float = number(0.05, 600)
+    learned_interval_s: float = number(0.1, 3600)
+    learned_keepers: int = number(0, 100)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -282,6 +282,7 @@
 
     node: str = ""
     body: bytes = b""
+    pool: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -231,6 +231,7 @@
 struct Learned {
   node @0 :Text;
   body @1 :Data;
+  pool @2 :Text;
 }
 
 # Asks an entry to try a generation at a second endpoint as well.
