--- /dev/null
+++ b/features/policy.feature
@@ -0,0 +1,46 @@
+Feature: Which request is next and which endpoint takes it
+  The scheduler admits by the chance that an engine's memory overflows.
+
+  Scenario: Work whose growth may overflow the memory waits in the scheduler
+    Given a pool of 1 engine with 1500 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 6 requests of "summary" come
+    Then between 1 and 4 of them are placed and the others wait
+
+  Scenario: Short work finds room beside waiting long work
+    Given a pool of 1 engine with 1500 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 6 requests of "summary" come
+    And 1 request of "read" comes
+    Then the last request is placed
+    And the engine is told to prefer "read" to "summary"
+
+  Scenario: All counts return to zero when everything has ended
+    Given a pool of 2 engines with 4000 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 20 requests of "summary" come
+    And 20 requests of "read" come
+    And all of them progress and end as they get places
+    Then nothing waits and the engines' counts are zero
+
+  Scenario: A shared beginning draws requests to one engine until it fills
+    Given a pool of 3 engines with 4000 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 2 requests of "read" with a shared beginning come
+    Then the requests are at 1 engine
+    When 60 requests of "read" with a shared beginning come
+    Then the requests are at 3 engines
+
+  Scenario: What can no longer end in time goes last
+    Given a pool of 1 engine with 1500 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 6 requests of "summary" come
+    And 1 request of "summary" with 2 seconds left comes first of all
+    And one that was placed ends
+    Then the request with 2 seconds left still waits
+
+  Scenario: A leaving engine gets nothing
+    Given a pool of 2 engines with 4000 tokens of memory
+    When the first engine is leaving
+    And 8 requests of "read" come
+    Then the requests are at 1 engine
--- /dev/null
+++ b/features/steps/policy.py
@@ -0,0 +1,192 @@
+"""Steps of the product's policy in one pool, with no network."""
+
+import time
+import types
+
+from behave import given, then, when
+
+from baobabturn.config.document import Endpoint
+from baobabturn.core.metrics import Metrics
+from baobabturn.scheduler.policy import POLICIES
+from baobabturn.scheduler.pool import PoolScheduler
+from baobabturn.scheduler.state import Waiting
+from baobabturn.settings.load import load
+from baobabturn.wire.messages import Admit, ProgressItem, Release
+
+DEADLINE_S = 600.0
+
+
+class Future:
+    """A future that keeps its grant."""
+
+    def __init__(self):
+        self.grant = None
+
+    def done(self):
+        """Return whether there is a grant."""
+        return self.grant is not None
+
+    def set_result(self, grant):
+        """Keep the grant."""
+        self.grant = grant
+
+
+def engines(context, leaving=()):
+    declared = [
+        Endpoint(name=f"e{n}", url=f"http://e{n}", memory_tokens=context.memory)
+        for n in range(context.count)
+    ]
+    context.pool.set_endpoints(declared, set(leaving))
+
+
+def ask(context, kind, shared=False, left_s=DEADLINE_S):
+    context.number += 1
+    now = time.monotonic()
+    prefixes = [7, 8, 9] if shared else [context.number * 10]
+    waiting = Waiting(
+        admit=Admit(
+            request=f"q{context.number}",
+            reservation=f"g{context.number}",
+            workspace="w",
+            model="m",
+            kind=kind,
+            prompt_tokens=200 if shared else 20,
+            max_tokens=4000,
+            prefixes=prefixes,
+        ),
+        holder=None,
+        arrived=now,
+        deadline=now + left_s,
+        future=Future(),
+    )
+    context.asked.append(waiting)
+    context.pool.enqueue(waiting, now)
+    return waiting
+
+
+def placed(context):
+    return [waiting for waiting in context.asked if waiting.future.done()]
+
+
+def first_token(context, waiting, produced=1):
+    name = waiting.admit.reservation
+    context.pool.progress(ProgressItem(reservation=name, produced=produced))
+
+
+@given("a pool of {count:d} engine with {memory:d} tokens of memory")
+@given("a pool of {count:d} engines with {memory:d} tokens of memory")
+def step_pool(context, count, memory):
+    settings = load().settings
+    silent = types.SimpleNamespace(emit=lambda *names, **fields: None)
+    program = types.SimpleNamespace(
+        settings=settings, metrics=Metrics(role="scheduler"), events=silent
+    )
+    policy = POLICIES["baobabturn"](settings=settings.scheduler, seed=1)
+    context.pool = PoolScheduler(name="p", program=program, policy=policy)
+    context.pool.dispatch_soon = context.pool.dispatch
+    context.pool.settled = True
+    context.count, context.memory = count, memory
+    context.number, context.asked = 0, []
+    engines(context)
+
+
+@given(
+    '"{long}" answers are known to be of about {many:d} tokens, '
+    '"{short}" of about {few:d}'
+)
+def step_known(context, long, many, short, few):
+    for turn in range(200):
+        lengths = context.pool.policy.lengths
+        lengths.observe("w", "m", long, many - 50 + turn % 100, True)
+        lengths.observe("w", "m", short, few - 4 + turn % 8, True)
+
+
+@when('{count:d} requests of "{kind}" come')
+@when('{count:d} request of "{kind}" comes')
+def step_come(context, count, kind):
+    for _ in range(count):
+        waiting = ask(context, kind)
+        context.pool.dispatch()
+        if waiting.future.done():
+            first_token(context, waiting)
+
+
+@when('{count:d} requests of "{kind}" with a shared beginning come')
+def step_shared(context, count, kind):
+    for _ in range(count):
+        waiting = ask(context, kind, shared=True)
+        context.pool.dispatch()
+        if waiting.future.done():
+            first_token(context, waiting)
+
+
+@when('1 request of "{kind}" with {left:d} seconds left comes first of all')
+def step_hopeless(context, kind, left):
+    context.hopeless = ask(context, kind, left_s=left)
+    context.hopeless.arrived -= 100
+    context.hopeless.chance = 1.0
+
+
+@when("one that was placed ends")
+def step_ends(context):
+    name = placed(context)[0].admit.reservation
+    context.pool.release(Release(reservation=name, produced=400, outcome="finished"))
+
+
+@when("all of them progress and end as they get places")
+def step_all(context):
+    ended = set()
+    while len(ended) < len(context.asked):
+        waiting = next(w for w in placed(context) if w.admit.reservation not in ended)
+        name = waiting.admit.reservation
+        first_token(context, waiting, produced=9)
+        release = Release(reservation=name, produced=12, outcome="finished")
+        context.pool.release(release)
+        ended.add(name)
+
+
+@when("the first engine is leaving")
+def step_leaving(context):
+    engines(context, leaving=("e0",))
+
+
+@then("between {low:d} and {high:d} of them are placed and the others wait")
+def step_some(context, low, high):
+    count = len(placed(context))
+    assert low <= count <= high, count
+    assert len(context.pool.state.queue) == len(context.asked) - count
+
+
+@then("the last request is placed")
+def step_last(context):
+    assert context.asked[-1].future.done()
+
+
+@then('the engine is told to prefer "{one}" to "{other}"')
+def step_prefer(context, one, other):
+    kinds = {w.admit.kind: w.future.grant.engine_priority for w in placed(context)}
+    assert kinds[one] < kinds[other], kinds
+
+
+@then("the requests are at {count:d} engine")
+@then("the requests are at {count:d} engines")
+def step_spread(context, count):
+    names = {waiting.future.grant.endpoint for waiting in placed(context)}
+    assert len(names) == count, names
+
+
+@then("the request with {left:d} seconds left still waits")
+def step_still(context, left):
+    assert not context.hopeless.future.done()
+    assert len(placed(context)) > 1
+
+
+@then("nothing waits and the engines' counts are zero")
+def step_zero(context):
+    assert not context.pool.state.queue and not context.pool.reservations
+    assert not context.pool.policy.flows.flows
+    for endpoint in context.pool.state.endpoints.values():
+        assert (endpoint.used_tokens, endpoint.long_count) == (0, 0)
+        assert endpoint.reading_tokens == 0 and endpoint.in_flight == 0
+        assert max(endpoint.growth.means) < 0.001
+        assert max(endpoint.long_growth.means) < 0.001
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -79,6 +79,8 @@
         refusal = self.limits.refusal(workspace, now)
         if refusal is not None and not body.hedges:
             return refusal
+        if body.deadline_ms <= 0:
+            return Failure(Code.DEADLINE_NOT_RUN, "the deadline has passed")
         waiting = Waiting(
             admit=body,
             holder=holder,
