--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -144,7 +144,7 @@
         tag, length = parse_mark(prompt)
         limit = body.get("max_tokens") or body.get("max_completion_tokens")
         run = next(self.runs)
-        return Generation(
+        made = Generation(
             name=str(body.get("request_id") or f"cmpl-{self.name}-{run}"),
             run=run,
             tag=tag,
@@ -155,7 +155,10 @@
             blocks=block_hashes(str(body.get("cache_salt", "")), prompt),
             chat=chat,
             model=str(body.get("model", "")),
+            include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
         )
+        made.length = stop_length(made, body.get("stop"))
+        return made
 
     async def create(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer with its stream or its whole."""
@@ -224,6 +227,8 @@
         if generation.finish != "cancelled" and not self.faults.no_finish:
             self.finished[generation.tag] = self.finished.get(generation.tag, 0) + 1
             await response.write(self.chunk(generation, index, generation.finish))
+            if generation.include_usage:
+                await response.write(self.usage_chunk(generation))
             await response.write(b"data: [DONE]\n\n")
         return response
 
@@ -272,8 +277,18 @@
         }
         if self.faults.padding_bytes:
             values["padding"] = "x" * self.faults.padding_bytes
-        if finish:
-            values["usage"] = usage(generation)
+        return b"data: " + json.dumps(values).encode() + b"\n\n"
+
+    def usage_chunk(self, generation: Generation) -> bytes:
+        """Return the SSE event that follows the last one, with the usage alone."""
+        values = {
+            "id": generation.name,
+            "object": object_name(generation, True),
+            "created": 0,
+            "model": generation.model,
+            "choices": [],
+            "usage": usage(generation),
+        }
         return b"data: " + json.dumps(values).encode() + b"\n\n"
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
@@ -385,6 +400,18 @@
         )
 
 
+def stop_length(generation: Generation, stop: str | list[str] | None) -> int:
+    """Return how many whole tokens come before the first stop sequence."""
+    stops = [stop] if isinstance(stop, str) else stop or []
+    if not stops:
+        return generation.length
+    texts = [generation.text(index) for index in range(generation.goal)]
+    whole = "".join(texts)
+    found = [whole.find(each) for each in stops if each in whole]
+    ends = itertools.accumulate(len(text) for text in texts)
+    return sum(end <= min(found) for end in ends) if found else generation.length
+
+
 def chat_text(messages: list[dict]) -> str:
     """Return the text of a chat's messages; other parts count as none."""
     lines = []
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -59,7 +59,9 @@
     node = Node(program=program)
     node.controller.start()
     program.background.start(node.report_progress(), "progress")
+    program.background.start(node.sweep.run(), "claim-sweep")
     program.metrics.gauge("open_requests", lambda: node.open_requests)
+    program.metrics.gauge("platform_calls", lambda: node.store.calls)
     server = make_server(program, node)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
     serving = asyncio.create_task(server._serve([listener]))
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -94,6 +94,8 @@
     resume_grace_s: float = number(0, 600)
     resume_keys: list[str]
     claim_lifetime_s: float = number(1, 604_800)
+    claim_wait_s: float = number(0.1, 600)
+    claim_sweep_s: float = number(0.01, 3600)
     keepalive_s: float = number(0.5, 600)
     tls_cert: str
     tls_key: str
@@ -141,6 +143,8 @@
     status_interval_s: float = number(1, 3600)
     lease_duration_s: float = number(0.5, 600)
     clock_rate_margin: float = number(0, 0.5)
+    ping_interval_s: float = number(0.02, 60)
+    ping_timeout_s: float = number(0.05, 60)
     order_shards: int = number(1, 64)
     order_send_s: float = number(0.1, 60)
     order_interval_s: float = number(0.05, 600)
