--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -177,6 +177,8 @@
     attempt: int = 0
     pool: str = ""
     reservation: str = ""
+    hedgeable: bool = False
+    hedges: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -235,6 +237,8 @@
     max_tokens: int = 0
     generation: str = ""
     taken: int = 0
+    hedges: str = ""
+    hedgeable: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -330,6 +334,14 @@
 
     node: str = ""
     body: bytes = b""
+    pool: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Hedge:
+    """Asks an entry to try a generation at a second endpoint as well."""
+
+    reservation: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -374,4 +386,5 @@
     WhoHolds,
     Held,
     MemberSync,
+    Hedge,
 )
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -36,6 +36,7 @@
     whoHolds @27 :WhoHolds;
     held @28 :Held;
     memberSync @29 :MemberSync;
+    hedge @30 :Hedge;
   }
 }
 
@@ -158,6 +159,8 @@
   attempt @10 :UInt16;
   pool @11 :Text;
   reservation @12 :Text;
+  hedgeable @13 :Bool;   # the caller has no token of it yet
+  hedges @14 :Text;      # the reservation whose second attempt this is
 }
 
 struct Grant {
@@ -198,6 +201,8 @@
   maxTokens @8 :UInt32;
   generation @9 :Text;
   taken @10 :UInt64;
+  hedges @11 :Text;      # the reservation whose second attempt this is
+  hedgeable @12 :Bool;
 }
 
 struct Holdings {
@@ -266,6 +271,12 @@
 struct Learned {
   node @0 :Text;
   body @1 :Data;
+  pool @2 :Text;
+}
+
+# Asks an entry to try a generation at a second endpoint as well.
+struct Hedge {
+  reservation @0 :Text;
 }
 
 struct WhoHolds {
