Generations that no entry holds are found and cancelled

Cause: only the entry that started a generation cancelled it, so one whose entry died, with or without the scheduler that knew it, ran to its end; a scheduler's link to a host that lost power stayed open for ever. Change: the controller that polls an endpoint lists its open generations, asks the local scheduler who holds them, and cancels what nobody has held for controller.orphan_grace_s (controller/orphans.py). An answer counts as settled only once every entry that may run has told what it holds; links of dead hosts are closed. What others started at an engine is left alone.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -72,11 +72,20 @@
             overrides=LIMITS,
         )
     context.fleet = context.feature.fleet
+    for process in context.fleet.processes:
+        if context.fleet.processes[process].poll() is not None:
+            restart(context.fleet, process)
     clear_faults(context)
     wait_for(lambda: not open_at_engines(context), "engines to be idle")
     context.cancelled = total(context, "cancelled")
 
 
+def restart(fleet, name):
+    """Start again what a scenario that failed has left dead."""
+    again = fleet.restart if "@" in name else fleet.restart_endpoint
+    again(name)
+
+
 def open_at_engines(context):
     return [
         name for each in engines(context) for name in context.fleet.counts(each)["open"]
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -11,10 +11,11 @@
 from baobabturn.controller.configsync import ConfigSync
 from baobabturn.controller.localprocesses import LocalProcesses
 from baobabturn.controller.orders import OrderGiver
+from baobabturn.controller.orphans import Orphans
 from baobabturn.controller.polling import Poller
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
-from baobabturn.core.results import Failure
+from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.membership.heartbeat import Membership
 from baobabturn.membership.owners import ALIVE, LEAVING, owner
@@ -65,6 +66,12 @@
         self.local = LocalProcesses(
             program=program, changed=self.membership.set_process_down
         )
+        self.orphans = Orphans(
+            program=program,
+            engine=self.engine,
+            endpoints=self.poller.endpoints,
+            ask=self.ask_scheduler,
+        )
         self.subscribers: dict[Link, int] = {}
         self.leaving_endpoints: set[str] = set()
         self.server = LinkServer(
@@ -95,6 +102,7 @@
         self.local.start()
         program.background.start(self.sync.watch(), "config-watch")
         program.background.start(self.follow_hosts(), "host-list")
+        program.background.start(self.orphans.run(), "orphans")
         self.orders.start()
         program.events.emit(Event.PROCESS_READY, port=port)
         await program.stopping.wait()
@@ -194,6 +202,13 @@
         if link is not None:
             link.send(body)
 
+    async def ask_scheduler(self, body: object) -> object:
+        """Return this host's scheduler's answer to a message."""
+        link = self.local.links.get("scheduler")
+        if link is None:
+            return Failure(Code.LINK_LOST, "no link to the scheduler")
+        return await link.call(body)
+
     def config_fetch(self, link: Link, body: ConfigFetch) -> ConfigUpdate:
         """Return the newest configuration, less the parts the peer holds."""
         return self.state.update_since(body.revision, set(body.parts))
--- /dev/null
+++ b/src/baobabturn/controller/orphans.py
@@ -0,0 +1,95 @@
+"""Finds generations that no entry holds and cancels them at their engines.
+
+The controller that polls an endpoint lists its open generations and asks the
+local scheduler, which owns the endpoint's pool, which of them an entry holds.
+The times stand here and not at the scheduler, so that nothing is forgotten
+when a scheduler dies, and begin anew only when the endpoint gets another
+controller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from baobabturn.config.document import Endpoint
+from baobabturn.core.events import Event
+from baobabturn.core.idents import request_of
+from baobabturn.core.program import Program
+from baobabturn.core.results import Failure
+from baobabturn.endpoints.engine import Engine
+from baobabturn.wire.messages import Held, WhoHolds
+
+
+class Orphans:
+    """Sweeps the endpoints that this controller polls.
+
+    ``unheld`` has, for each endpoint, since when a generation has had no
+    holder, in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        program: Program,
+        engine: Engine,
+        endpoints: Callable[[], list[Endpoint]],
+        ask: Callable[[WhoHolds], Awaitable[object]],
+    ):
+        self.program = program
+        self.engine = engine
+        self.endpoints = endpoints
+        self.ask = ask
+        self.unheld: dict[str, dict[str, float]] = {}
+
+    async def run(self) -> None:
+        """Sweep for ever, once an interval."""
+        while True:
+            await asyncio.sleep(self.program.settings.controller.orphan_sweep_s)
+            watched = [each for each in self.endpoints() if each.kind == "engine"]
+            names = {endpoint.name for endpoint in watched}
+            for name in [name for name in self.unheld if name not in names]:
+                del self.unheld[name]
+            await asyncio.gather(*[self.sweep(endpoint) for endpoint in watched])
+
+    async def sweep(self, endpoint: Endpoint) -> None:
+        """Cancel what nobody has held at an endpoint for the grace time."""
+        listed = await self.engine.open_generations(endpoint.url)
+        if isinstance(listed, Failure):
+            return
+        known = self.unheld.setdefault(endpoint.name, {})
+        ours = [name for name in listed if request_of(name)]
+        for name in [name for name in known if name not in listed]:
+            del known[name]
+        if not ours:
+            return
+        answer = await self.ask(WhoHolds(endpoint=endpoint.name, generations=ours))
+        if not isinstance(answer, Held) or not answer.settled:
+            return
+        for name in self.overdue(known, ours, set(answer.generations)):
+            await self.cancel(endpoint, name)
+
+    def overdue(
+        self, known: dict[str, float], names: list[str], held: set[str]
+    ) -> list[str]:
+        """Note which generations have no holder; return those past the grace."""
+        now = time.monotonic()
+        grace = self.program.settings.controller.orphan_grace_s
+        for name in names:
+            if name in held:
+                known.pop(name, None)
+            else:
+                known.setdefault(name, now)
+        return [name for name, since in known.items() if now - since >= grace]
+
+    async def cancel(self, endpoint: Endpoint, generation: str) -> None:
+        """Cancel a generation; one that isn't confirmed is met by the next sweep."""
+        fields = {"request": request_of(generation), "attempt": generation}
+        self.program.events.emit(Event.ORPHAN_FOUND, endpoint=endpoint.name, **fields)
+        self.program.metrics.count("orphans")
+        confirmed = await self.engine.cancel(endpoint.url, generation)
+        if confirmed is True:
+            self.program.events.emit(
+                Event.GENERATION_CANCELLED, endpoint=endpoint.name, **fields
+            )
--- a/src/baobabturn/controller/polling.py
+++ b/src/baobabturn/controller/polling.py
@@ -36,6 +36,10 @@
                 task = self.program.background.start(work, f"poll-{name}")
                 self.tasks[name] = (endpoint, task)
 
+    def endpoints(self) -> list[Endpoint]:
+        """Return the endpoints that are polled now."""
+        return [endpoint for endpoint, _ in self.tasks.values()]
+
     async def poll(self, endpoint: Endpoint) -> None:
         """Poll one endpoint for ever."""
         seen = 0
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -10,7 +10,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
-from baobabturn.membership.owners import ALIVE, owner
+from baobabturn.membership.owners import ALIVE, DEAD, LEAVING, SUSPECT, owner
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.wire.link import Link, LinkClient, LinkServer
@@ -36,6 +36,7 @@
 TICK_S = 0.05
 PLACES_CHECK = 4
 PING = "ping"
+MAY_RUN = {ALIVE, LEAVING, SUSPECT}
 
 
 class SchedulerProgram:
@@ -136,9 +137,17 @@
     def member_view(self, link: Link, body: MemberView) -> None:
         """Follow the members; ownership may change."""
         self.members = body.members
+        self.drop_dead()
         self.leaving = set(body.leaving_endpoints)
         self.own()
 
+    def drop_dead(self) -> None:
+        """Close the links of hosts that are dead; one that isn't will reconnect."""
+        dead = {member.name for member in self.members if member.state == DEAD}
+        for link in list(self.server.links):
+            if link.peer is not None and link.peer.node in dead:
+                link.close()
+
     def config_update(self, link: Link, body: ConfigUpdate) -> None:
         """Follow the configuration; pools may change."""
         accepted = self.state.accept(body)
@@ -182,16 +191,20 @@
         pool = self.pools.get(name)
         if pool is None or pool.settled:
             return
-        told = self.told.get(name, {})
-        for link, items in told.items():
+        for link, items in self.told.get(name, {}).items():
             for item in items:
                 pool.hold(link, item)
                 self.places[item.reservation] = pool
-        heard = {link.peer.node for link in told if link.peer is not None}
-        live = {m.name for m in self.members if m.state == ALIVE and not m.entry_down}
-        if live <= heard:
+        if self.all_told(name, {ALIVE}):
             pool.settle()
 
+    def all_told(self, name: str, states: set[str]) -> bool:
+        """Return whether each entry of a host in one of the states has told."""
+        told = self.told.get(name, {})
+        heard = {link.peer.node for link in told if link.peer is not None}
+        members = [m for m in self.members if m.state in states and not m.entry_down]
+        return {member.name for member in members} <= heard
+
     async def admit(self, link: Link, body: Admit) -> Any:
         """Return a grant for a request, or why there is none."""
         pool = self.pools.get(body.pool)
@@ -233,7 +246,8 @@
     def who_holds(self, link: Link, body: WhoHolds) -> Held:
         """Return which of some generations another process than the asker holds.
 
-        Settled only where the endpoint's pool is owned here and rebuilt.
+        Settled only where the endpoint's pool is owned here and every entry
+        that may run has told what it holds.
         """
         owned = [p for p in self.pools.values() if body.endpoint in p.state.endpoints]
         held = [
@@ -241,7 +255,8 @@
             for name in body.generations
             if any(held_by_another(pool, name, link) for pool in owned)
         ]
-        return Held(generations=held, settled=any(pool.settled for pool in owned))
+        told = any(self.all_told(pool.state.name, MAY_RUN) for pool in owned)
+        return Held(generations=held, settled=told)
 
     def endpoint_report(self, link: Link, body: EndpointReport) -> None:
         """Hand a load report to its pool."""
