--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -84,7 +84,8 @@
         failure = self.unready()
         if failure is not None:
             return failure_response(failure)
-        return JSONResponse({"ready": True, "revision": self.node.state.revision})
+        revision = self.node.state.revision
+        return JSONResponse({"ready": True, "revision": revision, **self.node.contact})
 
     def unready(self) -> Failure | None:
         """Return why this entry should not be used, None where it may be."""
@@ -197,7 +198,7 @@
         if isinstance(call, Failure):
             await self.refuse(send, call, request)
             return
-        await self.counted(self.caller.answer(call, send))
+        await self.counted(self.caller.answer(call, receive, send))
 
     async def read_call(
         self, scope: Scope, headers: dict[bytes, bytes], receive: Receive, request: str
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -11,6 +11,8 @@
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import ALIVE, DEAD, LEAVING, SUSPECT, owner
+from baobabturn.membership.view import merged
+from baobabturn.scheduler.describe import describe
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.wire.link import Link, LinkClient, LinkServer
@@ -94,6 +96,7 @@
         metrics.gauge("pools_owned", lambda: len(self.pools))
         metrics.gauge("places_held", lambda: self.total("reservations"))
         metrics.gauge("requests_waiting", lambda: self.total("queue"))
+        self.program.describe = lambda: describe(self.pools)
         self.program.events.emit(Event.PROCESS_READY, port=port)
         await self.program.stopping.wait()
         self.program.events.emit(Event.PROCESS_DRAINING)
@@ -136,10 +139,13 @@
 
     def member_view(self, link: Link, body: MemberView) -> None:
         """Follow the members; ownership may change."""
-        self.members = body.members
-        self.drop_dead()
-        self.leaving = set(body.leaving_endpoints)
-        self.own()
+        self.members, changed = merged(self.members, body)
+        leaving = set(body.leaving_endpoints)
+        if changed or leaving != self.leaving:
+            self.leaving = leaving
+            self.own()
+        if changed:
+            self.drop_dead()
 
     def drop_dead(self) -> None:
         """Close the links of hosts that are dead; one that isn't will reconnect."""
