--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -42,6 +42,8 @@
     KEY_REQUIRED = 1009
     BODY_TOO_SLOW = 1010
     NOT_FOUND = 1011
+    HEADERS_TOO_LARGE = 1012
+    HEADERS_TOO_SLOW = 1013
 
     NO_CREDENTIALS = 1101
     WRONG_CREDENTIALS = 1102
@@ -116,7 +118,7 @@
     Code.OK: CodeRow(200, _R, False, "The call succeeded."),
     Code.MALFORMED: CodeRow(400, _N, False, "The body is not valid JSON."),
     Code.BODY_TOO_LARGE: CodeRow(
-        413, _N, False, "The body is larger than entry.body_limit_bytes."
+        413, _N, False, "The body exceeds entry.body_limit_bytes or its values' limit."
     ),
     Code.BODY_TOO_DEEP: CodeRow(
         400, _N, False, "The body is nested deeper than entry.body_depth_limit."
@@ -142,6 +144,12 @@
     Code.BODY_TOO_SLOW: CodeRow(
         408, _N, True, "The body did not arrive within entry.body_timeout_s."
     ),
+    Code.HEADERS_TOO_LARGE: CodeRow(
+        431, _N, False, "The headers exceed entry.header_limit_bytes or their count."
+    ),
+    Code.HEADERS_TOO_SLOW: CodeRow(
+        408, _N, True, "The headers did not arrive within entry.header_timeout_s."
+    ),
     Code.NOT_FOUND: CodeRow(404, _N, False, "No such path."),
     Code.NO_CREDENTIALS: CodeRow(401, _N, False, "No workspace key was sent."),
     Code.WRONG_CREDENTIALS: CodeRow(401, _N, False, "The workspace key is not known."),
--- a/src/baobabturn/entry/answers.py
+++ b/src/baobabturn/entry/answers.py
@@ -18,6 +18,13 @@
     422: "invalid_request_error",
     429: "rate_limit_error",
 }
+UNREAD = (
+    Code.BODY_TOO_LARGE,
+    Code.BODY_TOO_SLOW,
+    Code.BODY_MEMORY,
+    Code.NO_CREDENTIALS,
+    Code.WRONG_CREDENTIALS,
+)
 SSE_HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-store"),
@@ -52,6 +59,8 @@
     if failure.retry_after_s:
         seconds = math.ceil(failure.retry_after_s)
         headers.append((b"retry-after", str(seconds).encode()))
+    if failure.code in UNREAD:
+        headers.append((b"connection", b"close"))
     if failure.code is Code.NO_CREDENTIALS:
         headers.append((b"www-authenticate", b"Bearer"))
     return headers
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -18,9 +18,13 @@
 from baobabturn.entry.addresses import entries_body
 from baobabturn.entry.admin import admin_routes
 from baobabturn.entry.answers import error_body, error_headers, send_failure
-from baobabturn.entry.bodies import parse_json, read_body
+from baobabturn.entry.bodies import BodyReader, body_length
 from baobabturn.entry.node import Node
-from baobabturn.entry.requests import read_deadline, read_request
+from baobabturn.entry.requests import (
+    GenerationRequest,
+    read_deadline,
+    read_request,
+)
 from baobabturn.entry.services import ServiceCall, ServiceCaller
 from baobabturn.entry.streams import (
     models_body,
@@ -51,6 +55,28 @@
     return dict(scope["headers"])
 
 
+class Freeing:
+    """Sends an answer; gives the body's room back once its stream has begun.
+
+    No other engine is tried after the first token, unless the caller opted in
+    to a restart, so the messages, which may hold images, are needed no more.
+    """
+
+    def __init__(self, *, reader: BodyReader, send: Send, wanted: GenerationRequest):
+        self.reader = reader
+        self.send = send
+        self.wanted = wanted
+
+    async def __call__(self, message: Any) -> None:
+        """Send one message of the answer."""
+        if message["type"] == "http.response.start" and not self.wanted.restart:
+            messages = self.wanted.body.get("messages")
+            if isinstance(messages, list):
+                messages.clear()
+            self.reader.release()
+        await self.send(message)
+
+
 class EntryApp:
     """Callers' HTTP interface of one entry."""
 
@@ -137,12 +163,40 @@
         self.node.events.emit(
             Event.REQUEST_RECEIVED, request=request, workspace=space.name
         )
-        data = await read_body(receive, self.node.settings.entry)
-        body = data if isinstance(data, Failure) else self.parse(data)
-        if isinstance(body, Failure):
-            await self.refuse(send, body, request)
-            return
-        wanted = read_request(
+        reader = self.reader(space, headers)
+        try:
+            body = await reader.read_json(receive)
+            if isinstance(body, Failure):
+                await self.refuse(send, body, request)
+                return
+            answer = self.generation(space, headers, request, chat, body)
+            if isinstance(answer, Failure):
+                await self.refuse(send, answer, request)
+                return
+            freeing = Freeing(reader=reader, send=send, wanted=answer)
+            stream = stream_answer if answer.stream else whole_answer
+            await self.counted(stream(self.node, answer, receive, freeing))
+        finally:
+            reader.release()
+
+    def reader(self, space: Workspace, headers: dict[bytes, bytes]) -> BodyReader:
+        """Return the reader of a request's body."""
+        return BodyReader(
+            memory=self.node.body_memory,
+            workspace=space.name,
+            length=body_length(headers),
+        )
+
+    def generation(
+        self,
+        space: Workspace,
+        headers: dict[bytes, bytes],
+        request: str,
+        chat: bool,
+        body: dict[str, Any],
+    ) -> GenerationRequest | Failure:
+        """Return the generation that a request asks for."""
+        return read_request(
             request=request,
             chat=chat,
             body=body,
@@ -151,11 +205,6 @@
             state=self.node.state,
             default_deadline_s=self.node.settings.entry.default_deadline_s,
         )
-        if isinstance(wanted, Failure):
-            await self.refuse(send, wanted, request)
-            return
-        answer = stream_answer if wanted.stream else whole_answer
-        await self.counted(answer(self.node, wanted, receive, send))
 
     async def counted(self, work: Any) -> None:
         """Count a request as open while it is answered."""
@@ -165,10 +214,6 @@
         finally:
             self.node.open_requests -= 1
 
-    def parse(self, data: bytes) -> dict[str, Any] | Failure:
-        """Return the JSON object in a body."""
-        return parse_json(data, self.node.settings.entry)
-
     async def refuse(self, send: Send, failure: Failure, request: str) -> None:
         """Send a refusal, log and count it."""
         self.node.failed(failure)
@@ -181,19 +226,30 @@
         """Carry out a call of a plain service."""
         headers = headers_of(scope)
         request = request_id()
-        call = await self.read_call(scope, headers, receive, request)
-        if isinstance(call, Failure):
-            await self.refuse(send, call, request)
+        space = self.authenticate(headers)
+        if isinstance(space, Failure):
+            await self.refuse(send, space, request)
             return
-        await self.counted(self.caller.answer(call, receive, send))
+        reader = self.reader(space, headers)
+        try:
+            call = await self.read_call(scope, space, reader, receive, request)
+            if isinstance(call, Failure):
+                await self.refuse(send, call, request)
+                return
+            await self.counted(self.caller.answer(call, receive, send))
+        finally:
+            reader.release()
 
     async def read_call(
-        self, scope: Scope, headers: dict[bytes, bytes], receive: Receive, request: str
+        self,
+        scope: Scope,
+        space: Workspace,
+        reader: BodyReader,
+        receive: Receive,
+        request: str,
     ) -> ServiceCall | Failure:
         """Return the call that a request makes, or what is wrong with it."""
-        space = self.authenticate(headers)
-        if isinstance(space, Failure):
-            return space
+        headers = headers_of(scope)
         service = scope["path_params"]["service"]
         path = "/" + scope["path_params"]["path"]
         operation = self.node.state.operation(service, scope["method"], path)
@@ -206,7 +262,7 @@
         key = headers.get(b"idempotency-key", b"").decode("latin-1")
         if len(key) > KEY_LIMIT:
             return Failure(Code.BAD_FIELD, f"Idempotency-Key: up to {KEY_LIMIT} bytes")
-        body = await read_body(receive, entry)
+        body = await reader.read(receive)
         if isinstance(body, Failure):
             return body
         self.node.events.emit(
--- a/src/baobabturn/entry/bodies.py
+++ b/src/baobabturn/entry/bodies.py
@@ -5,85 +5,208 @@
 import asyncio
 import json
 import re
+import time
 from typing import Any
 
 from baobabturn.core.results import Code, Failure
 from baobabturn.settings.model import Entry
 
-STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"')
-BRACKETS = re.compile(rb"[\[\]{}]")
+VALUE_BYTES = 100
+WORKSPACE_SHARE = 0.5
+RETRY_AFTER_S = 1.0
+NO_LENGTH = -1
+SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
 
 
 class BodyMemory:
-    """The bound on the memory that all bodies in progress hold together."""
+    """The bound on the memory that all bodies in progress hold together.
+
+    One workspace may hold a share of it, so that none can keep others out.
+    """
 
     def __init__(self, *, settings: Entry):
         self.settings = settings
+        self.limit = settings.body_memory_bytes
         self.held = 0
+        self.shares: dict[str, int] = {}
         self.freed = asyncio.Event()
 
-    async def take(self, size: int) -> Failure | None:
+    def fits(self, workspace: str, size: int) -> bool:
+        """Return whether there is room; a workspace's first body needs no share."""
+        share = self.shares.get(workspace, 0)
+        within = not share or share + size <= self.limit * WORKSPACE_SHARE
+        return within and self.held + size <= self.limit
+
+    async def take(self, workspace: str, size: int) -> Failure | None:
         """Reserve room for a body, waiting a while for it; a failure if none."""
-        limit = self.settings.body_memory_bytes
         try:
             async with asyncio.timeout(self.settings.body_wait_s):
-                while self.held + size > limit:
+                while not self.fits(workspace, size):
                     self.freed.clear()
                     await self.freed.wait()
         except TimeoutError:
             return Failure(
-                Code.BODY_MEMORY, f"bodies fill {limit} bytes", retry_after_s=1.0
+                Code.BODY_MEMORY,
+                f"bodies fill {self.limit} bytes, or the workspace's share of them",
+                retry_after_s=RETRY_AFTER_S,
             )
         self.held += size
+        self.shares[workspace] = self.shares.get(workspace, 0) + size
         return None
 
-    def give(self, size: int) -> None:
+    def give(self, workspace: str, size: int) -> None:
         """Give room back."""
         self.held -= size
+        self.shares[workspace] -= size
+        if not self.shares[workspace]:
+            del self.shares[workspace]
         self.freed.set()
 
 
-async def read_body(receive: Any, settings: Entry) -> bytes | Failure:
-    """Return a request's whole body, or the limit that it broke."""
-    limit = settings.body_limit_bytes
-    chunks: list[bytes] = []
-    size = 0
+class BodyReader:
+    """Reads one request's body and holds the room for it until released."""
+
+    def __init__(self, *, memory: BodyMemory, workspace: str, length: int):
+        self.memory = memory
+        self.settings = memory.settings
+        self.workspace = workspace
+        self.length = length
+        self.reserved = 0
+        self.left_s = self.settings.body_timeout_s
+
+    async def reserve(self, size: int) -> Failure | None:
+        """Hold more room for this body."""
+        failure = await self.memory.take(self.workspace, size)
+        if failure is None:
+            self.reserved += size
+        return failure
+
+    def release(self) -> None:
+        """Give back the room that this body holds."""
+        if self.reserved:
+            self.memory.give(self.workspace, self.reserved)
+            self.reserved = 0
+
+    async def read(self, receive: Any) -> bytes | Failure:
+        """Return the whole body, or the limit that it broke.
+
+        Room for a declared length is taken before reading, otherwise for each
+        part as it comes.
+        """
+        limit = self.settings.body_limit_bytes
+        if self.length > limit:
+            return Failure(Code.BODY_TOO_LARGE, f"over {limit} bytes")
+        if self.length > 0:
+            failure = await self.reserve(self.length)
+            if failure is not None:
+                return failure
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            message = await self.part(receive)
+            if isinstance(message, Failure):
+                return message
+            if message["type"] == "http.disconnect":
+                return Failure(Code.CANCELLED, "the caller went away")
+            chunk = message.get("body", b"")
+            size += len(chunk)
+            if size > limit:
+                return Failure(Code.BODY_TOO_LARGE, f"over {limit} bytes")
+            if size > self.reserved:
+                failure = await self.reserve(len(chunk))
+                if failure is not None:
+                    return failure
+            chunks.append(chunk)
+            if not message.get("more_body", False):
+                return b"".join(chunks)
+
+    async def part(self, receive: Any) -> Any:
+        """Return the next part; waiting for room doesn't count as slowness."""
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(self.left_s):
+                return await receive()
+        except TimeoutError:
+            seconds = self.settings.body_timeout_s
+            return Failure(Code.BODY_TOO_SLOW, f"not whole within {seconds:g} s")
+        finally:
+            self.left_s -= time.monotonic() - began
+
+    async def read_json(self, receive: Any) -> dict[str, Any] | Failure:
+        """Return the JSON object in the body, or what is wrong with it.
+
+        Decoded values take more memory than their text, so room for them is
+        taken before the decoding.
+        """
+        data = await self.read(receive)
+        if isinstance(data, Failure):
+            return data
+        count = count_values(data)
+        limit = self.settings.body_values_limit
+        if count > limit:
+            return Failure(Code.BODY_TOO_LARGE, f"over {limit} values")
+        failure = await self.reserve(count * VALUE_BYTES)
+        if failure is not None:
+            return failure
+        return parse_json(data, self.settings)
+
+
+def body_length(headers: dict[bytes, bytes]) -> int:
+    """Return the length that a request declares, ``NO_LENGTH`` where it doesn't."""
+    text = headers.get(b"content-length", b"")
+    return int(text) if text.isdigit() else NO_LENGTH
+
+
+def count_values(data: bytes) -> int:
+    """Return a bound on the number of values in a JSON text."""
+    return 1 + sum(data.count(mark) for mark in (b",", b"[", b"{", b":"))
+
+
+def is_deeper(values: Any, limit: int) -> bool:
+    """Return whether decoded values are nested deeper than a limit."""
+    level = [values]
+    for _ in range(limit):
+        inner: list[Any] = []
+        for value in level:
+            if isinstance(value, dict):
+                inner.extend(v for v in value.values() if isinstance(v, dict | list))
+            elif isinstance(value, list):
+                inner.extend(v for v in value if isinstance(v, dict | list))
+        if not inner:
+            return False
+        level = inner
+    return True
+
+
+def has_lone_surrogate(data: bytes, values: Any) -> bool:
+    """Return whether a text has half of a surrogate pair, which has no encoding."""
+    if not SURROGATE.search(data):
+        return False
     try:
-        async with asyncio.timeout(settings.body_timeout_s):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    return Failure(Code.CANCELLED, "the caller went away")
-                chunk = message.get("body", b"")
-                size += len(chunk)
-                if size > limit:
-                    return Failure(Code.BODY_TOO_LARGE, f"over {limit} bytes")
-                chunks.append(chunk)
-                if not message.get("more_body", False):
-                    return b"".join(chunks)
-    except TimeoutError:
-        seconds = settings.body_timeout_s
-        return Failure(Code.BODY_TOO_SLOW, f"not whole within {seconds:g} s")
-
-
-def depth(data: bytes) -> int:
-    """Return how deep the brackets of a JSON text are nested."""
-    level = deepest = 0
-    for bracket in BRACKETS.findall(STRINGS.sub(b"", data)):
-        level += 1 if bracket in b"[{" else -1
-        deepest = max(deepest, level)
-    return deepest
+        json.dumps(values, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        return True
+    return False
+
+
+def refuse_constant(name: str) -> None:
+    """Refuse the constants that Python reads and JSON doesn't have."""
+    raise ValueError(f"{name} is not JSON")
 
 
 def parse_json(data: bytes, settings: Entry) -> dict[str, Any] | Failure:
-    """Return the JSON object in a body, or what is wrong with it."""
+    """Return the JSON object in some bytes, or what is wrong with it."""
     limit = settings.body_depth_limit
-    if depth(data) > limit:
-        return Failure(Code.BODY_TOO_DEEP, f"nested deeper than {limit}")
     try:
-        values = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        values = json.loads(data.decode(), parse_constant=refuse_constant)
+    except RecursionError:
+        return Failure(Code.BODY_TOO_DEEP, f"nested deeper than {limit}")
+    except ValueError as error:
         return Failure(Code.MALFORMED, f"not JSON: {str(error)[:120]}")
+    if is_deeper(values, limit):
+        return Failure(Code.BODY_TOO_DEEP, f"nested deeper than {limit}")
+    if has_lone_surrogate(data, values):
+        return Failure(Code.MALFORMED, "a text has half of a surrogate pair")
     if not isinstance(values, dict):
         return Failure(Code.MALFORMED, "the body is not a JSON object")
     return values
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -12,6 +12,7 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.app import EntryApp
 from baobabturn.entry.node import Node
+from baobabturn.entry.protocol import limited_protocol
 
 BACKLOG = 2048
 DRAIN_CHECK_S = 0.1
@@ -37,7 +38,7 @@
     config = uvicorn.Config(
         EntryApp(node=node).app,
         loop="asyncio",
-        http="httptools",
+        http=limited_protocol(entry),
         ws="none",
         lifespan="off",
         log_config=None,
--- /dev/null
+++ b/src/baobabturn/entry/protocol.py
@@ -0,0 +1,134 @@
+"""Limits on a connection before its request has reached the application.
+
+The HTTP server bounds neither the size of a request's headers nor the time they
+take; a connection that breaks either limit gets a numbered error and is closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from baobabturn.core.results import Code, Failure
+from baobabturn.entry.answers import error_body, error_headers
+from baobabturn.settings.model import Entry
+
+PHRASES = {408: "Request Timeout", 431: "Request Header Fields Too Large"}
+
+
+def raw_answer(failure: Failure) -> bytes:
+    """Return the bytes of an answer that closes its connection."""
+    body = json.dumps(error_body(failure)).encode()
+    lines = [f"HTTP/1.1 {failure.status} {PHRASES[failure.status]}".encode()]
+    lines += [name + b": " + value for name, value in error_headers(failure)]
+    lines += [b"content-type: application/json", b"connection: close"]
+    lines.append(b"content-length: " + str(len(body)).encode())
+    return b"\r\n".join([*lines, b"", body])
+
+
+def limited_protocol(entry: Entry) -> type[HttpToolsProtocol]:
+    """Return the protocol class with an entry's limits."""
+
+    class CallerProtocol(HttpToolsProtocol):
+        """One caller's connection, watched while it sends headers."""
+
+        def __init__(self, *args: Any, **options: Any):
+            super().__init__(*args, **options)
+            self.header_bytes = 0
+            self.header_count = 0
+            self.header_timer: asyncio.TimerHandle | None = None
+            self.refused = False
+
+        def connection_made(self, transport: Any) -> None:
+            """Expect the first request's headers in time."""
+            super().connection_made(transport)
+            self.expect_headers()
+
+        def connection_lost(self, error: Exception | None) -> None:
+            """Stop the timer."""
+            self.stop_timer()
+            super().connection_lost(error)
+
+        def expect_headers(self) -> None:
+            """Start to count the headers' bytes and time."""
+            self.header_bytes = 0
+            self.header_count = 0
+            self.stop_timer()
+            self.header_timer = self.loop.call_later(
+                entry.header_timeout_s, self.headers_too_slow
+            )
+
+        def stop_timer(self) -> None:
+            """Stop to expect headers."""
+            if self.header_timer is not None:
+                self.header_timer.cancel()
+                self.header_timer = None
+
+        def data_received(self, data: bytes) -> None:
+            """Hand bytes to the parser while the limits hold."""
+            if self.refused:
+                return
+            waiting = self.header_timer is not None
+            super().data_received(data)
+            if waiting and self.header_timer is not None:
+                self.header_bytes += len(data)
+                self.check_size()
+
+        def on_message_begin(self) -> None:
+            """Expect the headers of the next request on a kept connection."""
+            super().on_message_begin()
+            if self.header_timer is None:
+                self.expect_headers()
+
+        def on_header(self, name: bytes, value: bytes) -> None:
+            """Count a header; those past the limits are dropped."""
+            self.header_count += 1
+            if self.header_count <= entry.header_count_limit and not self.refused:
+                super().on_header(name, value)
+
+        def on_headers_complete(self) -> None:
+            """Start the request if its headers kept to the limits."""
+            self.stop_timer()
+            sent = sum(len(name) + len(value) for name, value in self.headers)
+            self.header_bytes = max(self.header_bytes, sent + len(self.url))
+            self.check_size()
+            if not self.refused:
+                super().on_headers_complete()
+
+        def on_body(self, body: bytes) -> None:
+            """Take in a part of the body."""
+            if not self.refused:
+                super().on_body(body)
+
+        def on_message_complete(self) -> None:
+            """Take in the end of the body."""
+            if not self.refused:
+                super().on_message_complete()
+
+        def check_size(self) -> None:
+            """Refuse headers over the limits."""
+            over_count = self.header_count > entry.header_count_limit
+            if over_count or self.header_bytes > entry.header_limit_bytes:
+                limits = f"{entry.header_limit_bytes} bytes, {entry.header_count_limit}"
+                self.refuse(Failure(Code.HEADERS_TOO_LARGE, f"limits: {limits}"))
+
+        def headers_too_slow(self) -> None:
+            """Refuse headers that take too long."""
+            self.header_timer = None
+            seconds = entry.header_timeout_s
+            self.refuse(Failure(Code.HEADERS_TOO_SLOW, f"not whole in {seconds:g} s"))
+
+        def refuse(self, failure: Failure) -> None:
+            """Answer with a failure and close the connection."""
+            if self.refused:
+                return
+            self.refused = True
+            self.stop_timer()
+            if not self.transport.is_closing():
+                self.transport.write(raw_answer(failure))
+                self.transport.close()
+
+    return CallerProtocol
--- a/src/baobabturn/wire/link.py
+++ b/src/baobabturn/wire/link.py
@@ -1,8 +1,10 @@
 """Authenticated message links over TCP: framing, calls, servers and clients.
 
-A frame is a four-byte big-endian length and a packed message.  The first frame
-of a link is a ``Hello`` with a proof of the shared secret; the answer is a
-``Welcome`` with a proof of its own, or a ``Refusal``.
+A frame is a four-byte big-endian length and a packed message.  The accepting
+side opens a link with a ``Welcome`` that carries a fresh nonce as challenge, the
+other answers with a ``Hello`` whose proof of the shared secret covers it, so
+that a recorded one is of no use.  The answer is a ``Welcome`` with a proof over
+the other's nonce, or a ``Refusal``.
 """
 
 from __future__ import annotations
@@ -33,6 +35,8 @@
 
 HEADER = struct.Struct(">I")
 HELLO_TIMEOUT_S = 3.0
+HELLO_LIMIT_BYTES = 4096
+PENDING_LIMIT = 512
 WRITE_BUFFER_LIMIT_BYTES = 16 * 1024 * 1024
 RECONNECT_FIRST_S = 0.05
 RECONNECT_LIMIT_S = 1.0
@@ -74,6 +78,18 @@
     return Failure(code, body.reason, run=run, retry_after_s=body.retry_after_s)
 
 
+def hello_proof(secret: str, hello: Hello, challenge: str) -> str:
+    """Return the proof that a hello must carry for a challenge."""
+    who = (hello.node, hello.role, hello.failure_domain, str(hello.incarnation))
+    return proof(secret, "hello", *who, hello.nonce, challenge)
+
+
+def welcome_proof(secret: str, welcome: Welcome, mark: str, challenge: str) -> str:
+    """Return the proof that a welcome must carry for a hello's nonce."""
+    who = (welcome.node, welcome.role, str(welcome.incarnation))
+    return proof(secret, "welcome", *who, mark, challenge)
+
+
 async def read_frame(reader: asyncio.StreamReader, limit: int) -> bytes | Failure:
     """Return the next frame's bytes, or why there is none."""
     try:
@@ -106,6 +122,7 @@
         self.numbers = itertools.count(1)
         self.background = Background()
         self.closed = False
+        self.limit = HELLO_LIMIT_BYTES
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -146,7 +163,7 @@
 
     async def receive(self) -> codec.Envelope | Failure:
         """Return the next message, or why there is none."""
-        data = await read_frame(self.reader, self.inner.frame_limit_bytes)
+        data = await read_frame(self.reader, self.limit)
         if isinstance(data, Failure):
             return data
         self.received_bytes += HEADER.size + len(data)
@@ -234,6 +251,13 @@
     return context
 
 
+def tls_options(context: ssl.SSLContext | None) -> dict[str, Any]:
+    """Return the options that put TLS with a bounded handshake on a connection."""
+    if context is None:
+        return {}
+    return {"ssl": context, "ssl_handshake_timeout": HELLO_TIMEOUT_S}
+
+
 class LinkServer:
     """Accepts links and serves each in a task of its own."""
 
@@ -252,13 +276,14 @@
         self.handlers = handlers
         self.when_closed = closed
         self.links: set[Link] = set()
+        self.pending = 0
         self.server: asyncio.Server | None = None
 
     async def start(self, address: str, port: int) -> int | Failure:
         """Listen and return the port, or the failure where it is in use."""
         try:
             self.server = await asyncio.start_server(
-                self.accept, address, port, ssl=server_tls(self.inner)
+                self.accept, address, port, **tls_options(server_tls(self.inner))
             )
         except OSError as error:
             reason = f"{address}:{port}: {error.strerror}"
@@ -268,14 +293,10 @@
     async def accept(self, reader, writer) -> None:
         """Authenticate one connection and serve it until it closes."""
         link = Link(reader=reader, writer=writer, clock=self.clock, inner=self.inner)
-        try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
-                accepted = await self.welcome(link)
-        except TimeoutError:
-            accepted = False
-        if not accepted:
+        if not await self.is_authentic(link):
             link.close()
             return
+        link.limit = self.inner.frame_limit_bytes
         self.links.add(link)
         try:
             await link.serve(self.handlers)
@@ -284,14 +305,29 @@
             if self.when_closed is not None:
                 self.when_closed(link)
 
+    async def is_authentic(self, link: Link) -> bool:
+        """Return whether a new connection proved the secret in time."""
+        if self.pending >= PENDING_LIMIT:
+            return False
+        self.pending += 1
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                return await self.welcome(link)
+        except TimeoutError:
+            return False
+        finally:
+            self.pending -= 1
+
     async def welcome(self, link: Link) -> bool:
         """Return whether the peer's hello proved the secret; answer it."""
+        challenge = nonce()
+        link.write(Welcome(nonce=challenge))
         envelope = await link.receive()
         if isinstance(envelope, Failure) or not isinstance(envelope.body, Hello):
             return False
         hello = envelope.body
-        wanted = proof(self.inner.secret, "hello", hello.node, hello.nonce)
-        if not hmac.compare_digest(wanted, hello.proof):
+        wanted = hello_proof(self.inner.secret, hello, challenge)
+        if not hmac.compare_digest(wanted.encode(), hello.proof.encode()):
             refused = Failure(Code.LINK_REFUSED, "wrong proof")
             link.answer(envelope.call, refused)
             return False
@@ -305,8 +341,8 @@
             node=self.identity.node,
             role=self.identity.role,
             incarnation=self.identity.incarnation,
-            proof=proof(self.inner.secret, "welcome", hello.nonce),
         )
+        answer.proof = welcome_proof(self.inner.secret, answer, hello.nonce, challenge)
         link.answer(envelope.call, answer)
         return True
 
@@ -374,7 +410,7 @@
         try:
             async with asyncio.timeout(limit):
                 reader, writer = await asyncio.open_connection(
-                    self.address, self.port, ssl=client_tls(self.inner)
+                    self.address, self.port, **tls_options(client_tls(self.inner))
                 )
         except (OSError, TimeoutError) as error:
             return Failure(Code.LINK_LOST, f"connect: {error}", run=Run.NOT_RUN)
@@ -387,10 +423,17 @@
         if isinstance(welcomed, Failure):
             link.close()
             return welcomed
+        link.limit = self.inner.frame_limit_bytes
         return link
 
     async def introduce(self, link: Link) -> Failure | None:
-        """Send the hello and check the answer's proof."""
+        """Answer the challenge with a hello and check the other's proof."""
+        opening = await link.receive()
+        if isinstance(opening, Failure):
+            return opening
+        if not isinstance(opening.body, Welcome):
+            return Failure(Code.LINK_REFUSED, "no challenge")
+        challenge = opening.body.nonce
         mark = nonce()
         who = self.identity
         hello = Hello(
@@ -400,8 +443,8 @@
             incarnation=who.incarnation,
             release=__version__,
             nonce=mark,
-            proof=proof(self.inner.secret, "hello", who.node, mark),
         )
+        hello.proof = hello_proof(self.inner.secret, hello, challenge)
         link.write(hello, call=next(link.numbers))
         envelope = await link.receive()
         if isinstance(envelope, Failure):
@@ -411,9 +454,8 @@
             return from_refusal(body)
         if not isinstance(body, Welcome):
             return Failure(Code.LINK_REFUSED, "no welcome")
-        if not hmac.compare_digest(
-            body.proof, proof(self.inner.secret, "welcome", mark)
-        ):
+        wanted = welcome_proof(self.inner.secret, body, mark, challenge)
+        if not hmac.compare_digest(wanted.encode(), body.proof.encode()):
             return Failure(Code.LINK_REFUSED, "wrong proof")
         link.peer = Identity(
             node=body.node,
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -24,12 +24,17 @@
 
 @attrs.define(kw_only=True, slots=True)
 class Welcome:
-    """Accepts a link and proves the other side's knowledge of the secret."""
+    """Accepts a link and proves the other side's knowledge of the secret.
+
+    The accepting side also opens with one that carries only its ``nonce``, the
+    challenge that the other's proof must cover.
+    """
 
     node: str = ""
     role: str = ""
     incarnation: int = 0
     proof: str = ""
+    nonce: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -53,6 +53,7 @@
   role @1 :Text;
   incarnation @2 :UInt64;
   proof @3 :Text;
+  nonce @4 :Text;        # the challenge, in the first message of a link
 }
 
 struct Refusal {
