--- a/features/steps/badinput.py
+++ b/features/steps/badinput.py
@@ -214,7 +214,13 @@
     bad = []
     for field, value, answer in context.odd:
         code = answer.headers.get("x-baobabturn-code", "")
-        if answer.status != 200 and code not in ("1001", "1004", "1005", "1203", "1406"):
+        if answer.status != 200 and code not in (
+            "1001",
+            "1004",
+            "1005",
+            "1203",
+            "1406",
+        ):
             bad.append((field, value, answer.status, answer.text[:100]))
     assert not bad, bad
 
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -96,6 +96,9 @@
         program.background.start(self.sync.watch(), "config-watch")
         program.background.start(self.follow_hosts(), "host-list")
         self.orders.start()
+        metrics = program.metrics
+        metrics.gauge("platform_calls", lambda: self.store.calls)
+        metrics.gauge("heartbeat_sent_bytes", lambda: self.membership.sent_bytes)
         program.events.emit(Event.PROCESS_READY, port=port)
         await program.stopping.wait()
         program.events.emit(Event.PROCESS_DRAINING)
@@ -103,9 +106,12 @@
         await self.orders.stop()
         await asyncio.sleep(program.settings.membership.interval_s)
         await self.server.stop()
+        return None
+
+    async def close(self) -> None:
+        """Close the connections to the platform and the endpoints."""
         await self.store.close()
         await self.session.close()
-        return None
 
     async def follow_hosts(self) -> None:
         """Read the platform's host list from time to time."""
@@ -251,7 +257,11 @@
 
 async def serve(program: Program) -> Failure | None:
     """Run the controller."""
-    return await Controller(program=program).run()
+    controller = Controller(program=program)
+    try:
+        return await controller.run()
+    finally:
+        await controller.close()
 
 
 def main() -> None:
