--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -94,13 +94,13 @@
         if isinstance(found, Failure):
             raise CommandError(found)
         if base is not None and base != found.manifest.revision:
-            raise CommandError(conflict(found, document))
+            raise CommandError(conflict(found, document, "differs from this file by"))
         limit = settings.platform.value_limit_bytes
         result = await publish(store, document, found, getpass.getuser(), limit)
         if isinstance(result, Failure) and result.code is Code.CONFIG_CONFLICT:
             newer = await current(store)
             if not isinstance(newer, Failure):
-                result = conflict(newer, found.document)
+                result = conflict(newer, found.document, "changed")
     finally:
         await store.close()
     if isinstance(result, Failure):
@@ -108,11 +108,12 @@
     return result
 
 
-def conflict(newer: Published, document: Document) -> Failure:
+def conflict(newer: Published, document: Document, verb: str) -> Failure:
     """Return the conflict that shows what the other operator changed."""
     lines = [each.line() for each in differences(document, newer.document)]
     who = f"revision {newer.manifest.revision} by {newer.manifest.author}"
-    return Failure(Code.CONFIG_CONFLICT, f"{who} came first: " + "; ".join(lines))
+    shown = "; ".join(lines) or "nothing"
+    return Failure(Code.CONFIG_CONFLICT, f"{who} came first and {verb}: {shown}")
 
 
 class Watch:
@@ -137,12 +138,15 @@
     async def look(self) -> None:
         """Read which failure domains have the revision in force on every host."""
         status = await ask_entry(self.entry, "/admin/status", self.key)
-        domains: dict[str, bool] = {}
-        for member in status["members"]:
-            if member["state"] != DEAD:
-                domain = member["failure_domain"]
-                here = member["revision"] >= self.revision
-                domains[domain] = domains.get(domain, True) and here
+        domains = {
+            member["failure_domain"]: False
+            for member in status["members"]
+            if member["state"] != DEAD
+        }
+        for counted in status["failure_domains"]:
+            if counted["failure_domain"] in domains:
+                here = counted["revision"] >= self.revision
+                domains[counted["failure_domain"]] = here
         self.domains = domains
 
     async def run(self, limit_s: float) -> dict[str, float]:
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -13,11 +13,13 @@
 import collections
 import enum
 import logging
+import re
 import sys
 
 from baobabturn.core.clock import HybridClock, stamp_counter, stamp_ms
 
 RING_LINES = 4000
+PLAIN = re.compile(r"[^\s'\"=\\]+")
 
 log = logging.getLogger("baobabturn.events")
 
@@ -31,10 +33,12 @@
     PROCESS_STOPPED = "process-stopped"
     CONFIG_IN_FORCE = "config-in-force"
     CONFIG_ACCEPTED = "config-accepted"
+    CONFIG_ASKED = "config-asked"
     MEMBER_ALIVE = "member-alive"
     MEMBER_SUSPECT = "member-suspect"
     MEMBER_DEAD = "member-dead"
     MEMBER_LEAVING = "member-leaving"
+    MEMBER_REFUTED = "member-refuted"
     REQUEST_RECEIVED = "request-received"
     REQUEST_QUEUED = "request-queued"
     REQUEST_GRANTED = "request-granted"
@@ -78,7 +82,9 @@
     Event.MEMBER_ALIVE: "A host answers heartbeats.",
     Event.MEMBER_SUSPECT: "A host has been silent for `membership.suspect_s`.",
     Event.MEMBER_DEAD: "A host has been silent for `membership.dead_s`.",
+    Event.CONFIG_ASKED: "A controller has asked platform and peers, and may serve.",
     Event.MEMBER_LEAVING: "A host drains or stops.",
+    Event.MEMBER_REFUTED: "This host was said to be suspect or dead, and objected.",
     Event.REQUEST_RECEIVED: "An entry has a caller's request.",
     Event.REQUEST_QUEUED: "A request waits in a pool's queue.",
     Event.REQUEST_GRANTED: "A request has a place at an endpoint.",
@@ -117,21 +123,27 @@
 }
 
 
+def escaped(character: str) -> str:
+    """Return a character as it stands between quotes in a log line."""
+    if character in "'\\":
+        return "\\" + character
+    if character == "\n":
+        return "\\n"
+    return character if character.isprintable() else f"\\u{ord(character):06x}"
+
+
 def quoted(value: object) -> str:
-    """Return a value as it stands in a log line, quoted where it has spaces.
+    """Return a value as it stands in a log line, quoted where it must be.
 
     Example::
 
-        >>> quoted('a "b"')
-        "'a \\\\'b\\\\''"
+        >>> quoted("it's")
+        "'it\\\\'s'"
     """
     text = str(value)
-    if not text:
-        return "''"
-    if any(ch in text for ch in " '\"=\n\r\t"):
-        body = text.replace("\\", "\\\\").replace('"', "'").replace("'", "\\'")
-        return "'" + body.replace("\n", "\\n").replace("\r", "\\r") + "'"
-    return text
+    if PLAIN.fullmatch(text) and text.isprintable():
+        return text
+    return "'" + "".join(escaped(character) for character in text) + "'"
 
 
 class EventLog:
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -122,11 +122,16 @@
     """The controller program: platform, membership, configuration, orders."""
 
     watchers_per_domain: int = number(1, 100)
+    ask_wait_s: float = number(0, 600)
+    part_keep_s: float = number(1, 86_400)
+    part_sweep_s: float = number(0.1, 3600)
     endpoint_poll_s: float = number(0.05, 60)
     host_poll_s: float = number(0.2, 600)
     status_interval_s: float = number(1, 3600)
     lease_duration_s: float = number(0.5, 600)
     clock_rate_margin: float = number(0, 0.5)
+    ping_interval_s: float = number(0.02, 60)
+    ping_timeout_s: float = number(0.05, 60)
     order_shards: int = number(1, 64)
     order_send_s: float = number(0.1, 60)
     order_interval_s: float = number(0.05, 600)
