--- a/fakes/service.py
+++ b/fakes/service.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import json
+import os
 
 import attrs
 from aiohttp import web
 
 from fakes.server import Server
 
+DEATH_S = 0.05
+
 
 @attrs.define
 class Faults:
@@ -86,11 +89,19 @@
         return web.json_response(report)
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set faults by name."""
+        """Set faults by name; ``die`` ends the process and answers its counts."""
         for name, value in (await request.json()).items():
+            if name == "die":
+                return self.die()
             setattr(self.faults, name, value)
         return web.json_response(attrs.asdict(self.faults))
 
+    def die(self) -> web.Response:
+        """Run nothing more, answer the counts, and end with no other answer."""
+        self.faults.reset_before_run = True
+        asyncio.get_running_loop().call_later(DEATH_S, os._exit, 1)
+        return web.json_response({"ran": self.ran})
+
     async def counts(self, request: web.Request) -> web.Response:
         """Return how often each tag ran and what is open."""
         body = {"name": self.name, "ran": self.ran, "open": self.open}
--- a/src/baobabturn/endpoints/openaistream.py
+++ b/src/baobabturn/endpoints/openaistream.py
@@ -22,6 +22,14 @@
 DONE = b"[DONE]"
 USAGE = "usage"
 USAGE_WAIT_S = 1.0
+NO_CHUNK = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class OpenAIStream:
@@ -97,7 +105,9 @@
                 return None
             index = int(values.get("sequence_number", self.count))
             finish = choices[0].get("finish_reason")
-        except (ValueError, TypeError, LookupError, AttributeError, RecursionError):
+            if not isinstance(finish, str | None):
+                raise TypeError("finish_reason")
+        except NO_CHUNK:
             self.failure = Failure(Code.GENERATION_CUT, "an event that is not a chunk")
             return None
         if finish is not None:
