--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -182,6 +182,8 @@
     attempt: int = 0
     pool: str = ""
     reservation: str = ""
+    hedgeable: bool = False
+    hedges: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -240,6 +242,8 @@
     max_tokens: int = 0
     generation: str = ""
     taken: int = 0
+    hedges: str = ""
+    hedgeable: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -335,6 +339,14 @@
 
     node: str = ""
     body: bytes = b""
+    pool: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Hedge:
+    """Asks an entry to try a generation at a second endpoint as well."""
+
+    reservation: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -379,4 +391,5 @@
     WhoHolds,
     Held,
     MemberSync,
+    Hedge,
 )
