--- a/features/badinput.feature
+++ b/features/badinput.feature
@@ -63,5 +63,9 @@
     Then each got code 1002 or 1204
     And the entry's memory stayed under 200000000 bytes
 
+  Scenario: Callers make up kinds of work
+    When 200 generations each name another kind
+    Then the metrics tell at most 33 kinds apart
+
   Scenario: The process is the same one at the end
     Then the entry still runs under its first process id
--- a/features/steps/badinput.py
+++ b/features/steps/badinput.py
@@ -389,6 +389,31 @@
     assert codes <= {1002, 1204}, codes
 
 
+@when("{count:d} generations each name another kind")
+def many_kinds(context, count):
+    def one(number):
+        url = context.fleet.entry(0) + "/v1/completions"
+        body = {"model": "rumia", "prompt": "[tag=kinds length=1]"}
+        kind = {"X-Baobabturn-Kind": f"kind-{number}"}
+        return send(url, key="key-buyers", body=body, headers=kind).status
+
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        assert set(pool.map(one, range(count))) == {200}
+
+
+@then("the metrics tell at most {limit:d} kinds apart")
+def few_kinds(context, limit):
+    kinds = set()
+    for url in context.fleet.entries():
+        text = send(url + "/metrics", method="GET").text
+        kinds |= {
+            line.split('kind="')[1].split('"')[0]
+            for line in text.splitlines()
+            if 'kind="' in line
+        }
+    assert 1 < len(kinds) <= limit, kinds
+
+
 @then("the entry still runs under its first process id")
 def same_process(context):
     process = entry_process(context.fleet)
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -60,6 +60,10 @@
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
+DISTRIBUTIONS_LIMIT = 32
+OTHER = "other"
+
+
 class Distribution:
     """A histogram of whole numbers, usually microseconds."""
 
@@ -103,11 +107,20 @@
     def record(self, name: str, value: float, **labels: str) -> None:
         """Add a value to a distribution."""
         key = (name, tuple(sorted(labels.items())))
-        found = self.distributions.get(key)
-        if found is None:
-            found = self.distributions[key] = Distribution()
+        found = self.distributions.get(key) or self.distribution(name, labels)
         found.record(value)
 
+    def distribution(self, name: str, labels: dict[str, str]) -> Distribution:
+        """Return a new distribution, past a bound the one of all other labels.
+
+        Labels may hold what callers send, and a histogram takes much memory.
+        """
+        count = sum(1 for each, _ in self.distributions if each == name)
+        if count >= DISTRIBUTIONS_LIMIT:
+            labels = dict.fromkeys(labels, OTHER)
+        key = (name, tuple(sorted(labels.items())))
+        return self.distributions.setdefault(key, Distribution())
+
     def value(self, name: str, **labels: str) -> float:
         """Return a counter's value, 0 where it was never raised."""
         return self.counters.get((name, tuple(sorted(labels.items()))), 0)
