--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -1,9 +1,10 @@
 """A stand-in for the platform: the object API, the host list, and faults.
 
 Faults are set over ``POST /control``: ``down`` refuses every call, ``slow_s``
-delays answers, ``lose_answers`` carries out that share of writes and drops the
-connection in place of an answer, ``hosts_lag_s`` delays the host list, and
-``forget_before`` makes older watches answer 410.  ``write_faults`` lists what
+delays answers, ``stale_at`` answers reads as of that version, ``lose_answers``
+carries out that share of writes and drops the connection in place of an answer,
+``hosts_lag_s`` delays the host list, and ``forget_before`` makes older watches
+answer 410.  ``write_faults`` lists what
 happens to the next writes of ``write_kind``, one each: ``ok``, ``lose`` (takes
 effect, no answer), ``drop`` (no effect, no answer), ``late`` (no answer, takes
 effect a second later), ``hang`` (neither, until the caller goes away) or
@@ -46,6 +47,7 @@
             "lose_answers": 0.0,
             "hosts_lag_s": 0.0,
             "forget_before": 0,
+            "stale_at": 0,
             "write_kind": "baobabturn-claim",
             "write_faults": [],
         }
@@ -121,13 +123,24 @@
     async def get(self, request: web.Request) -> web.Response:
         """Return one object."""
         await self.fault(request, "get")
-        found = self.objects.get(
+        found = self.readable().get(
             (request.match_info["kind"], request.match_info["name"])
         )
         if found is None:
             raise web.HTTPNotFound(text="{}")
         return web.json_response(found, headers={"ETag": f'"{found["version"]}"'})
 
+    def readable(self) -> dict[tuple[str, str], dict]:
+        """Return the objects as a reader sees them."""
+        until = self.faults["stale_at"]
+        if not until:
+            return self.objects
+        seen = {}
+        for kind, held in self.history:
+            if held["version"] <= until:
+                seen[(kind, held["name"])] = held
+        return {key: held for key, held in seen.items() if held["value"] is not None}
+
     def holds(self, request: web.Request, found: dict | None) -> bool:
         """Return whether the request's condition is met."""
         if request.headers.get("If-None-Match") == "*":
@@ -192,10 +205,11 @@
         prefix = request.query.get("prefix", "")
         found = [
             held
-            for (held_kind, name), held in sorted(self.objects.items())
+            for (held_kind, name), held in sorted(self.readable().items())
             if held_kind == kind and name.startswith(prefix)
         ]
-        return web.json_response({"objects": found, "version": self.version})
+        version = self.faults["stale_at"] or self.version
+        return web.json_response({"objects": found, "version": version})
 
     async def watch(self, kind: str, request: web.Request) -> web.Response:
         """Answer when there is a change, or with none when the wait is over."""
--- /dev/null
+++ b/features/steps/platformclient.py
@@ -0,0 +1,214 @@
+"""Steps of the platform's client: outages, budgets, and what follows them."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from helper import start_fleet, wait_for
+
+from baobabturn.core.clock import HybridClock
+from baobabturn.core.events import EventLog
+from baobabturn.core.results import Failure
+from baobabturn.platform.httpstore import HttpStore
+from baobabturn.platform.store import ABSENT
+from bench.members import settings_for
+from fakes.platform import FakePlatform
+
+KIND = "thing"
+OUTAGE_SETTINGS = {"calls_per_s": 10, "burst_calls": 20}
+
+
+def run(context, work):
+    return context.runner.run(work)
+
+
+@given("a client of a platform of its own")
+def client(context):
+    client_with(context, 40, 20)
+
+
+@given(
+    "a client of a platform of its own that may make {burst:d} calls at once"
+    " and {rate:d} a second"
+)
+def client_with(context, burst, rate):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.fake = FakePlatform(seed=3)
+    url = run(context, context.fake.start())
+    context.add_cleanup(lambda: run(context, context.fake.stop()))
+    flags = [
+        f"platform.url={url}",
+        f"platform.calls_per_s={rate}",
+        f"platform.burst_calls={burst}",
+    ]
+    settings = settings_for(0, 1, 0, flags).platform
+    clock = HybridClock()
+    context.log = EventLog(node="n", role="r", failure_domain="d", clock=clock)
+
+    async def make():
+        return HttpStore(settings=settings, seed=3, events=context.log)
+
+    context.client = run(context, make())
+    context.add_cleanup(lambda: run(context, context.client.close()))
+
+
+@when("the client's platform is down and {count:d} calls have failed")
+def down(context, count):
+    context.fake.faults["down"] = True
+    for _ in range(count):
+        found = run(context, context.client.get(KIND, "x"))
+        assert isinstance(found, Failure)
+    assert context.client.budget.is_down
+
+
+@then("the next call fails at once with a time to come back")
+def fails_at_once(context):
+    calls = context.client.calls
+    found = run(context, context.client.put(KIND, "x", {}, ABSENT))
+    assert isinstance(found, Failure) and 0 < found.retry_after_s <= 2.5
+    assert context.client.calls == calls
+
+
+@when("the client's platform is up again")
+def up_again(context):
+    context.fake.faults["down"] = False
+
+
+@when("the answer to 1 write is lost")
+def lose_one(context):
+    context.fake.faults["lose_answers"] = 1.0
+    found = run(context, context.client.put(KIND, "lost", {}, ABSENT))
+    assert isinstance(found, Failure)
+    context.fake.faults["lose_answers"] = 0.0
+
+
+@when("the client's platform takes {seconds:d} s for each answer")
+def slow(context, seconds):
+    context.fake.faults["slow_s"] = seconds
+
+
+@then("a write succeeds within {limit:g} s of it")
+def write_succeeds(context, limit):
+    async def work():
+        end = time.monotonic() + limit
+        while True:
+            found = await context.client.put(KIND, "y", {}, ABSENT)
+            if not isinstance(found, Failure):
+                return
+            assert time.monotonic() < end, found
+            await asyncio.sleep(0.05)
+
+    run(context, work())
+
+
+def logged(context, event):
+    return any(f"event={event}" in line for line in context.log.ring)
+
+
+@then('the client logged "{event}"')
+def has_logged(context, event):
+    assert logged(context, event)
+
+
+@then('the client did not log "{event}"')
+def has_not_logged(context, event):
+    assert not logged(context, event)
+
+
+@when("it makes {count:d} calls at once")
+def many_calls(context, count):
+    async def work():
+        calls = [context.client.put(KIND, f"n{n}", {}, ABSENT) for n in range(count)]
+        return await asyncio.gather(*calls)
+
+    began = time.monotonic()
+    context.results = run(context, work())
+    context.took_s = time.monotonic() - began
+
+
+@then("all {count:d} have succeeded and took longer than {limit:g} s")
+def all_succeeded(context, count, limit):
+    good = [one for one in context.results if not isinstance(one, Failure)]
+    assert len(good) == count and context.took_s > limit, context.took_s
+
+
+@when(
+    "as many calls as the client lets through are made for {span:d} s after it answered"
+)
+def calls_after(context, span):
+    async def work():
+        while context.client.budget.is_down:
+            await context.client.get(KIND, "x")
+            await asyncio.sleep(0.02)
+        before = context.client.calls
+        end = time.monotonic() + span
+        while time.monotonic() < end:
+            await context.client.get(KIND, "x")
+        return context.client.calls - before
+
+    context.made = run(context, work())
+
+
+@then("they were at most {limit:d}")
+def at_most(context, limit):
+    assert context.made <= limit, context.made
+
+
+@given("a fleet of {hosts:d} hosts whose processes may make 10 calls a second each")
+def budget_fleet(context, hosts):
+    start_fleet(
+        context,
+        "herd",
+        False,
+        hosts=hosts,
+        engines=1,
+        workers=1,
+        overrides={"platform": OUTAGE_SETTINGS},
+    )
+
+
+def per_second(context):
+    counted = context.fleet.counts("platform")["per_second"]
+    return {int(second): count for second, count in counted.items()}
+
+
+@when("its platform is down for {span:d} s")
+def fleet_outage(context, span):
+    context.fleet.control("platform", down=True)
+    context.down_at = int(time.time()) + 1
+    time.sleep(span)
+    context.fleet.control("platform", down=False)
+    context.up_at = int(time.time())
+
+
+@then("in each of the {span:d} s after it the platform saw at most {limit:d} calls")
+def calls_after_outage(context, span, limit):
+    time.sleep(span)
+    seen = per_second(context)
+    after = [seen.get(context.up_at + n, 0) for n in range(span)]
+    assert max(after) <= limit, after
+    assert sum(after) > 0, after
+    print(f"calls in the seconds after the outage: {after}")
+
+
+@then("while it was down it saw at most {limit:d} calls a second")
+def calls_while_down(context, limit):
+    seen = per_second(context)
+    during = [seen.get(n, 0) for n in range(context.down_at, context.up_at)]
+    assert max(during) <= limit, during
+    print(f"calls in the seconds of the outage: {during}")
+
+
+@then('every host has logged "{one}" and "{other}"')
+def hosts_logged(context, one, other):
+    fleet = context.fleet
+    watching = [host.name for host in fleet.hosts]
+    for name in watching:
+        log = fleet.log(f"controller@{name}")
+        for event in (one, other):
+            wait_for(
+                lambda e=event, at=log: f"event={e}" in at.read_text(),
+                f"{event} at {name}",
+                10,
+            )
--- a/src/baobabturn/config/publish.py
+++ b/src/baobabturn/config/publish.py
@@ -91,15 +91,23 @@
     """Write an immutable part, also where it is there already.
 
     Its name says what is in it, so writing it again does no harm; its new
-    version keeps a sweep from deleting it as one that nobody names.
+    version keeps a sweep from deleting it as one that nobody names.  A lost
+    answer is resolved by reading the nonce back.
     """
-    found: object = None
+    mark = nonce()
+    value = {**packed(body), "nonce": mark}
+    failure = Failure(Code.PLATFORM_UNREACHABLE, "no try was made")
     for _ in range(TRIES):
-        found = await store.put(PART_KIND, sum_, packed(body), ANY_VERSION)
+        found = await store.put(PART_KIND, sum_, value, ANY_VERSION)
         if not isinstance(found, Failure):
             return None
-        await asyncio.sleep(max(RETRY_S, found.retry_after_s))
-    return found if isinstance(found, Failure) else None
+        failure = found
+        if found.code is Code.WRITE_UNRESOLVED:
+            held = await store.get(PART_KIND, sum_)
+            if not isinstance(held, Failure) and held.value.get("nonce") == mark:
+                return None
+        await asyncio.sleep(max(RETRY_S, failure.retry_after_s))
+    return failure
 
 
 async def write_manifest_object(
--- a/src/baobabturn/config/state.py
+++ b/src/baobabturn/config/state.py
@@ -117,6 +117,8 @@
     ) -> bool | Failure:
         """Read the parts that changed and switch to the manifest's revision."""
         by_part = {}
+        gone = set(self.by_part) - set(manifest.parts)
+        changed = {name.rpartition("-")[0] for name in gone}
         for name, sum_ in manifest.parts.items():
             if self.manifest.parts.get(name) == sum_ and name in self.by_part:
                 by_part[name] = self.by_part[name]
@@ -125,32 +127,33 @@
             if isinstance(items, Failure):
                 return items
             by_part[name] = items
+            changed.add(name.rpartition("-")[0])
         self.by_part = by_part
         self.manifest = manifest
         wanted = set(manifest.parts.values())
         self.bodies = {sum_: body for sum_, body in bodies.items() if sum_ in wanted}
-        self.index()
+        self.index(changed)
         return True
 
-    def index(self) -> None:
-        """Rebuild the lookups from the parts in force."""
-        tables: dict[str, dict[str, Any]] = {
-            kind: {} for kind in ("workspaces", "models", "endpoints", "services")
-        }
+    def index(self, changed: set[str]) -> None:
+        """Rebuild the lookups of the kinds whose parts changed."""
+        tables: dict[str, dict[str, Any]] = {kind: {} for kind in changed}
         for name, items in self.by_part.items():
             place = tables.get(name.rpartition("-")[0])
             if place is not None:
                 place.update((item.name, item) for item in items)
-        self.workspaces = tables["workspaces"]
-        self.models = tables["models"]
-        self.endpoints = tables["endpoints"]
-        self.services = tables["services"]
-        self.by_key = {
-            sum_: space
-            for space in self.workspaces.values()
-            for sum_ in space.key_hashes
-        }
-        self.pools = make_pools(list(self.endpoints.values()), self.pool_size)
+        self.models = tables.get("models", self.models)
+        self.services = tables.get("services", self.services)
+        if "workspaces" in tables:
+            self.workspaces = tables["workspaces"]
+            self.by_key = {
+                sum_: space
+                for space in self.workspaces.values()
+                for sum_ in space.key_hashes
+            }
+        if "endpoints" in tables:
+            self.endpoints = tables["endpoints"]
+            self.pools = make_pools(list(self.endpoints.values()), self.pool_size)
 
     def workspace_of(self, key: str) -> Workspace | None:
         """Return the workspace that a key belongs to.
--- a/src/baobabturn/controller/views.py
+++ b/src/baobabturn/controller/views.py
@@ -34,6 +34,7 @@
         self.may_serve = may_serve
         self.contact = contact
         self.subscribers: dict[Link, int] = {}
+        self.held_parts: dict[Link, set[str]] = {}
         self.told: dict[str, Member] = {}
         self.told_domains: list[DomainDigest] = []
         self.told_leaving: list[str] = []
@@ -50,12 +51,14 @@
         """Push to a link from now on, everything at first."""
         self.push_members(with_revisions=True)
         self.subscribers[link] = revision
+        self.held_parts[link] = set()
         link.send(self.fill(MemberView(members=list(self.told.values()))))
         self.push_config(link)
 
     def closed(self, link: Link) -> None:
         """Forget a subscriber."""
         self.subscribers.pop(link, None)
+        self.held_parts.pop(link, None)
 
     def fill(self, view: MemberView) -> MemberView:
         """Put in a view what isn't told member by member."""
@@ -114,8 +117,14 @@
             self.push_config(link)
 
     def push_config(self, link: Link) -> None:
-        """Bring one subscriber to the revision in force, if it may be served."""
+        """Bring one subscriber to the revision in force, if it may be served.
+
+        The parts that went over the link with the revision before aren't sent
+        again.
+        """
         revision = self.subscribers[link]
-        if revision < self.state.revision and self.may_serve():
-            link.send(self.state.update_since(revision, set()))
-            self.subscribers[link] = self.state.revision
+        if revision >= self.state.revision or not self.may_serve():
+            return
+        link.send(self.state.update_since(revision, self.held_parts[link]))
+        self.subscribers[link] = self.state.revision
+        self.held_parts[link] = set(self.state.manifest.parts.values())
--- a/src/baobabturn/platform/httpstore.py
+++ b/src/baobabturn/platform/httpstore.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import aiohttp
@@ -59,7 +60,7 @@
         body: Any = None,
     ) -> tuple[int, Any] | Failure:
         """Return status and decoded body of one call, or why there is none."""
-        refused = self.budget.refuse()
+        refused = await self.wait_for_budget()
         if refused is not None:
             self.probe_soon()
             return refused
@@ -67,6 +68,20 @@
             method, path, timeout_s=timeout_s, headers=headers, params=params, body=body
         )
 
+    async def wait_for_budget(self) -> Failure | None:
+        """Wait until a call is left, as long as a call may take; or say why not.
+
+        An outage isn't waited for.
+        """
+        end = time.monotonic() + self.settings.call_timeout_s
+        while True:
+            refused = self.budget.refuse()
+            if refused is None or refused.code is not Code.PLATFORM_BUDGET:
+                return refused
+            if time.monotonic() + refused.retry_after_s > end:
+                return refused
+            await asyncio.sleep(refused.retry_after_s)
+
     def probe_soon(self) -> None:
         """See to it that probes go out while there is an outage."""
         if self.budget.is_down and not self.probing:
