Short and long work have fair shares of their own

Cause: a workspace's long work pushed its short work behind others' (fair share by workspace), and long work that had aged outranked fresh short work; reading of one long prompt held up short prompts.

--- a/bench/main.py
+++ b/bench/main.py
@@ -72,6 +72,7 @@
                 extra=extra,
             )
             runs.append(run)
+            print(json.dumps(run.measures), flush=True)
     runs.sort(key=lambda run: names.index(run.policy))
     about = {
         "deployment": deployment,
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -42,7 +42,7 @@
             half_life_samples=settings.length_half_life, key_limit=settings.length_keys
         )
         self.stragglers = Stragglers(settings=settings)
-        self.shares = FairShares()
+        self.shares = {True: FairShares(), False: FairShares()}
         self.flows = Flows()
         self.full: set[bool] = set()
         self.judged = 0.0
@@ -57,7 +57,7 @@
         waiting.terms = terms(curve, admit.prompt_tokens, 0, admit.max_tokens)
         waiting.chance = self.chance_in_time(waiting, waiting.deadline - now)
         self.flows.add(waiting)
-        self.shares.queued(admit.workspace)
+        self.shares[waiting.short].queued(admit.workspace)
 
     def is_short(self, curve: Curve, max_tokens: int) -> bool:
         """Return whether answers are likely to be short."""
@@ -68,7 +68,7 @@
     def unqueued(self, waiting: Waiting) -> None:
         """Take a request out of its flow."""
         self.flows.remove(waiting)
-        self.shares.unqueued(waiting.admit.workspace)
+        self.shares[waiting.short].unqueued(waiting.admit.workspace)
 
     def chance_in_time(self, waiting: Waiting, left_s: float) -> float:
         """Return the chance that a request ends in time if it starts now."""
@@ -91,14 +91,13 @@
         admit = waiting.admit
         waited = now - waiting.arrived
         level = admit.priority / PRIORITY_STEP + waited / settings.aging_s
-        faded = 0.0
         chance = self.chance_in_time(waiting, waiting.deadline - now)
-        if chance < FADED * waiting.chance:
-            faded = 1.0
+        faded = float(chance < FADED * waiting.chance)
         if waiting.short or admit.hedges:
             level += settings.short_levels
         level = min(int(level), settings.top_level)
-        return faded, -level, self.shares.start(admit.workspace), waiting.arrived
+        start = self.shares[waiting.short].start(admit.workspace)
+        return faded, -level, start, waiting.arrived
 
     def choose(
         self, pool: PoolState, waiting: Waiting, now: float
@@ -136,9 +135,7 @@
         batch = endpoint.concurrency or endpoint.batch_limit or settings.batch_limit
         if endpoint.in_flight >= batch:
             return False
-        reading = endpoint.reading_tokens
-        bound = settings.prefill_limit_tokens
-        if reading and reading + uncached > (bound if waiting.short else bound // 2):
+        if not self.may_read(endpoint, waiting, uncached):
             return False
         memory = endpoint.memory_tokens
         if not endpoint.growth.fits(
@@ -154,11 +151,25 @@
             waiting.terms, memory * left, settings.overflow_deviations
         )
 
+    def may_read(
+        self, endpoint: EndpointState, waiting: Waiting, uncached: int
+    ) -> bool:
+        """Return whether an endpoint may be sent more prompt tokens to read in.
+
+        What long work has sent doesn't hold up short work.
+        """
+        limit = self.settings.prefill_limit_tokens
+        reading = endpoint.reading_short
+        if not waiting.short:
+            reading += endpoint.reading_long
+            limit //= 2
+        return not reading or reading + uncached <= limit
+
     def cost(self, endpoint: EndpointState, uncached: int) -> float:
         """Return how much a request would burden an endpoint, in memory shares."""
         memory = max(1, endpoint.memory_tokens)
         full = endpoint.growth.peak() / memory
-        reading = (uncached + endpoint.reading_tokens) / self.settings.affinity_tokens
+        reading = (uncached + endpoint.reading) / self.settings.affinity_tokens
         return full + reading
 
     def engine_priority(self, waiting: Waiting) -> int:
@@ -178,11 +189,12 @@
         endpoint.long_count += not held.short
         held.first_token_seen = held.produced > 0
         if not held.first_token_seen:
-            endpoint.reading_tokens += held.uncached_tokens
+            endpoint.read_ahead(held, 1)
         self.stragglers.taken(endpoint.name, now)
         expected = held.curve.mean(held.max_tokens)
         held.expected_tokens = held.prompt_tokens + expected
-        self.shares.charge(held.workspace, held.expected_tokens, held.weight)
+        shares = self.shares[held.short]
+        shares.charge(held.workspace, held.expected_tokens, held.weight)
         if not held.hedges:
             share = self.settings.hedge_share
             self.hedge_budget = min(HEDGE_BURST, self.hedge_budget + share)
@@ -199,7 +211,7 @@
         """Follow a generation's growth and its pace."""
         if not held.first_token_seen and held.produced:
             held.first_token_seen = True
-            endpoint.reading_tokens -= held.uncached_tokens
+            endpoint.read_ahead(held, -1)
         elif held.produced > before:
             seconds = now - held.updated
             self.stragglers.seen(endpoint.name, held.produced - before, seconds, now)
@@ -219,13 +231,14 @@
                 held.workspace, held.model, held.kind, held.produced, finished
             )
         used = held.prompt_tokens + held.produced
-        self.shares.correct(held.workspace, used - held.expected_tokens, held.weight)
+        shares = self.shares[held.short]
+        shares.correct(held.workspace, used - held.expected_tokens, held.weight)
         if endpoint is None:
             return
         self.count(endpoint, held, -1.0)
         endpoint.long_count -= not held.short
         if not held.first_token_seen:
-            endpoint.reading_tokens -= held.uncached_tokens
+            endpoint.read_ahead(held, -1)
 
     def hedges(self, pool: PoolState, now: float) -> list[Reservation]:
         """Judge the endpoints; return the places worth a second attempt."""
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -67,7 +67,8 @@
     reservations: dict[str, Reservation] = attrs.Factory(dict)
     used_tokens: int = 0
     long_count: int = 0
-    reading_tokens: int = 0
+    reading_short: int = 0
+    reading_long: int = 0
     batch_limit: float = 0.0
     cached: CachedBlocks = attrs.Factory(
         lambda: CachedBlocks(limit=CACHED_BLOCK_LIMIT, trust_s=CACHE_TRUST_S)
@@ -75,11 +76,23 @@
     growth: Growth = attrs.Factory(Growth)
     long_growth: Growth = attrs.Factory(Growth)
 
+    @property
+    def reading(self) -> int:
+        """Return the prompt tokens sent and not read in yet."""
+        return self.reading_short + self.reading_long
+
     @property
     def in_flight(self) -> int:
         """Return the number of places held."""
         return len(self.reservations)
 
+    def read_ahead(self, held: Reservation, sign: int) -> None:
+        """Count prompt tokens that were sent and not read in yet."""
+        if held.short:
+            self.reading_short += sign * held.uncached_tokens
+        else:
+            self.reading_long += sign * held.uncached_tokens
+
     def add(self, held: Reservation) -> None:
         """Count a place in."""
         self.reservations[held.name] = held
