--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -6,21 +6,23 @@
 from behave import given, then, when
 from helper import open_stream, send, token_indexes, wait_for
 
+BYTES_PER_TOKEN = 4
 
-def body(context, tag, length):
+
+def body(context, tag, length, padding=""):
     return {
         "model": context.fleet.deployment.model,
-        "prompt": f"[tag={tag} length={length}]",
+        "prompt": f"[tag={tag} length={length}]{padding}",
         "stream": True,
     }
 
 
-def collect(context, workspace, tag, length, entry):
+def collect(context, workspace, tag, length, entry, padding=""):
     """Stream a generation and return the indexes of its tokens."""
     stream = open_stream(
         entry + "/v1/completions",
         key=f"key-{workspace}",
-        body=body(context, tag, length),
+        body=body(context, tag, length, padding),
     )
     assert stream.status == 200, (stream.status, stream.answer.read())
     events = list(stream.events())
@@ -28,13 +30,14 @@
     return token_indexes([event.text for event in events[:-2]], tag)
 
 
-def in_background(context, workspace, tag, length, entry):
+def in_background(context, workspace, tag, length, entry, padding=""):
     """Stream a generation in a thread that notes its tokens, or its error."""
     kept = context.threads = getattr(context, "threads", {})
 
     def run():
         try:
-            kept[tag][1].append(collect(context, workspace, tag, length, entry))
+            found = collect(context, workspace, tag, length, entry, padding)
+            kept[tag][1].append(found)
         except (AssertionError, OSError) as error:
             kept[tag][1].append(error)
 
@@ -166,62 +169,25 @@
     return [e["name"] for e in context.fleet.endpoints if e["kind"] == "engine"]
 
 
-@given("both engines have no room")
-def no_room(context):
+@given("both engines are frozen")
+def frozen(context):
     for name in engines(context):
         context.fleet.control(name, frozen=True)
-    memory = context.fleet.deployment.memory_tokens
-    prompt = "x" * int(memory * 4 * 0.475)
-    tags = [f"fill{number}" for number in range(4)]
-    context.fillers = [open_stream_later(context, tag, prompt) for tag in tags]
-    wait_for(lambda: all(started(context, tag) for tag in tags), "engines to fill")
-
-
-def open_stream_later(context, tag, padding):
-    """Open a stream in a thread; a frozen engine answers it later."""
-    values = body(context, tag, 2)
-    values["prompt"] += padding
-
-    def run():
-        stream = open_stream(
-            context.fleet.entry(0) + "/v1/completions", key="key-coop-1", body=values
-        )
-        list(stream.events())
-
-    thread = threading.Thread(target=run, daemon=True)
-    thread.start()
-    return thread
 
 
-@given('"{workspace}" asks for {count:d} generations that must wait')
-def must_wait(context, workspace, count):
-    context.waiting = [f"wait{number}" for number in range(count)]
-    pad = "y" * int(context.fleet.deployment.memory_tokens * 4 * 0.2)
+@given('"{workspace}" asks for {count:d} generations of a third of an engine\'s memory')
+def thirds(context, workspace, count):
+    context.waiting = [f"third{number}" for number in range(count)]
+    prompt = "y" * int(context.fleet.deployment.memory_tokens * BYTES_PER_TOKEN / 3)
     for number, tag in enumerate(context.waiting):
         entry = context.fleet.entry(number % len(context.fleet.hosts))
-        padded(context, workspace, tag, pad, entry)
-    wait_for(lambda: queued(context) >= count, "requests to wait")
-
-
-def padded(context, workspace, tag, pad, entry):
-    kept = context.threads = getattr(context, "threads", {})
-    values = body(context, tag, 3)
-    values["prompt"] += pad
-
-    def run():
-        stream = open_stream(
-            entry + "/v1/completions", key=f"key-{workspace}", body=values
-        )
-        events = list(stream.events())
-        texts = [event.text for event in events[:-2]]
-        kept[tag][1].append(token_indexes(texts, tag))
-
-    thread = threading.Thread(target=run, daemon=True)
-    kept[tag] = (thread, [], 3)
-    thread.start()
+        in_background(context, workspace, tag, 3, entry, prompt)
+    engine_count = len(engines(context))
+    wait_for(lambda: queued(context) >= count - 3 * engine_count, "requests to wait")
 
 
 def queued(context):
+    """Return how many requests wait at the schedulers."""
     found = [
         metric(context, number, "scheduler", "requests_waiting")
         for number in range(len(context.fleet.hosts))
@@ -229,11 +195,10 @@
     return sum(each or 0 for each in found)
 
 
-@then("all {count:d} generations are whole once the engines have room")
+@then("all {count:d} generations are whole once the engines go on")
 def whole_at_last(context, count):
     for name in engines(context):
         context.fleet.control(name, frozen=False)
+    assert len(context.waiting) == count
     for tag in context.waiting:
         joined(context, tag)
-    for thread in context.fillers:
-        thread.join(60)
