Tests that failed by chance under load

Cause: with the machine's load over its cores, members at 0.1 s intervals with 0.6 s of patience suspected each other; a test's free UDP port was taken by another test's TCP connection; a restart that the caller opted in to met a retry budget that earlier scenarios had spent. Ruled out: a fault of the restart, it comes whenever the budget has a retry. Change: members' test settings keep the defaults' shape with more patience (the checks are unchanged), listen tests use an address nobody connects from, the streams' fleet earns a full retry for each request.

--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -17,9 +17,9 @@
 from bench.members import MemberFleet
 
 FAST = [
-    "membership.interval_s=0.1",
-    "membership.suspect_s=0.6",
-    "membership.dead_s=1.6",
+    "membership.interval_s=0.2",
+    "membership.suspect_s=1.6",
+    "membership.dead_s=4",
 ]
 SETTLE_S = 2.0
 MEASURE_S = 3.0
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -9,6 +9,9 @@
 from behave import given, then, when
 from helper import run_module
 
+# An address that no other test connects from, so that its ports are free.
+ADDRESS = "127.0.0.77"
+
 
 @given("a settings file")
 def settings_file(context):
@@ -60,20 +63,21 @@
 
 @given("another process listens on an address")
 def address_taken(context):
-    listener = socket.create_server(("127.0.0.1", 0))
+    listener = socket.create_server((ADDRESS, 0))
     context.add_cleanup(listener.close)
     context.port = listener.getsockname()[1]
 
 
 @when('the program "{program}" starts on that address')
 def program_on_address(context, program):
-    flag = f"ports.{program}={context.port}"
-    context.done = run_module(f"baobabturn.{program}", "--set", flag)
+    address, flag = f"host.address={ADDRESS}", f"ports.{program}={context.port}"
+    flags = ("--set", address, "--set", flag)
+    context.done = run_module(f"baobabturn.{program}", *flags)
 
 
 @given("another process receives datagrams on an address")
 def datagrams_taken(context):
     receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     context.add_cleanup(receiver.close)
-    receiver.bind(("127.0.0.1", 0))
+    receiver.bind((ADDRESS, 0))
     context.port = receiver.getsockname()[1]
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -15,6 +15,7 @@
         "stall_timeout_s": 1.2,
         "resume_grace_s": 1.0,
         "address_lifetime_s": 1.0,
+        "retry_share": 1.0,
     },
     "controller": {"orphan_grace_s": 2.0, "orphan_sweep_s": 0.3},
 }
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -28,6 +28,7 @@
     "inner_sent_bytes": "Bytes sent over inner links.",
     "member_pushes": "Messages with members sent to this host's processes.",
     "open_requests": "Requests that the entry is answering.",
+    "orphans": "Generations found that no entry held.",
     "orders": "Orders sent to engines, by kind.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
     "places_held": "Places at endpoints that requests hold.",
