--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -14,13 +14,14 @@
 from baobabturn.controller.hostlist import HostList
 from baobabturn.controller.localprocesses import LocalProcesses
 from baobabturn.controller.orders import OrderGiver
+from baobabturn.controller.orphans import Orphans
 from baobabturn.controller.partsweep import PartSweep
 from baobabturn.controller.peers import call_peer
 from baobabturn.controller.polling import Poller
 from baobabturn.controller.views import Views
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
-from baobabturn.core.results import Failure
+from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.membership.heartbeat import Membership
 from baobabturn.membership.owners import ALIVE, LEAVING, owner
@@ -96,6 +97,12 @@
         self.local = LocalProcesses(
             program=program, changed=self.membership.set_process_down
         )
+        self.orphans = Orphans(
+            program=program,
+            engine=self.engine,
+            endpoints=self.poller.endpoints,
+            ask=self.ask_scheduler,
+        )
         self.server = LinkServer(
             identity=program.identity,
             inner=settings.inner,
@@ -123,6 +130,7 @@
             return failed
         self.local.start()
         program.background.start(self.sync.watch(), "config-watch")
+        program.background.start(self.orphans.run(), "orphans")
         program.background.start(self.hosts.follow(), "host-list")
         program.background.start(self.gate.watch(), "config-gate")
         program.background.start(self.views.rounds(), "view-rounds")
@@ -190,6 +198,13 @@
         if link is not None:
             link.send(body)
 
+    async def ask_scheduler(self, body: object) -> object:
+        """Return this host's scheduler's answer to a message."""
+        link = self.local.links.get("scheduler")
+        if link is None:
+            return Failure(Code.LINK_LOST, "no link to the scheduler")
+        return await link.call(body)
+
     def config_fetch(self, link: Link, body: ConfigFetch) -> ConfigUpdate:
         """Return the newest configuration, less the parts the peer holds."""
         return self.state.update_since(body.revision, set(body.parts))
--- a/src/baobabturn/entry/requests.py
+++ b/src/baobabturn/entry/requests.py
@@ -69,10 +69,19 @@
         return Failure(Code.BAD_FIELD, "messages: allowed is a list of messages")
     if not all(isinstance(message, dict) for message in messages):
         return Failure(Code.BAD_FIELD, "messages: allowed are objects")
-    try:
-        return chat_text(messages)
-    except (AttributeError, TypeError):
+    if not all(is_content(message.get("content")) for message in messages):
         return Failure(Code.BAD_FIELD, "messages: content: allowed is text or parts")
+    return chat_text(messages)
+
+
+def is_content(content: Any) -> bool:
+    """Return whether a message's content is absent, a text or a list of parts."""
+    if content is None or isinstance(content, str):
+        return True
+    return isinstance(content, list) and all(
+        isinstance(part, dict) and isinstance(part.get("text", ""), str)
+        for part in content
+    )
 
 
 def whole_number(body: dict, name: str, low: int, high: int) -> int | None | Failure:
