--- a/features/matrix.feature
+++ b/features/matrix.feature
@@ -14,29 +14,29 @@
       | no fault | no fault | all |
 
     Examples: single faults
-      | first                      | second   | served              |
-      | a killed entry             | no fault | the others          |
-      | a killed scheduler         | no fault | all                 |
-      | a killed controller        | no fault | all                 |
-      | a killed engine            | no fault | services            |
-      | a killed service           | no fault | generations         |
-      | a reclaimed engine         | no fault | services            |
-      | a stalled engine           | no fault | services            |
-      | a failing engine           | no fault | services            |
-      | a refusing engine          | no fault | all                 |
-      | a cut link to an engine    | no fault | services            |
-      | a paused entry             | no fault | the others          |
-      | a paused scheduler         | no fault | all                 |
-      | a paused controller        | no fault | all                 |
-      | a platform that is down    | no fault | all but claimed     |
-      | a slow platform            | no fault | all but claimed     |
-      | a platform losing answers  | no fault | all                 |
+      | first                     | second   | served                    |
+      | a killed entry            | no fault | what can resume or repeat |
+      | a killed scheduler        | no fault | all                       |
+      | a killed controller       | no fault | all                       |
+      | a killed engine           | no fault | services and later all    |
+      | a killed service          | no fault | repeatable and later all  |
+      | a reclaimed engine        | no fault | services and later all    |
+      | a stalled engine          | no fault | services and later all    |
+      | a failing engine          | no fault | services and later all    |
+      | a refusing engine         | no fault | all                       |
+      | a cut link to an engine   | no fault | all                       |
+      | a paused entry            | no fault | what can resume or repeat |
+      | a paused scheduler        | no fault | all                       |
+      | a paused controller       | no fault | all                       |
+      | a platform that is down   | no fault | all but claimed           |
+      | a slow platform           | no fault | all but claimed           |
+      | a platform losing answers | no fault | all                       |
 
     Examples: pairs of faults
-      | first                      | second                    | served          |
-      | a killed entry             | a platform losing answers | the others      |
-      | a killed entry             | a killed scheduler        | the others      |
-      | a killed scheduler         | a killed engine           | services        |
-      | a killed service           | a platform that is down   | generations     |
-      | a paused controller        | a platform that is down   | all but claimed |
-      | a stalled engine           | a paused scheduler        | services        |
+      | first               | second                    | served                    |
+      | a killed entry      | a platform losing answers | what can resume or repeat |
+      | a killed entry      | a killed scheduler        | what can resume or repeat |
+      | a killed scheduler  | a killed engine           | services                  |
+      | a killed service    | a platform that is down   | all but claimed           |
+      | a paused controller | a platform that is down   | all but claimed           |
+      | a stalled engine    | a paused scheduler        | services                  |
--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -39,12 +39,15 @@
     "status": ("GET", "ledger/status"),
 }
 KINDS = (*STREAMS, *WHOLE, *REPEATABLE, *CLAIMED)
+SERVICES = (*REPEATABLE, *CLAIMED)
+REPEATED = (*STREAMS, *WHOLE, *REPEATABLE)
 SERVED = {
-    "all": KINDS,
-    "the others": (),
-    "services": (*REPEATABLE, *CLAIMED),
-    "generations": (*STREAMS, *WHOLE, *REPEATABLE),
-    "all but claimed": (*STREAMS, *WHOLE, *REPEATABLE),
+    "all": (KINDS, KINDS),
+    "what can resume or repeat": ((*STREAMS, *REPEATABLE), (*STREAMS, *REPEATABLE)),
+    "services and later all": (SERVICES, KINDS),
+    "repeatable and later all": (REPEATED, KINDS),
+    "services": (SERVICES, SERVICES),
+    "all but claimed": (REPEATED, REPEATED),
 }
 
 
@@ -55,6 +58,7 @@
     kind: str
     tag: str
     entry: int
+    wave: int = 1
     ending: str = ""
     code: int = 0
     run: str = ""
@@ -302,7 +306,7 @@
     for kind in KINDS:
         for number in range(EACH):
             tag = f"{kind}-{context.feature.cells}-{wave}-{number}"
-            work = Work(kind, tag, context.random.randrange(entries))
+            work = Work(kind, tag, context.random.randrange(entries), wave)
             thread = threading.Thread(target=carry, args=(context.fleet, work))
             thread.start()
             context.work.append((work, thread))
@@ -346,8 +350,12 @@
     return ran
 
 
-def broken_promises(context, kinds):
-    """Return every promise that a request of the cell saw broken."""
+def broken_promises(context, served):
+    """Return every promise that a request of the cell saw broken.
+
+    ``served`` holds the kinds that must be served of those sent before the
+    faults and of those sent after them.
+    """
     ran = total_ran(context)
     found = []
     for work, _ in context.work:
@@ -363,7 +371,8 @@
             "served but not run": work.kind in CLAIMED
             and work.ending == "served"
             and count != 1,
-            "not served": work.kind in kinds and work.ending != "served",
+            "not served": work.kind in served[work.wave - 1]
+            and work.ending != "served",
             "no number": work.ending == "refused" and not work.code,
             "tokens": not tokens_right(work),
         }
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -196,5 +196,5 @@
         await self.controller.stop()
         await self.session.close()
         await self.once_session.close()
-        await self.claims.background.stop()
+        await self.claims.close()
         await self.store.close()
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -140,7 +140,8 @@
                 return failure
         result = await self.attempts(call)
         settled = self.carried(self.settle(call, taken, result), f"settle-{name}")
-        await asyncio.wait({settled}, timeout=RECORD_WAIT_S)
+        left = max(0.0, call.deadline - time.monotonic())
+        await asyncio.wait({settled}, timeout=min(RECORD_WAIT_S, left))
         return result
 
     async def settle(
--- a/src/baobabturn/platform/claims.py
+++ b/src/baobabturn/platform/claims.py
@@ -42,6 +42,7 @@
 TAKEOVER_SLACK_S = 0.5
 HOLDER_SLACK_S = 1.0
 SETTLE_LIMIT_S = 600.0
+CLOSE_S = 2.0
 RETRY_AFTER_S = 1.0
 LOST = (Code.VERSION_CONFLICT, Code.WRITE_UNRESOLVED)
 
@@ -250,6 +251,12 @@
         claim.version = stored.version
         return None
 
+    async def close(self) -> None:
+        """Give the voids in progress a moment, then stop them."""
+        if self.background.tasks:
+            await asyncio.wait(self.background.tasks, timeout=CLOSE_S)
+        await self.background.stop()
+
     def forget(self, claim: Claim) -> None:
         """Void a claim that was never sent, in the background."""
         self.background.start(self.void(claim), f"void-{claim.name}")
