A link that is cut again and again is followed as long as a silent one

Change: after the first token a link that opens again is followed until entry.stall_timeout_s has passed since the first cut.

--- a/src/baobabturn/entry/following.py
+++ b/src/baobabturn/entry/following.py
@@ -53,6 +53,8 @@
         self.opening: asyncio.Task | None = None
         self.silent_s = 0.0
         self.cuts = 0
+        self.cut_since = 0.0
+        self.reopened = False
         self.finished = False
 
     def start(self, chat: bool, body: dict[str, Any]) -> None:
@@ -133,15 +135,31 @@
     async def after_cut(self, failure: Failure) -> Failure | None:
         """Open the link again; return the failure where that can't help."""
         self.cuts += 1
-        final = failure.code not in (Code.GENERATION_CUT, Code.OUTCOME_UNKNOWN)
-        if final or self.cuts > RECONNECT_TRIES:
+        if self.cuts == 1:
+            self.cut_since = time.monotonic()
+        if self.gives_up(failure):
             return failure
         await asyncio.sleep(backoff_s(self.cuts))
-        reopened = await self.reopen()
-        if reopened is not None and reopened.code is Code.GENERATION_GONE:
+        missed = await self.reopen()
+        self.reopened = missed is None
+        if missed is not None and missed.code is Code.GENERATION_GONE:
             return failure
         return None
 
+    def gives_up(self, failure: Failure) -> bool:
+        """Return whether a cut link is not opened again.
+
+        A link that opens again and is cut again is followed for as long as a
+        silent one would be, but only once tokens went out: before that another
+        engine may be tried.
+        """
+        if failure.code not in (Code.GENERATION_CUT, Code.OUTCOME_UNKNOWN):
+            return True
+        if self.next and self.reopened:
+            lasted = time.monotonic() - self.cut_since
+            return lasted >= self.node.settings.entry.stall_timeout_s
+        return self.cuts > RECONNECT_TRIES
+
     async def reopen(self) -> Failure | None:
         """Open a new link at the next token; return why that wasn't possible."""
         work = self.node.engine.resume(self.url, self.place.generation, self.next - 1)
