--- a/bench/members.py
+++ b/bench/members.py
@@ -14,15 +14,18 @@
 
 import attrs
 
+from baobabturn.config.state import ConfigState
+from baobabturn.controller.configsync import ConfigSync
 from baobabturn.controller.peers import call_peer
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.heartbeat import Membership
 from baobabturn.membership.owners import ALIVE, DEAD, SUSPECT
+from baobabturn.platform.httpstore import HttpStore
 from baobabturn.settings.load import load
 from baobabturn.settings.model import Settings
 from baobabturn.wire.link import LinkServer
-from baobabturn.wire.messages import Member, MemberSync
+from baobabturn.wire.messages import ConfigFetch, Member, MemberSync
 
 ADDRESS = "127.0.0.1"
 START_PAUSE_S = 0.01
@@ -83,14 +86,25 @@
         self.fleet = fleet
         self.program = Program(role="controller", settings=settings)
         self.seen: dict[str, str] = {}
+        self.state = ConfigState(pool_size=settings.scheduler.pool_size)
         self.membership = Membership(
             program=self.program,
             changed=self.changed,
-            newer=lambda member: fleet.newer(self, member),
+            newer=lambda member: self.sync.newer_at(member),
             exchange=self.exchange,
         )
+        self.sync = ConfigSync(
+            program=self.program,
+            store=HttpStore(settings=settings.platform),
+            state=self.state,
+            membership=self.membership,
+            changed=lambda: self.membership.set_revision(self.state.revision),
+        )
         self.membership.messenger.passes = self.passes
-        self.handlers: dict[type, Callable] = {MemberSync: self.answer_sync}
+        self.handlers: dict[type, Callable] = {
+            MemberSync: self.answer_sync,
+            ConfigFetch: self.answer_fetch,
+        }
         self.server = LinkServer(
             identity=self.program.identity,
             inner=settings.inner,
@@ -116,6 +130,10 @@
         """Answer a peer that compares members."""
         return self.membership.syncer.answer(body)
 
+    def answer_fetch(self, link: Any, body: ConfigFetch) -> Any:
+        """Answer a peer that fetches the configuration."""
+        return self.state.update_since(body.revision, set(body.parts))
+
     async def exchange(self, member: Member, body: Any) -> Any:
         """Call a peer, unless the way to it is cut."""
         if (self.name, member.name) in self.fleet.cut:
@@ -163,7 +181,6 @@
         self.cut: set[tuple[str, str]] = set()
         self.changes: list[Change] = []
         self.seed_count = seeds
-        self.newer: Callable[[Host, Member], None] = lambda host, member: None
         self.hosts = [self.make(number) for number in range(size)]
 
     def make(self, number: int) -> Host:
@@ -254,6 +271,10 @@
         """Return the bytes of all datagrams that running members sent."""
         return sum(host.membership.messenger.sent_bytes for host in self.live())
 
+    def bytes_received(self) -> int:
+        """Return the bytes of all datagrams that running members received."""
+        return sum(host.membership.messenger.received_bytes for host in self.live())
+
     def alive_at(self, host: Host) -> int:
         """Return how many members one takes for alive."""
         return sum(m.state == ALIVE for m in host.membership.members())
--- a/src/baobabturn/membership/messenger.py
+++ b/src/baobabturn/membership/messenger.py
@@ -97,15 +97,27 @@
         sequence: int = 0,
         target: str = "",
         first: list[Member] | None = None,
+        lacking: bool = False,
     ) -> None:
-        """Send one datagram with as many rumours as fit."""
+        """Send one datagram with as many rumours as fit.
+
+        To a peer that lacks something go words of the last while.
+        """
         if self.transport is None or not self.passes(address):
             return
-        datagram = self.seal.close(self.pack(kind, sequence, target, first or []))
+        body = self.pack(kind, sequence, target, first or [], lacking)
+        datagram = self.seal.close(body)
         self.transport.sendto(datagram, address)
         self.sent_bytes += len(datagram)
 
-    def pack(self, kind: str, sequence: int, target: str, first: list[Member]) -> bytes:
+    def pack(
+        self,
+        kind: str,
+        sequence: int,
+        target: str,
+        first: list[Member],
+        lacking: bool,
+    ) -> bytes:
         """Return a datagram's bytes, this host's own word among them."""
         membership = self.membership
         table = membership.table
@@ -114,7 +126,10 @@
         room = min(
             DATAGRAM_LIMIT_BYTES - HEAD_BYTES - used, int(self.gossip_allowance())
         )
-        rumours = table.rumours.take(room, len(table.records))
+        if lacking:
+            rumours = table.rumours.take_recent(room, membership.random)
+        else:
+            rumours = table.rumours.take(room, len(table.records))
         self.gossip_room -= sum(len(table.packer.pack(each)) for each in rumours)
         told = {member.name for member in members}
         members += [member for member in rumours if member.name not in told]
--- a/src/baobabturn/membership/prober.py
+++ b/src/baobabturn/membership/prober.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from baobabturn.membership.messenger import Address, address_of
+from baobabturn.membership.messenger import NEWS, Address, address_of
 from baobabturn.membership.owners import ALIVE, DEAD, LIVE_STATES, SUSPECT
 from baobabturn.membership.table import Record
 from baobabturn.wire.messages import Heartbeat, Member
@@ -184,13 +184,16 @@
         if beat.target in ("", self.membership.me.name):
             told = self.told_of(beat.node)
             messenger = self.membership.messenger
-            messenger.send(ACK, address, beat.sequence, beat.node, told)
+            lacking = beat.digest != self.table.digest
+            messenger.send(ACK, address, beat.sequence, beat.node, told, lacking)
 
     def take_ack(self, beat: Heartbeat, address: Address) -> None:
         """Settle a probe, or hand the answer to the member that it was for."""
         relayed = self.relayed.pop(beat.sequence, None)
         if relayed is None:
-            self.answered(beat.sequence)
+            if self.answered(beat.sequence) and beat.digest != self.table.digest:
+                messenger = self.membership.messenger
+                messenger.send(NEWS, address, lacking=True)
             return
         record = self.table.records.get(beat.node)
         about = [record.member] if record is not None else []
--- a/src/baobabturn/membership/table.py
+++ b/src/baobabturn/membership/table.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import random
 import time
 from collections.abc import Callable, Iterator
 
@@ -25,6 +26,8 @@
 GRAVE_LIMIT = 4096
 SENDS_PER_DECADE = 4
 KNOWN_SENDS = 2
+RECENT_S = 60.0
+RECENT_LIMIT = 16
 CACHE_LIMIT = 4096
 
 
@@ -84,15 +87,38 @@
 
 
 class Rumours:
-    """Words to pass on; each goes out a bounded number of times, new ones first."""
+    """Words to pass on; each goes out a bounded number of times, new ones first.
 
-    def __init__(self, *, packer: Packer):
+    The words of the last while are also kept for members whose digest shows
+    that they lack something.
+    """
+
+    def __init__(self, *, packer: Packer, clock: Callable[[], float]):
         self.packer = packer
+        self.clock = clock
         self.waiting: dict[str, tuple[int, Member]] = {}
+        self.recent: dict[str, tuple[float, Member]] = {}
 
     def add(self, member: Member) -> None:
         """Pass a word on from now on, in place of an older one."""
         self.waiting[member.name] = (0, member)
+        self.recent[member.name] = (self.clock(), member)
+
+    def take_recent(self, room_bytes: int, chance: random.Random) -> list[Member]:
+        """Return words of the last while, by chance, that fit one datagram."""
+        oldest = self.clock() - RECENT_S
+        for name, (since, _) in list(self.recent.items()):
+            if since < oldest:
+                del self.recent[name]
+        names = list(self.recent)
+        chosen = []
+        for name in chance.sample(names, min(len(names), RECENT_LIMIT)):
+            member = self.recent[name][1]
+            room_bytes -= len(self.packer.pack(member))
+            if room_bytes < 0:
+                break
+            chosen.append(member)
+        return chosen
 
     def take(self, room_bytes: int, members: int) -> list[Member]:
         """Return the words for one datagram of a fleet with so many members."""
@@ -131,7 +157,7 @@
         self.records: dict[str, Record] = {}
         self.graves: dict[str, tuple[int, float]] = {}
         self.packer = Packer()
-        self.rumours = Rumours(packer=self.packer)
+        self.rumours = Rumours(packer=self.packer, clock=clock)
         self.digest = fingerprint(me)
         self.version = 0
 
