--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -26,6 +26,7 @@
 FADED = 0.5
 JUDGE_S = 0.1
 LEAST_BATCH = 4.0
+LONG_READING = 4
 BATCH_STEP = 0.5
 BATCH_CUT = 0.95
 HEDGE_BURST = 20.0
@@ -162,7 +163,7 @@
         reading = endpoint.reading_short
         if not waiting.short:
             reading += endpoint.reading_long
-            limit //= 2
+            limit //= LONG_READING
         return not reading or reading + uncached <= limit
 
     def cost(self, endpoint: EndpointState, uncached: int) -> float:
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -301,7 +301,7 @@
         if body.cleared:
             endpoint.cached.clear()
         endpoint.cached.store(body.stored, time.monotonic())
-        endpoint.cached.remove(body.removed, time.monotonic())
+        endpoint.cached.remove(body.removed)
 
     def settle(self) -> None:
         """Begin to grant; what the entries hold is known."""
