One pass over the queue each 10 ms while no engine has room

Cause: at a crest each of several hundred messages a second caused a pass over all flows, with nothing to place. Change: passes are put together while the last one found no room.

--- a/src/baobabturn/scheduler/baselines.py
+++ b/src/baobabturn/scheduler/baselines.py
@@ -13,6 +13,7 @@
 
     def __init__(self, *, settings: Scheduler, seed: int):
         self.settings = settings
+        self.saturated = False
         self.random = random.Random(seed)
 
     def queued(self, waiting: Waiting, now: float) -> None:
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -31,6 +31,7 @@
 BATCH_CUT = 0.95
 HEDGE_BURST = 20.0
 FINISHED = "finished"
+CLASSES = 2
 COST = operator.itemgetter(0)
 
 
@@ -49,6 +50,11 @@
         self.judged = 0.0
         self.hedge_budget = HEDGE_BURST
 
+    @property
+    def saturated(self) -> bool:
+        """Return whether the last pass over the queue found no room at all."""
+        return len(self.full) == CLASSES
+
     def queued(self, waiting: Waiting, now: float) -> None:
         """Class a request by what is learned of its like, and queue it."""
         admit = waiting.admit
--- a/src/baobabturn/scheduler/policy.py
+++ b/src/baobabturn/scheduler/policy.py
@@ -11,7 +11,12 @@
 
 
 class Policy(Protocol):
-    """A way to decide; holds what it learns."""
+    """A way to decide; holds what it learns.
+
+    ``saturated`` says that the last pass over the queue found no room at all.
+    """
+
+    saturated: bool
 
     def queued(self, waiting: Waiting, now: float) -> None:
         """Take in a request that waits."""
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -28,6 +28,7 @@
 DRAIN_ROLE = "drain"
 MS = 1000
 US = 1_000_000
+FULL_PAUSE_S = 0.01
 
 
 class PoolScheduler:
@@ -90,7 +91,10 @@
             weight=workspace.weight if workspace is not None else 1.0,
         )
         self.enqueue(waiting, now)
-        self.dispatch()
+        if self.policy.saturated:
+            self.dispatch_soon()
+        else:
+            self.dispatch()
         if not waiting.future.done():
             self.program.events.emit(
                 Event.REQUEST_QUEUED, request=body.request, pool=self.state.name
@@ -119,10 +123,11 @@
             self.limits.ended(admit.workspace, 0, time.monotonic(), admit.hedges)
 
     def dispatch_soon(self) -> None:
-        """Dispatch once for all the messages that are at hand."""
+        """Dispatch once for the messages at hand, a little later when all is full."""
         if not self.dispatching:
             self.dispatching = True
-            asyncio.get_running_loop().call_soon(self.dispatch)
+            pause_s = FULL_PAUSE_S if self.policy.saturated else 0.0
+            asyncio.get_running_loop().call_later(pause_s, self.dispatch)
 
     def dispatch(self) -> None:
         """Grant places to those that wait, as far as the policy allows."""
