--- a/features/lengths.feature
+++ b/features/lengths.feature
@@ -46,3 +46,9 @@
     Given learned lengths that hold at most 50 keys
     When other learned lengths take in garbage
     Then the chance of "w/m/k" over 100 tokens is 0.3 to 0.7
+
+  Scenario: A pool's next owner knows what the former one had learned
+    Given a fleet whose schedulers hand on what they learned each 0.3 seconds
+    When 6 short answers have ended and the entries keep what was learned
+    And the owner of what was learned is killed
+    Then another scheduler owns the pool and knows as many lengths
--- a/features/steps/lengths.py
+++ b/features/steps/lengths.py
@@ -1,8 +1,10 @@
 """Steps of learned lengths."""
 
 import random
+import time
 
 from behave import given, then, when
+from helper import send, start_fleet, wait_for
 
 from baobabturn.scheduler.learned import pack, take_in
 from baobabturn.scheduler.lengths import Lengths
@@ -74,3 +76,72 @@
 def step_bounded(context, count):
     assert len(context.lengths.counts) <= count
     assert len(context.lengths.curves) <= count
+
+
+def scheduler_metric(context, number, name):
+    """Return a gauge of a host's scheduler, 0 where it can't be read."""
+    try:
+        text = send(context.fleet.entry(number) + "/metrics", method="GET").text
+    except OSError:
+        return 0
+    for line in text.splitlines():
+        if line.startswith(f'baobabturn_{name}{{role="scheduler"'):
+            return float(line.rpartition(" ")[2])
+    return 0
+
+
+def pool_owner(context, other_than=None):
+    """Return the number of a host whose scheduler owns a pool, None for none."""
+    for number in range(len(context.fleet.hosts)):
+        if number != other_than and scheduler_metric(context, number, "pools_owned"):
+            return number
+    return None
+
+
+@given("a fleet whose schedulers hand on what they learned each {seconds:g} seconds")
+def step_fleet(context, seconds):
+    start_fleet(
+        context,
+        "herd",
+        False,
+        hosts=3,
+        engines=2,
+        workers=1,
+        overrides={"scheduler": {"learned_interval_s": seconds}},
+    )
+
+
+@when("{count:d} short answers have ended and the entries keep what was learned")
+def step_answers(context, count):
+    for number in range(count):
+        body = {
+            "model": context.fleet.deployment.model,
+            "prompt": f"[tag=learn-{number} length=5]",
+        }
+        url = context.fleet.entry(number % 3) + "/v1/completions"
+        answer = send(url, key="key-buyers", body=body)
+        assert answer.status == 200, answer.text
+    found = wait_for(lambda: pool_owner(context) is not None, "an owner")
+    assert found
+    context.owner = pool_owner(context)
+    context.known = wait_for(
+        lambda: scheduler_metric(context, context.owner, "learned_keys"), "lengths"
+    )
+    time.sleep(1.0)
+
+
+@when("the owner of what was learned is killed")
+def step_killed(context):
+    host = context.fleet.hosts[context.owner].name
+    context.fleet.kill(f"scheduler@{host}")
+
+
+@then("another scheduler owns the pool and knows as many lengths")
+def step_next_owner(context):
+    def known_elsewhere():
+        number = pool_owner(context, other_than=context.owner)
+        if number is None:
+            return False
+        return scheduler_metric(context, number, "learned_keys") >= context.known
+
+    wait_for(known_elsewhere, "the next owner to know the lengths")
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -27,6 +27,7 @@
     "inner_received_bytes": "Bytes received over inner links.",
     "inner_sent_bytes": "Bytes sent over inner links.",
     "member_pushes": "Messages with members sent to this host's processes.",
+    "learned_keys": "Length distributions that the owned pools have learned.",
     "open_requests": "Requests that the entry is answering.",
     "orders": "Orders sent to engines, by kind.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
--- a/src/baobabturn/scheduler/baselines.py
+++ b/src/baobabturn/scheduler/baselines.py
@@ -62,6 +62,10 @@
         """Return nothing."""
         return b""
 
+    def known_keys(self) -> int:
+        """Return none."""
+        return 0
+
     def take_learned(self, body: bytes) -> None:
         """Learn nothing."""
 
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -271,6 +271,10 @@
         """Return the learned lengths in compact form."""
         return pack(self.lengths) if self.lengths.counts else b""
 
+    def known_keys(self) -> int:
+        """Return how many length distributions are held."""
+        return len(self.lengths.counts)
+
     def take_learned(self, body: bytes) -> None:
         """Take in lengths that another scheduler has learned."""
         take_in(self.lengths, body)
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -101,6 +101,7 @@
         metrics.gauge("pools_owned", lambda: len(self.pools))
         metrics.gauge("places_held", lambda: self.total("reservations"))
         metrics.gauge("requests_waiting", lambda: self.total("queue"))
+        metrics.gauge("learned_keys", self.learned_keys)
         self.program.describe = lambda: describe(self.pools)
         self.program.events.emit(Event.PROCESS_READY, port=port)
         await self.program.stopping.wait()
@@ -132,6 +133,10 @@
             ):
                 self.hand_on()
 
+    def learned_keys(self) -> int:
+        """Return how many length distributions the pools have learned."""
+        return sum(pool.policy.known_keys() for pool in self.pools.values())
+
     def hand_on(self) -> None:
         """Send what the pools have learned to the entries that keep it."""
         self.handed_on = time.monotonic()
--- a/src/baobabturn/scheduler/policy.py
+++ b/src/baobabturn/scheduler/policy.py
@@ -54,6 +54,9 @@
     def learned(self) -> bytes:
         """Return what is learned in compact form, empty where there is nothing."""
 
+    def known_keys(self) -> int:
+        """Return how many length distributions are held."""
+
     def take_learned(self, body: bytes) -> None:
         """Take in what another scheduler has learned."""
 
