--- a/src/baobabturn/scheduler/lengths.py
+++ b/src/baobabturn/scheduler/lengths.py
@@ -101,7 +101,7 @@
             self.ended[place] *= factor
         self.weight *= factor
 
-    def hazards(self, parent: list[float]) -> list[float]:
+    def hazards(self, parent: array) -> list[float]:
         """Return the hazards, leaning on the coarser key's where samples are few."""
         pseudo = PSEUDO_SAMPLES * self.weight
         return [
@@ -116,8 +116,8 @@
     """A distribution of lengths, ready to be asked."""
 
     def __init__(self, *, hazards: list[float]):
-        self.hazards = hazards
-        self.cumulative = [0.0]
+        self.hazards = array("d", hazards)
+        self.cumulative = array("d", [0.0])
         for hazard in hazards:
             self.cumulative.append(self.cumulative[-1] - math.log1p(-hazard))
         self.means: dict[int, float] = {}
