Draining hosts and endpoints finish their work and take no new

Cause: a drained host went on taking new work for ever; a controller that was stopped first left its entry without members; a declared role "drain" and services by the host list alone were not followed everywhere. An entry that stops waits for its cancellations too. A controller that stops serves its entry on until that is idle or gone. Endpoints of role "drain" get no work from schedulers, estimates and service calls.

--- a/src/baobabturn/config/document.py
+++ b/src/baobabturn/config/document.py
@@ -16,6 +16,7 @@
 from baobabturn.core.results import Code, Failure
 
 FORMAT = 1
+DRAIN_ROLE = "drain"
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/controller/localprocesses.py
+++ b/src/baobabturn/controller/localprocesses.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.wire.link import Link
-from baobabturn.wire.messages import StatsRequest
+from baobabturn.wire.messages import Stats, StatsRequest
 
 ROLES = ("entry", "scheduler")
 PING = "ping"
+OPEN_REQUESTS = "open-requests"
+IDLE_CHECK_S = 0.1
 
 
 class LocalProcesses:
@@ -46,6 +49,22 @@
                 del self.links[role]
                 self.changed(role, True)
 
+    async def until_idle(self) -> None:
+        """Wait until the entry has ended, or has served what it must.
+
+        A controller that stops serves its entry on until then, in whatever
+        order the processes of a host are stopped.
+        """
+        settings = self.program.settings
+        end = time.monotonic() + settings.entry.address_lifetime_s
+        limit_s = settings.membership.suspect_s
+        while (link := self.links.get("entry")) is not None:
+            answer = await link.call(StatsRequest(kind=OPEN_REQUESTS), limit_s)
+            idle = not isinstance(answer, Stats) or answer.text == "0"
+            if idle and time.monotonic() >= end:
+                return
+            await asyncio.sleep(IDLE_CHECK_S)
+
     async def ping(self, link: Link, role: str) -> None:
         """Ask a process for a sign of life for as long as its link is open."""
         settings = self.program.settings.controller
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -147,6 +147,7 @@
         await self.membership.leave()
         await self.orders.stop()
         await asyncio.sleep(program.settings.membership.interval_s)
+        await self.local.until_idle()
         await self.server.stop()
         return None
 
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -17,7 +17,12 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.addresses import entries_body
 from baobabturn.entry.admin import admin_routes
-from baobabturn.entry.answers import error_body, error_headers, send_failure
+from baobabturn.entry.answers import (
+    error_body,
+    error_headers,
+    send_failure,
+    send_json,
+)
 from baobabturn.entry.bodies import parse_json, read_body
 from baobabturn.entry.node import Node
 from baobabturn.entry.requests import read_deadline, read_request
@@ -89,7 +94,7 @@
 
     def unready(self) -> Failure | None:
         """Return why this entry should not be used, None where it may be."""
-        if self.node.draining:
+        if self.node.drain.since is not None:
             return Failure(Code.DRAINING, "draining")
         if not self.node.state.revision:
             return Failure(Code.NO_CONFIGURATION, "no configuration is in force")
@@ -130,6 +135,8 @@
         if isinstance(space, Failure):
             await self.refuse(send, space, request)
             return
+        if await self.sent_elsewhere(scope, send, request):
+            return
         resume = headers.get(b"last-event-id")
         if resume is not None:
             await self.resume(headers, space, request, receive, send)
@@ -157,6 +164,17 @@
         answer = stream_answer if wanted.stream else whole_answer
         await self.counted(answer(self.node, wanted, receive, send))
 
+    async def sent_elsewhere(self, scope: Scope, send: Send, request: str) -> bool:
+        """Return whether a drained host has refused a request, with addresses."""
+        failure = self.node.refusal()
+        if failure is None:
+            return False
+        self.node.failed(failure)
+        body = error_body(failure, request)
+        body["error"].update(entries_body(self.node, scope["scheme"]))
+        await send_json(send, body, failure.status, error_headers(failure))
+        return True
+
     async def resume(
         self, headers: dict, space: Workspace, request: str, receive: Any, send: Any
     ) -> None:
@@ -194,6 +212,8 @@
         """Carry out a call of a plain service."""
         headers = headers_of(scope)
         request = request_id()
+        if await self.sent_elsewhere(scope, send, request):
+            return
         call = await self.read_call(scope, headers, receive, request)
         if isinstance(call, Failure):
             await self.refuse(send, call, request)
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -80,15 +80,13 @@
 
     Other hosts hear with the next heartbeat that this entry is to be left out.
     """
-    node.draining = True
+    node.drain.stop()
     program.events.emit(Event.PROCESS_DRAINING, open=node.open_requests)
     membership = program.settings.membership
     end = time.monotonic() + membership.suspect_s
     while node.is_listed() and time.monotonic() < end:
         await asyncio.sleep(DRAIN_CHECK_S)
-    await asyncio.sleep(membership.interval_s)
-    await asyncio.sleep(program.settings.entry.address_lifetime_s)
-    while node.open_requests:
+    while not node.drain.is_over() or node.open_requests or node.cancels.open:
         await asyncio.sleep(DRAIN_CHECK_S)
 
 
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -17,9 +17,10 @@
 from baobabturn.endpoints.openaiengine import OpenAIEngine
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.cancels import Cancels
+from baobabturn.entry.draining import OPEN_REQUESTS, Drain
 from baobabturn.entry.retries import RetryBudget
 from baobabturn.entry.schedulers import Schedulers
-from baobabturn.membership.owners import ALIVE, DEAD, owner
+from baobabturn.membership.owners import ALIVE, DEAD, LEAVING, owner
 from baobabturn.membership.view import merged
 from baobabturn.platform.claims import Claims
 from baobabturn.platform.claimvalues import result_limit
@@ -48,7 +49,7 @@
         self.members: list[Member] = []
         self.view = MemberView()
         self.leaving_endpoints: set[str] = set()
-        self.draining = False
+        self.drain = Drain(settings=self.settings)
         self.open_requests = 0
         self.schedulers = Schedulers(program=program, state=self.state)
         self.retries = RetryBudget(share=self.settings.entry.retry_share)
@@ -112,6 +113,8 @@
         self.members, changed = merged(self.members, body)
         self.view = body
         leaving = set(body.leaving_endpoints)
+        if changed:
+            self.drain.host_leaves(self.own_state() == LEAVING)
         if changed or leaving != self.leaving_endpoints:
             self.leaving_endpoints = leaving
             self.schedulers.update(self.members, leaving)
@@ -136,14 +139,34 @@
             self.schedulers.update(self.members, self.leaving_endpoints)
 
     def stats(self, link: Link, body: StatsRequest) -> Stats | Failure:
-        """Answer the controller's ping, which needs no text.
+        """Answer the controller's ping, or how many requests are open.
 
-        A refusal while draining takes this entry out of all address answers.
+        A refusal while stopping takes this entry out of all address answers.
         """
-        if self.draining:
+        if body.kind == OPEN_REQUESTS:
+            return Stats(text=str(self.open_requests + self.cancels.open))
+        if self.drain.stopping:
             return Failure(Code.DRAINING, "draining")
         return Stats()
 
+    def others(self) -> list[Member]:
+        """Return the other hosts whose entries callers may use."""
+        name = self.program.identity.node
+        return [
+            member
+            for member in self.members
+            if member.name != name and member.state == ALIVE and not member.entry_down
+        ]
+
+    def refusal(self) -> Failure | None:
+        """Return why new work must go elsewhere, None where it may begin here.
+
+        Where no other entry is left, this one goes on.
+        """
+        if not self.drain.is_over() or not self.others():
+            return None
+        return Failure(Code.DRAINING, "this host is draining; use the entries given")
+
     def is_listed(self) -> bool:
         """Return whether address answers name this entry, as far as it knows."""
         name = self.program.identity.node
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from baobabturn.config.document import DRAIN_ROLE
 from baobabturn.config.state import ConfigState, Pool
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
@@ -164,6 +165,8 @@
         """Return a place by what this entry alone holds, with no scheduler."""
         pool = self.state.pools.get(body.pool)
         barred = {*body.excluded, *self.leaving}
+        declared = self.state.endpoints
+        barred.update(n for n in declared if declared[n].role == DRAIN_ROLE)
         names = [n for n in pool.endpoints if n not in barred] if pool else []
         if not names:
             return Failure(Code.NO_ENDPOINT, "no endpoint is left to try")
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -11,7 +11,7 @@
 import aiohttp
 import attrs
 
-from baobabturn.config.document import Endpoint, Operation, Workspace
+from baobabturn.config.document import DRAIN_ROLE, Endpoint, Operation, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.answers import send_bytes, send_failure
@@ -169,6 +169,7 @@
             if endpoint.service == service
             and endpoint.name not in tried
             and endpoint.name not in self.node.leaving_endpoints
+            and endpoint.role != DRAIN_ROLE
         ]
         return self.workers.order(found, self.node.settings.host.failure_domain)
 
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.document import DRAIN_ROLE, Endpoint
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
@@ -22,7 +22,6 @@
     Release,
 )
 
-DRAIN_ROLE = "drain"
 MS = 1000
 US = 1_000_000
 
