--- a/src/baobabturn/entry/outcome.py
+++ b/src/baobabturn/entry/outcome.py
@@ -91,8 +91,7 @@
 def from_error(error: BaseException) -> Failure:
     """Return the failure that an exception of the client means."""
     row = CONSEQUENCES[error_state(error)]
-    reason = str(error) if row.run is Run.NOT_RUN else type(error).__name__
-    return Failure(row.code, reason, run=row.run)
+    return Failure(row.code, type(error).__name__, run=row.run)
 
 
 def from_status(status: int, text: str, refused: frozenset[int]) -> Failure:
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -16,7 +16,7 @@
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.answers import send_bytes, send_failure
 from baobabturn.entry.node import Node
-from baobabturn.entry.outcome import may_retry
+from baobabturn.entry.outcome import from_error, may_retry
 from baobabturn.entry.streams import until_gone
 from baobabturn.entry.workers import Workers
 from baobabturn.platform.claims import Claim, claim_name
@@ -242,13 +242,13 @@
                 ),
             ) as answer:
                 return await read_answer(answer, call.operation)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Failure(Code.CONNECT_FAILED, type(error).__name__)
+        except aiohttp.ConnectionTimeoutError as error:
+            return from_error(error)
         except TimeoutError:
             code = Code.DEADLINE_UNKNOWN if limit == left else Code.OUTCOME_UNKNOWN
             return Failure(code, f"no answer in {limit:.3g} s")
         except (aiohttp.ClientError, OSError) as error:
-            return Failure(Code.OUTCOME_UNKNOWN, type(error).__name__)
+            return from_error(error)
 
 
 async def failure_of(failure: Failure) -> Failure:
