The collector no longer stops the entry's streams over its modules

Cause: full collections went over all imported modules while streams ran. Change: what the start has made is frozen once the entry is ready.

--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 import time
 
@@ -66,6 +67,7 @@
     server = make_server(program, node)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
     serving = asyncio.create_task(server._serve([listener]))
+    spare_collector()
     program.events.emit(Event.PROCESS_READY, port=listener.getsockname()[1])
     await program.stopping.wait()
     await drain(program, node)
@@ -75,6 +77,16 @@
     return None
 
 
+def spare_collector() -> None:
+    """Take what the start has made out of later collections.
+
+    A full collection over the imported modules stops all streams for
+    milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def drain(program: Program, node: Node) -> None:
     """Serve on for as long as addresses may be held and requests are open.
 
