--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from baobabturn.config.document import Endpoint, Workspace
+from baobabturn.config.document import DRAIN_ROLE, Endpoint, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
@@ -25,7 +25,6 @@
     Release,
 )
 
-DRAIN_ROLE = "drain"
 MS = 1000
 US = 1_000_000
 FULL_PAUSE_S = 0.01
