--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -145,15 +145,17 @@
         except CommandError as error:
             if error.failure.code is not Code.LINK_LOST:
                 raise
-            self.domains = {}
+            self.domains = dict.fromkeys(self.domains, False)
             return
-        domains: dict[str, bool] = {}
+        held: dict[str, list[bool]] = {domain: [] for domain in self.domains}
         for member in status["members"]:
+            hosts = held.setdefault(member["failure_domain"], [])
             if member["state"] != DEAD:
-                domain = member["failure_domain"]
-                here = member["revision"] >= self.revision
-                domains[domain] = domains.get(domain, True) and here
-        self.domains = domains
+                hosts.append(member["revision"] >= self.revision)
+        # A failure domain with dead hosts alone may still serve callers.
+        self.domains = {
+            domain: bool(hosts) and all(hosts) for domain, hosts in held.items()
+        }
 
     async def run(self, limit_s: float) -> dict[str, float]:
         """Return the seconds after which each failure domain had it in force."""
