--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -23,9 +23,9 @@
     And "buyers" gets "after" of 3 tokens whole from every entry
 
   Scenario: The owner's scheduler is stopped gracefully with requests waiting
-    Given both engines have no room
-    And "herders-north" asks for 4 generations that must wait
+    Given both engines are frozen
+    And "herders-north" asks for 8 generations of a third of an engine's memory
     When the scheduler that owns the pool is terminated
     Then another scheduler owns the pool within 5 s
-    And all 4 generations are whole once the engines have room
+    And all 8 generations are whole once the engines go on
     And the terminated scheduler is started again
--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -19,11 +19,11 @@
 )
 from baobabturn.entry.generations import (
     Delivery,
-    GenerationRun,
     Items,
     Restart,
     ResumedRun,
 )
+from baobabturn.entry.hedging import HedgedRun
 from baobabturn.entry.node import Node
 from baobabturn.entry.requests import GenerationRequest
 from baobabturn.entry.resume import sign, verify
@@ -62,12 +62,16 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Stream a generation to its caller."""
-    run = GenerationRun(node=node, wanted=wanted, silent_restart=False)
+    run = HedgedRun(node=node, wanted=wanted, whole=False)
     await deliver(run, run.chunks(), receive, send, wanted.include_usage)
 
 
 async def deliver(
-    run: Delivery, items: Items, receive: Any, send: Any, include_usage: bool = False
+    run: Delivery | HedgedRun,
+    items: Items,
+    receive: Any,
+    send: Any,
+    include_usage: bool = False,
 ) -> None:
     """Relay items until they end, the caller goes or the deadline has passed.
 
@@ -86,7 +90,7 @@
 
 
 async def relay(
-    run: Delivery, items: Items, send: Any, include_usage: bool = False
+    run: Delivery | HedgedRun, items: Items, send: Any, include_usage: bool = False
 ) -> None:
     """Send each item as events; a failure before the first is an answer."""
     keys = run.node.settings.entry.resume_keys
@@ -133,7 +137,7 @@
     return b"data: " + json.dumps(data).encode() + b"\n\n"
 
 
-def failed(run: Delivery, failure: Failure) -> None:
+def failed(run: Delivery | HedgedRun, failure: Failure) -> None:
     """Count and log a failure that a caller is told."""
     run.node.failed(failure)
     run.node.events.emit(
@@ -145,7 +149,7 @@
     )
 
 
-def restart_event(run: Delivery, item: Restart) -> bytes:
+def restart_event(run: Delivery | HedgedRun, item: Restart) -> bytes:
     """Return the event that tells a caller to forget the tokens so far."""
     run.node.events.emit(
         Event.STREAM_RESTARTED, request=run.request, tokens=item.tokens
@@ -174,8 +178,7 @@
     node: Node, wanted: GenerationRequest, receive: Any, send: Any
 ) -> None:
     """Answer with a generation's whole text once it has finished."""
-    run = GenerationRun(node=node, wanted=wanted, silent_restart=True)
-    run.resumable = False
+    run = HedgedRun(node=node, wanted=wanted, whole=True)
     items = run.chunks()
     limit_s = run.deadline - time.monotonic() + LAST_WORD_S
     ended = await until_gone(collect(wanted, run, items, send), receive, limit_s)
@@ -185,7 +188,7 @@
 
 
 async def collect(
-    wanted: GenerationRequest, run: GenerationRun, items: Items, send: Any
+    wanted: GenerationRequest, run: HedgedRun, items: Items, send: Any
 ) -> None:
     """Gather a generation's chunks and send them as one answer."""
     text: list[str] = []
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -24,12 +24,17 @@
 
 @attrs.define(kw_only=True, slots=True)
 class Welcome:
-    """Accepts a link and proves the other side's knowledge of the secret."""
+    """Accepts a link and proves the other side's knowledge of the secret.
+
+    The accepting side also opens with one that carries only its ``nonce``, the
+    challenge that the other's proof must cover.
+    """
 
     node: str = ""
     role: str = ""
     incarnation: int = 0
     proof: str = ""
+    nonce: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -177,6 +182,8 @@
     attempt: int = 0
     pool: str = ""
     reservation: str = ""
+    hedgeable: bool = False
+    hedges: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -235,6 +242,8 @@
     max_tokens: int = 0
     generation: str = ""
     taken: int = 0
+    hedges: str = ""
+    hedgeable: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -330,6 +339,14 @@
 
     node: str = ""
     body: bytes = b""
+    pool: str = ""
+
+
+@attrs.define(kw_only=True, slots=True)
+class Hedge:
+    """Asks an entry to try a generation at a second endpoint as well."""
+
+    reservation: str = ""
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -374,4 +391,5 @@
     WhoHolds,
     Held,
     MemberSync,
+    Hedge,
 )
