--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -21,11 +21,15 @@
     "failures": "Failures that callers were told, by result code.",
     "heartbeat_received_bytes": "Bytes received in heartbeats.",
     "heartbeat_sent_bytes": "Bytes sent in heartbeats.",
+    "hedges_advised": "Second attempts that the scheduler asked entries for.",
+    "hedges_started": "Second attempts that the entry began.",
+    "hedges_won": "Second attempts that brought the answer.",
     "inner_received_bytes": "Bytes received over inner links.",
     "inner_sent_bytes": "Bytes sent over inner links.",
     "member_pushes": "Messages with members sent to this host's processes.",
     "open_requests": "Requests that the entry is answering.",
     "orders": "Orders sent to engines, by kind.",
+    "orphans": "Generations cancelled because no entry held them.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
     "places_held": "Places at endpoints that requests hold.",
     "platform_calls": "Calls sent to the platform, a watch counted as one.",
@@ -57,6 +61,10 @@
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
+DISTRIBUTIONS_LIMIT = 32
+OTHER = "other"
+
+
 class Distribution:
     """A histogram of whole numbers, usually microseconds."""
 
@@ -100,11 +108,20 @@
     def record(self, name: str, value: float, **labels: str) -> None:
         """Add a value to a distribution."""
         key = (name, tuple(sorted(labels.items())))
-        found = self.distributions.get(key)
-        if found is None:
-            found = self.distributions[key] = Distribution()
+        found = self.distributions.get(key) or self.distribution(name, labels)
         found.record(value)
 
+    def distribution(self, name: str, labels: dict[str, str]) -> Distribution:
+        """Return a new distribution, past a bound the one of all other labels.
+
+        Labels may hold what callers send, and a histogram takes much memory.
+        """
+        count = sum(1 for each, _ in self.distributions if each == name)
+        if count >= DISTRIBUTIONS_LIMIT:
+            labels = dict.fromkeys(labels, OTHER)
+        key = (name, tuple(sorted(labels.items())))
+        return self.distributions.setdefault(key, Distribution())
+
     def value(self, name: str, **labels: str) -> float:
         """Return a counter's value, 0 where it was never raised."""
         return self.counters.get((name, tuple(sorted(labels.items()))), 0)
