--- a/src/baobabturn/scheduler/baselines.py
+++ b/src/baobabturn/scheduler/baselines.py
@@ -13,6 +13,7 @@
 
     def __init__(self, *, settings: Scheduler, seed: int):
         self.settings = settings
+        self.saturated = False
         self.random = random.Random(seed)
 
     def queued(self, waiting: Waiting, now: float) -> None:
@@ -61,6 +62,10 @@
         """Return nothing."""
         return b""
 
+    def known_keys(self) -> int:
+        """Return none."""
+        return 0
+
     def take_learned(self, body: bytes) -> None:
         """Learn nothing."""
 
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -26,10 +26,12 @@
 FADED = 0.5
 JUDGE_S = 0.1
 LEAST_BATCH = 4.0
+LONG_READING = 4
 BATCH_STEP = 0.5
 BATCH_CUT = 0.95
 HEDGE_BURST = 20.0
 FINISHED = "finished"
+CLASSES = 2
 COST = operator.itemgetter(0)
 
 
@@ -48,6 +50,11 @@
         self.judged = 0.0
         self.hedge_budget = HEDGE_BURST
 
+    @property
+    def saturated(self) -> bool:
+        """Return whether the last pass over the queue found no room at all."""
+        return len(self.full) == CLASSES
+
     def queued(self, waiting: Waiting, now: float) -> None:
         """Class a request by what is learned of its like, and queue it."""
         admit = waiting.admit
@@ -162,7 +169,7 @@
         reading = endpoint.reading_short
         if not waiting.short:
             reading += endpoint.reading_long
-            limit //= 2
+            limit //= LONG_READING
         return not reading or reading + uncached <= limit
 
     def cost(self, endpoint: EndpointState, uncached: int) -> float:
@@ -264,6 +271,10 @@
         """Return the learned lengths in compact form."""
         return pack(self.lengths) if self.lengths.counts else b""
 
+    def known_keys(self) -> int:
+        """Return how many length distributions are held."""
+        return len(self.lengths.counts)
+
     def take_learned(self, body: bytes) -> None:
         """Take in lengths that another scheduler has learned."""
         take_in(self.lengths, body)
