--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -19,8 +19,9 @@
 from baobabturn.entry.outcome import may_retry
 from baobabturn.entry.streams import until_gone
 from baobabturn.entry.workers import Workers
-from baobabturn.platform.claims import Claim, claim_name
+from baobabturn.platform.claims import claim_name
 from baobabturn.platform.claimvalues import Result
+from baobabturn.platform.taking import Claim
 
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65_536
