--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -11,12 +11,12 @@
 import aiohttp
 import attrs
 
-from baobabturn.config.document import Endpoint, Operation, Workspace
+from baobabturn.config.document import DRAIN_ROLE, Endpoint, Operation, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.answers import send_bytes, send_failure
 from baobabturn.entry.node import Node
-from baobabturn.entry.outcome import may_retry
+from baobabturn.entry.outcome import from_error, may_retry
 from baobabturn.entry.streams import until_gone
 from baobabturn.entry.workers import Workers
 from baobabturn.platform.claims import claim_name
@@ -171,6 +171,7 @@
             if endpoint.service == service
             and endpoint.name not in tried
             and endpoint.name not in self.node.leaving_endpoints
+            and endpoint.role != DRAIN_ROLE
         ]
         return self.workers.order(found, self.node.settings.host.failure_domain)
 
@@ -243,13 +244,13 @@
                 ),
             ) as answer:
                 return await read_answer(answer, call.operation)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Failure(Code.CONNECT_FAILED, type(error).__name__)
+        except aiohttp.ConnectionTimeoutError as error:
+            return from_error(error)
         except TimeoutError:
             code = Code.DEADLINE_UNKNOWN if limit == left else Code.OUTCOME_UNKNOWN
             return Failure(code, f"no answer in {limit:.3g} s")
         except (aiohttp.ClientError, OSError) as error:
-            return Failure(Code.OUTCOME_UNKNOWN, type(error).__name__)
+            return from_error(error)
 
 
 async def failure_of(failure: Failure) -> Failure:
