--- a/bench/capacityfleet.py
+++ b/bench/capacityfleet.py
@@ -29,6 +29,18 @@
     return 0.0
 
 
+def memory_parts_mb(pid: int) -> tuple[float, float]:
+    """Return a process's private memory and what it shares with any other."""
+    private = shared = 0
+    with open(f"/proc/{pid}/smaps_rollup") as file:
+        for line in file:
+            if line.startswith("Private_"):
+                private += int(line.split()[1])
+            if line.startswith("Shared_"):
+                shared += int(line.split()[1])
+    return private / 1024, shared / 1024
+
+
 def cpu_s(pid: int) -> float:
     """Return the processor time that a process has used."""
     with open(f"/proc/{pid}/stat") as file:
@@ -62,6 +74,9 @@
         row[f"{role}_cpu_percent_most"] = max(spent)
         row[f"{role}_pss_mb"] = sum(pss_mb(pid) for pid in each) / len(each)
     row["control_pss_mb"] = row["scheduler_pss_mb"] + row["controller_pss_mb"]
+    parts = [memory_parts_mb(pids[role][0]) for role in ("scheduler", "controller")]
+    private, shared = sum(p for p, _ in parts), max(s for _, s in parts)
+    row["control_alone_mb"] = private + shared
     return row
 
 
--- a/bench/capacitymembers.py
+++ b/bench/capacitymembers.py
@@ -17,6 +17,7 @@
 LIMIT_S = 60.0
 WORKSPACES = 2100
 RESTART_SHARE = 3
+RESTART_WINDOW_S = 10.0
 
 
 def rss_bytes() -> int:
@@ -67,9 +68,14 @@
     suspected = time.monotonic() - began
     await fleet.until(lambda: seen((DEAD,)), LIMIT_S)
     dead = time.monotonic() - began
+    doubts = [c.at for c in fleet.changes if c.member == host.name and c.at > began]
     await fleet.replace(7)
     await fleet.until(fleet.agreed, LIMIT_S)
-    return {"suspected_everywhere_s": suspected, "dead_everywhere_s": dead}
+    return {
+        "first_suspected_s": min(doubts) - began,
+        "suspected_everywhere_s": suspected,
+        "dead_everywhere_s": dead,
+    }
 
 
 async def spread(fleet: MemberFleet) -> dict[str, float]:
@@ -113,12 +119,13 @@
     started = time.monotonic()
     await fleet.until(fleet.agreed, LIMIT_S)
     span = time.monotonic() - began
-    quiet = time.monotonic() - started
+    await asyncio.sleep(max(0.0, started + RESTART_WINDOW_S - time.monotonic()))
+    window = time.monotonic() - started
     words = fleet.false_words([*names, fleet.hosts[7].name])
     return {
         "third_restarted_agreed_s": span,
         "third_restarted_bytes_per_s": (fleet.bytes_sent() - sent)
-        / max(quiet, 0.1)
+        / window
         / len(fleet.hosts),
         "false_suspicions": words[SUSPECT],
         "false_deaths": words[DEAD],
--- a/src/baobabturn/commands/status.py
+++ b/src/baobabturn/commands/status.py
@@ -59,6 +59,8 @@
         return 0
     rows = [[member[column] for column in HOST_COLUMNS] for member in found["members"]]
     print_table(HOST_COLUMNS, rows)
+    if found["cut_off"]:
+        print(f"{found['host']} is cut off from the platform and all peers")
     if pools:
         show_pools(found)
     return 0
