--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,7 +32,7 @@
     *,
     part: list[str] | None = None,
     members: tuple[int, ...] = (50, 100, 200, 350),
-    restart_up_to: int = 100,
+    changes_up_to: int = 100,
     out: pathlib.Path | None = None,
 ) -> int:
     """Measure and print the slopes.
@@ -43,8 +43,9 @@
         Which parts to measure: config, members, fleet; all by default.
     members:
         The numbers of members in one process.
-    restart_up_to:
-        Restart a third of the members up to this number of members.
+    changes_up_to:
+        Change the configuration and restart a third up to this number of members;
+        above it one process is too small for the work of all.
     out:
         A file for the rows as JSON.
     """
@@ -56,7 +57,7 @@
     if "config" in wanted:
         found.update(capacityconfig.run())
     if "members" in wanted:
-        found["members"] = capacitymembers.run(members, restart_up_to)
+        found["members"] = capacitymembers.run(members, changes_up_to)
     if "fleet" in wanted:
         found.update(capacityfleet.run((3, 6, 9), (2, 6, 12), (20, 40, 80)))
     for name, rows in found.items():
--- a/bench/members.py
+++ b/bench/members.py
@@ -201,6 +201,7 @@
                 if record.name != host.name:
                     table.adopt(record)
             table.rumours.waiting.clear()
+            table.rumours.recent.clear()
             host.membership.syncer.joined.set()
 
     async def start(self) -> None:
--- a/src/baobabturn/membership/table.py
+++ b/src/baobabturn/membership/table.py
@@ -28,6 +28,7 @@
 KNOWN_SENDS = 2
 RECENT_S = 60.0
 RECENT_LIMIT = 16
+NEWEST_LIMIT = 4
 CACHE_LIMIT = 4096
 
 
@@ -105,14 +106,19 @@
         self.recent[member.name] = (self.clock(), member)
 
     def take_recent(self, room_bytes: int, chance: random.Random) -> list[Member]:
-        """Return words of the last while, by chance, that fit one datagram."""
+        """Return words of the last while that fit one datagram.
+
+        The newest few come first, the others by chance.
+        """
         oldest = self.clock() - RECENT_S
         for name, (since, _) in list(self.recent.items()):
             if since < oldest:
                 del self.recent[name]
-        names = list(self.recent)
+        names = sorted(self.recent, key=lambda name: -self.recent[name][0])
+        newest, others = names[:NEWEST_LIMIT], names[NEWEST_LIMIT:]
+        others = chance.sample(others, min(len(others), RECENT_LIMIT))
         chosen = []
-        for name in chance.sample(names, min(len(names), RECENT_LIMIT)):
+        for name in newest + others:
             member = self.recent[name][1]
             room_bytes -= len(self.packer.pack(member))
             if room_bytes < 0:
