--- a/bench/report.py
+++ b/bench/report.py
@@ -142,7 +142,8 @@
     )
     for axis, title in zip(axes.flat, titles, strict=True):
         axis.set_title(title)
-        axis.legend(fontsize=7)
+        if axis.lines:
+            axis.legend(fontsize=7)
     for axis in (axes[0][0], axes[0][1], axes[0][2], axes[1][2]):
         axis.set_xscale("log")
         axis.set_yscale("log")
