--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -29,6 +29,7 @@
     "member_pushes": "Messages with members sent to this host's processes.",
     "learned_keys": "Length distributions that the owned pools have learned.",
     "open_requests": "Requests that the entry is answering.",
+    "orphans": "Generations found that no entry held.",
     "orders": "Orders sent to engines, by kind.",
     "own_estimates": "Places chosen by the entry itself, with no scheduler.",
     "places_held": "Places at endpoints that requests hold.",
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 import time
 
@@ -67,6 +68,7 @@
     server = make_server(program, node)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
     serving = asyncio.create_task(server._serve([listener]))
+    spare_collector()
     program.events.emit(Event.PROCESS_READY, port=listener.getsockname()[1])
     await program.stopping.wait()
     await drain(program, node)
@@ -76,20 +78,28 @@
     return None
 
 
+def spare_collector() -> None:
+    """Take what the start has made out of later collections.
+
+    A full collection over the imported modules stops all streams for
+    milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def drain(program: Program, node: Node) -> None:
     """Serve on for as long as addresses may be held and requests are open.
 
     Other hosts hear with the next heartbeat that this entry is to be left out.
     """
-    node.draining = True
+    node.drain.stop()
     program.events.emit(Event.PROCESS_DRAINING, open=node.open_requests)
     membership = program.settings.membership
     end = time.monotonic() + membership.suspect_s
     while node.is_listed() and time.monotonic() < end:
         await asyncio.sleep(DRAIN_CHECK_S)
-    await asyncio.sleep(membership.interval_s)
-    await asyncio.sleep(program.settings.entry.address_lifetime_s)
-    while node.open_requests:
+    while not node.drain.is_over() or node.open_requests or node.cancels.open:
         await asyncio.sleep(DRAIN_CHECK_S)
 
 
