Only the streams' fleet earns a full retry for each request

Cause: the full retry share stood in the limits that the storm test shares, so its budget was 100% and half the engines refusing gave 1.90 attempts a request. Change: a fleet of its own for streams.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -15,7 +15,6 @@
         "stall_timeout_s": 1.2,
         "resume_grace_s": 1.0,
         "address_lifetime_s": 1.0,
-        "retry_share": 1.0,
     },
     "controller": {"orphan_grace_s": 2.0, "orphan_sweep_s": 0.3},
 }
@@ -61,7 +60,7 @@
     'a shared "{name}" fleet with short limits, {hosts:d} hosts, {engines:d} engines'
     " and {workers:d} workers"
 )
-def short_fleet(context, name, hosts, engines, workers):
+def short_fleet(context, name, hosts, engines, workers, overrides=LIMITS):
     if getattr(context.feature, "fleet", None) is None:
         start_fleet(
             context,
@@ -70,7 +69,7 @@
             hosts=hosts,
             engines=engines,
             workers=workers,
-            overrides=LIMITS,
+            overrides=overrides,
         )
     context.fleet = context.feature.fleet
     for process in context.fleet.processes:
@@ -93,6 +92,16 @@
     ]
 
 
+@given(
+    'a shared "{name}" fleet whose retries never run out, {hosts:d} hosts,'
+    " {engines:d} engines and {workers:d} workers"
+)
+def retrying_fleet(context, name, hosts, engines, workers):
+    entry = {**LIMITS["entry"], "retry_share": 1.0}
+    overrides = {**LIMITS, "entry": entry}
+    short_fleet(context, name, hosts, engines, workers, overrides)
+
+
 @when("every engine has no fault")
 def clear_faults(context):
     for name in engines(context):
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -3,7 +3,7 @@
   stays the same one, or the caller is told.
 
   Background:
-    Given a shared "herd" fleet with short limits, 3 hosts, 2 engines and 1 workers
+    Given a shared "herd" fleet whose retries never run out, 3 hosts, 2 engines and 1 workers
 
   Scenario: An entry dies and the caller goes on at another one
     Given "herders-north" reads "season" of 250 tokens from entry 0
