The storm test runs with the packaged retry budget again

Cause: the fleet with short limits got retry_share 1.0, for tests that kill engines, and the storm test shared it: 1.851 and 1.853 attempts per request. Change: the storm test starts a fleet with the packaged settings. The bound of 1.2 is as it was.

--- a/features/retries.feature
+++ b/features/retries.feature
@@ -3,7 +3,7 @@
   of retries follows when endpoints fail.
 
   Background:
-    Given a shared "herd" fleet with short limits, 3 hosts, 4 engines and 2 workers
+    Given a shared "herd" fleet of 3 hosts, 4 engines and 2 workers
 
   Scenario: Half of the engines refuse for 10 s
     Given half of the engines refuse work
