Engines that refuse get no work while others have room

Cause: an engine that refuses at once looks idle, so the scheduler sent it ever more; with 2 of 4 engines refusing, 1,781 of 2,073 requests ended with 1406 although two engines had room. Ruled out: a larger retry budget, it would have doubled the attempts. Found beside it: a failed attempt's end was taken for the caller's going away, so its place was held for the resume grace.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -40,6 +40,7 @@
     slow_factor: float = 1.0
     frozen: bool = False
     refuse: bool = False
+    reject: bool = False
     stall_after: int = -1
     cut_after: int = -1
     duplicate_chunks: bool = False
@@ -165,6 +166,8 @@
         self.attempts += 1
         if self.faults.refuse:
             return error(503, "engine refuses new work")
+        if self.faults.reject:
+            return error(400, "malformed")
         body = await request.json()
         if self.faults.hang_before_headers:
             await asyncio.sleep(3600)
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -12,6 +12,21 @@
     And each request that failed was told at once that it did not run
     And no request ran twice
 
+  Scenario: Engines that refuse draw no work while others have room
+    Given half of the engines refuse work
+    When requests come from all entries for 6 s
+    Then every request was answered whole
+    And the engines were asked less than 1.2 times for each request
+    When the refusing engines take work again
+    And requests come from all entries for 6 s
+    Then each of them got new work
+
+  Scenario: A request that an engine rejects isn't tried elsewhere
+    Given every engine rejects requests as malformed
+    When "buyers" asks once for a whole answer
+    Then the answer is the error 1409 with run "not-run"
+    And the engines were asked 1 time for it
+
   Scenario: A service that resets before the body is told apart from one that ran
     Then a repeatable call and one that is not end so under each fault
       | fault              | read  | tally code | tally run | tally ran |
--- a/features/steps/retries.py
+++ b/features/steps/retries.py
@@ -107,3 +107,55 @@
         return send(f"{url}ledger/x?tag={tag}", key="key-buyers", method="GET")
     headers = {"Idempotency-Key": tag}
     return send(url + "tally", key="key-clerks", body={"tag": tag}, headers=headers)
+
+
+@then("every request was answered whole")
+def all_whole(context):
+    failed = [answer.error for answer, _ in context.answers if answer.status != 200]
+    assert not failed, (len(failed), len(context.answers), failed[0])
+
+
+@when("the refusing engines take work again")
+def take_again(context):
+    names = engine_names(context)
+    for name in names:
+        context.fleet.control(name, refuse=False)
+    context.started = {n: len(context.fleet.counts(n)["started"]) for n in names}
+
+
+@then("each of them got new work")
+def new_work(context):
+    for name in engine_names(context):
+        now = len(context.fleet.counts(name)["started"])
+        assert now > context.started[name], name
+
+
+def ask_once(context, tag):
+    body = {"model": context.fleet.deployment.model, "prompt": f"[tag={tag} length=3]"}
+    url = context.fleet.entry(0) + "/v1/completions"
+    return send(url, key="key-buyers", body=body)
+
+
+@given("every engine rejects requests as malformed")
+def all_reject(context):
+    for name in engine_names(context):
+        context.fleet.control(name, reject=True)
+
+
+@when('"buyers" asks once for a whole answer')
+def asks_once(context):
+    context.before = attempts(context)
+    context.answer = ask_once(context, "rejected")
+
+
+@then('the answer is the error {code:d} with run "{run}"')
+def error_code(context, code, run):
+    error = context.answer.error
+    assert (error["code"], error["run"]) == (code, run), error
+
+
+@then("the engines were asked {count:d} time for it")
+def asked(context, count):
+    assert attempts(context) - context.before == count
+    for name in engine_names(context):
+        context.fleet.control(name, reject=False)
--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -67,6 +67,7 @@
     ENDPOINT_REFUSED = 1406
     GENERATION_GONE = 1407
     CANCELLED = 1408
+    REQUEST_REJECTED = 1409
 
     CLAIM_IN_PROGRESS = 1501
     CLAIM_UNAVAILABLE = 1502
@@ -200,6 +201,9 @@
         410, _R, False, "The generation to resume is no longer at its endpoint."
     ),
     Code.CANCELLED: CodeRow(499, _U, False, "The caller went away."),
+    Code.REQUEST_REJECTED: CodeRow(
+        400, _N, False, "The endpoint rejected the request as it is."
+    ),
     Code.CLAIM_IN_PROGRESS: CodeRow(
         409, _U, True, "A call with this Idempotency-Key is in progress."
     ),
--- a/src/baobabturn/endpoints/openaiengine.py
+++ b/src/baobabturn/endpoints/openaiengine.py
@@ -22,7 +22,7 @@
     Order,
 )
 from baobabturn.endpoints.openaistream import OpenAIStream
-from baobabturn.entry.outcome import REFUSED_STATUSES, from_error, from_status
+from baobabturn.entry.outcome import from_error, from_status
 
 CONTROL_TIMEOUT_S = 2.0
 REASON_LENGTH = 300
@@ -74,7 +74,7 @@
         text = await reason_text(answer)
         if answer.status == 404 and method == "GET":
             return Failure(Code.GENERATION_GONE, text)
-        return from_status(answer.status, text, REFUSED_STATUSES)
+        return from_status(answer.status, text)
 
     async def call(
         self,
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -19,6 +19,7 @@
     Attempt,
     attempt_state,
     concluded,
+    is_unavailable,
     may_restart,
     may_retry,
 )
@@ -32,6 +33,7 @@
 FINISHED = "finished"
 FAILED = "failed"
 ABANDONED = "abandoned"
+REFUSED = "refused"
 
 
 @attrs.frozen
@@ -66,21 +68,20 @@
 
     async def follow(self, following: Following) -> Items:
         """Yield a generation's chunks; the last item is a finish or a failure."""
-        outcome = FAILED
+        outcome = ABANDONED
         try:
             while not following.finished:
                 began = time.monotonic()
                 item = await following.read()
                 if isinstance(item, list):
                     self.note(item, time.monotonic() - began)
-                    if following.finished:
-                        outcome = FINISHED
+                if isinstance(item, Failure):
+                    outcome = REFUSED if is_unavailable(item) else FAILED
+                elif following.finished:
+                    outcome = FINISHED
                 yield item
                 if isinstance(item, Failure):
                     return
-        except (GeneratorExit, asyncio.CancelledError):
-            outcome = FINISHED if following.finished else ABANDONED
-            raise
         finally:
             following.close()
             self.ended(outcome)
--- a/src/baobabturn/entry/outcome.py
+++ b/src/baobabturn/entry/outcome.py
@@ -19,7 +19,8 @@
 
     ``UNSENT``: no byte left this host.  ``SENT``: the time was up before an
     answer.  ``REFUSED``: the endpoint said that it didn't begin.  ``UNKNOWN``:
-    the answer was lost.  ``RAN``: part of the answer was seen.
+    the answer was lost.  ``RAN``: part of the answer was seen.  ``REJECTED``: the
+    endpoint said that the request itself is wrong.
     """
 
     UNSENT = "unsent"
@@ -27,6 +28,7 @@
     REFUSED = "refused"
     RAN = "ran"
     UNKNOWN = "unknown"
+    REJECTED = "rejected"
 
 
 @attrs.frozen
@@ -49,6 +51,9 @@
 CONSEQUENCES: dict[Attempt, Consequence] = {
     Attempt.UNSENT: Consequence(Code.CONNECT_FAILED, Run.NOT_RUN, True, True, True),
     Attempt.REFUSED: Consequence(Code.ENDPOINT_REFUSED, Run.NOT_RUN, True, True, True),
+    Attempt.REJECTED: Consequence(
+        Code.REQUEST_REJECTED, Run.NOT_RUN, False, False, False
+    ),
     Attempt.SENT: Consequence(Code.DEADLINE_UNKNOWN, Run.UNKNOWN, False, False, False),
     Attempt.UNKNOWN: Consequence(Code.OUTCOME_UNKNOWN, Run.UNKNOWN, False, True, True),
     Attempt.RAN: Consequence(Code.GENERATION_CUT, Run.RAN, False, False, True),
@@ -59,6 +64,7 @@
     Code.NO_ENDPOINT: Attempt.UNSENT,
     Code.DEADLINE_NOT_RUN: Attempt.UNSENT,
     Code.ENDPOINT_REFUSED: Attempt.REFUSED,
+    Code.REQUEST_REJECTED: Attempt.REJECTED,
     Code.OUTCOME_UNKNOWN: Attempt.UNKNOWN,
     Code.GENERATION_CUT: Attempt.UNKNOWN,
     Code.GENERATION_STALLED: Attempt.UNKNOWN,
@@ -79,7 +85,9 @@
 )
 
 # Statuses by which an engine or service says that it didn't begin.
-REFUSED_STATUSES = frozenset((400, 401, 403, 404, 409, 413, 422, 429, 503))
+REFUSED_STATUSES = frozenset((401, 403, 404, 409, 429, 503))
+# Statuses by which an engine says that it can't take the request as it is.
+REJECTED_STATUSES = frozenset((400, 413, 422))
 OVERLOAD_STATUSES = frozenset((429, 503))
 
 
@@ -94,13 +102,22 @@
     return Failure(row.code, type(error).__name__, run=row.run)
 
 
-def from_status(status: int, text: str, refused: frozenset[int]) -> Failure:
-    """Return the failure that an answer's status means."""
-    state = Attempt.REFUSED if status in refused else Attempt.UNKNOWN
+def from_status(status: int, text: str) -> Failure:
+    """Return the failure that the status of an engine's answer means."""
+    state = Attempt.UNKNOWN
+    if status in REFUSED_STATUSES:
+        state = Attempt.REFUSED
+    elif status in REJECTED_STATUSES:
+        state = Attempt.REJECTED
     row = CONSEQUENCES[state]
     return Failure(row.code, f"status {status}: {text}", run=row.run)
 
 
+def is_unavailable(failure: Failure) -> bool:
+    """Return whether a failure says that the endpoint takes no work now."""
+    return attempt_state(failure) in (Attempt.UNSENT, Attempt.REFUSED)
+
+
 def attempt_state(failure: Failure) -> Attempt:
     """Return the state of an attempt that ended with a failure."""
     if failure.tokens:
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import operator
+import time
 from collections.abc import Iterator
 
 from baobabturn.scheduler.fairness import FairShares
@@ -17,6 +18,7 @@
 from baobabturn.scheduler.learned import pack, take_in
 from baobabturn.scheduler.lengths import Curve, Lengths
 from baobabturn.scheduler.overflow import terms
+from baobabturn.scheduler.refusals import Refusals
 from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
 from baobabturn.scheduler.stragglers import SILENCE_S, Stragglers
 from baobabturn.settings.model import Scheduler
@@ -44,6 +46,7 @@
             half_life_samples=settings.length_half_life, key_limit=settings.length_keys
         )
         self.stragglers = Stragglers(settings=settings)
+        self.refusals = Refusals()
         self.shares = {True: FairShares(), False: FairShares()}
         self.flows = Flows()
         self.full: set[bool] = set()
@@ -113,7 +116,7 @@
         admit = waiting.admit
         offers = []
         for endpoint in pool.usable(admit):
-            if self.stragglers.may_take(endpoint.name, endpoint.in_flight, now):
+            if self.may_take(endpoint, now):
                 uncached = self.uncached(endpoint, waiting, now)
                 offers.append((self.cost(endpoint, uncached), uncached, endpoint))
         offers.sort(key=COST)
@@ -126,6 +129,12 @@
                 self.full.add(False)
         return None
 
+    def may_take(self, endpoint: EndpointState, now: float) -> bool:
+        """Return whether an endpoint neither refuses nor is slow, or is probed."""
+        if not self.refusals.may_take(endpoint.name, now):
+            return False
+        return self.stragglers.may_take(endpoint.name, endpoint.in_flight, now)
+
     def uncached(self, endpoint: EndpointState, waiting: Waiting, now: float) -> int:
         """Return how many prompt tokens an endpoint is likely to read in."""
         admit = waiting.admit
@@ -198,6 +207,7 @@
         if not held.first_token_seen:
             endpoint.read_ahead(held, 1)
         self.stragglers.taken(endpoint.name, now)
+        self.refusals.taken(endpoint.name, now)
         expected = held.curve.mean(held.max_tokens)
         held.expected_tokens = held.prompt_tokens + expected
         shares = self.shares[held.short]
@@ -219,6 +229,7 @@
         if not held.first_token_seen and held.produced:
             held.first_token_seen = True
             endpoint.read_ahead(held, -1)
+            self.refusals.opened(endpoint.name)
         elif held.produced > before:
             seconds = now - held.updated
             self.stragglers.seen(endpoint.name, held.produced - before, seconds, now)
@@ -242,6 +253,8 @@
         shares.correct(held.workspace, used - held.expected_tokens, held.weight)
         if endpoint is None:
             return
+        now = time.monotonic()
+        self.refusals.ended(endpoint.name, outcome, held.produced, now)
         self.count(endpoint, held, -1.0)
         endpoint.long_count -= not held.short
         if not held.first_token_seen:
