--- a/bench/members.py
+++ b/bench/members.py
@@ -24,8 +24,8 @@
 from baobabturn.platform.httpstore import HttpStore
 from baobabturn.settings.load import load
 from baobabturn.settings.model import Settings
-from baobabturn.wire.link import LinkServer
 from baobabturn.wire.messages import ConfigFetch, Member, MemberSync
+from baobabturn.wire.server import LinkServer
 
 ADDRESS = "127.0.0.1"
 START_PAUSE_S = 0.01
--- a/features/linkcase.py
+++ b/features/linkcase.py
@@ -7,8 +7,10 @@
 from baobabturn.core.clock import HybridClock
 from baobabturn.core.results import Failure
 from baobabturn.settings.load import load
-from baobabturn.wire.link import Identity, LinkClient, LinkServer
+from baobabturn.wire.client import LinkClient
+from baobabturn.wire.identity import Identity
 from baobabturn.wire.messages import Ack, StatsRequest
+from baobabturn.wire.server import LinkServer
 
 LIMIT_S = 6.0
 
--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -26,8 +26,9 @@
 from baobabturn.core.clock import HybridClock
 from baobabturn.core.results import Failure
 from baobabturn.settings.load import load
-from baobabturn.wire.link import LinkClient, LinkServer
+from baobabturn.wire.client import LinkClient
 from baobabturn.wire.messages import Ack, StatsRequest
+from baobabturn.wire.server import LinkServer
 
 DAY = datetime.timedelta(days=1)
 
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -26,7 +26,7 @@
 from baobabturn.membership.heartbeat import Membership
 from baobabturn.membership.owners import ALIVE, LEAVING, owner
 from baobabturn.platform.httpstore import HttpStore
-from baobabturn.wire.link import Link, LinkServer
+from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     Ack,
     CancelGeneration,
@@ -40,6 +40,7 @@
     StatsRequest,
     Subscribe,
 )
+from baobabturn.wire.server import LinkServer
 
 
 class Controller:
--- a/src/baobabturn/controller/orders.py
+++ b/src/baobabturn/controller/orders.py
@@ -54,6 +54,7 @@
         self.lease = lease
         self.not_before = 0.0
         self.next_pass = 0.0
+        self.revision = 0
         self.loads = 1.0
         self.loads_at = time.monotonic()
         self.failures: dict[tuple[str, str], int] = {}
@@ -178,6 +179,8 @@
     async def give(self, shard: Shard) -> None:
         """Read the engines' state and send the orders that are due."""
         now = time.monotonic()
+        if shard.revision != self.state.revision:
+            shard.revision, shard.next_pass = self.state.revision, 0.0
         if now < max(shard.not_before, shard.next_pass):
             return
         engines = self.engines_of(shard)
--- a/src/baobabturn/controller/peers.py
+++ b/src/baobabturn/controller/peers.py
@@ -6,7 +6,7 @@
 
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
-from baobabturn.wire.link import LinkClient
+from baobabturn.wire.client import LinkClient
 from baobabturn.wire.messages import Member
 
 
--- a/src/baobabturn/core/program.py
+++ b/src/baobabturn/core/program.py
@@ -22,7 +22,8 @@
 from baobabturn.core.results import Failure
 from baobabturn.settings.load import EXIT_USAGE, load
 from baobabturn.settings.model import Settings
-from baobabturn.wire.link import TRAFFIC, Identity
+from baobabturn.wire.identity import Identity
+from baobabturn.wire.link import TRAFFIC
 
 
 def resident_bytes() -> float:
--- a/src/baobabturn/entry/admin.py
+++ b/src/baobabturn/entry/admin.py
@@ -15,7 +15,7 @@
 from baobabturn.entry.answers import error_body
 from baobabturn.entry.bodies import parse_json
 from baobabturn.entry.node import Node
-from baobabturn.wire.link import LinkClient
+from baobabturn.wire.client import LinkClient
 from baobabturn.wire.messages import Drain, Stats, StatsRequest
 
 OTHERS = ("scheduler", "controller")
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -26,7 +26,8 @@
 from baobabturn.platform.claimvalues import result_limit
 from baobabturn.platform.httpstore import HttpStore
 from baobabturn.platform.sweep import ClaimSweep
-from baobabturn.wire.link import Link, LinkClient
+from baobabturn.wire.client import LinkClient
+from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     ConfigUpdate,
     Member,
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -13,7 +13,8 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.membership.owners import owner
 from baobabturn.scheduler.sharing import LearnedStore
-from baobabturn.wire.link import Link, LinkClient
+from baobabturn.wire.client import LinkClient
+from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     Admit,
     Grant,
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -16,7 +16,8 @@
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.sharing import LearnedStore, keepers
-from baobabturn.wire.link import Link, LinkClient, LinkServer
+from baobabturn.wire.client import LinkClient
+from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     Ack,
     Admit,
@@ -36,6 +37,7 @@
     Subscribe,
     WhoHolds,
 )
+from baobabturn.wire.server import LinkServer
 
 TICK_S = 0.05
 PLACES_CHECK = 4
