Metrics are for operators only

Cause: /metrics answered anybody, and its labels carry the kinds that callers name and the counts of all workspaces, who may be competitors. Change: it needs the operators' key; refusals of operators' paths have the one error shape. Before: a workspace's key read the whole exposition. After: 403 and code 1103 (features/metrics.feature).

--- a/bench/handover.py
+++ b/bench/handover.py
@@ -18,7 +18,7 @@
 import attrs
 
 from dev.deployments import HERD
-from dev.fleet import Fleet
+from dev.fleet import ADMIN_KEY, Fleet
 
 RATE_PER_S = 100
 BEFORE_S = 2.0
@@ -79,7 +79,10 @@
     """Return the number of the host whose scheduler owns the pool."""
     while True:
         for number, url in enumerate(fleet.entries()):
-            with urllib.request.urlopen(url + "/metrics", timeout=10) as answer:
+            asked = urllib.request.Request(
+                url + "/metrics", headers={"Authorization": f"Bearer {ADMIN_KEY}"}
+            )
+            with urllib.request.urlopen(asked, timeout=10) as answer:
                 text = answer.read().decode()
             if 'baobabturn_pools_owned{role="scheduler"} 1' in text:
                 return number
--- a/features/helper.py
+++ b/features/helper.py
@@ -18,7 +18,7 @@
 import attrs
 
 from dev.deployments import DEPLOYMENTS
-from dev.fleet import Fleet
+from dev.fleet import ADMIN_KEY, Fleet
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
@@ -158,6 +158,11 @@
         connection.close()
 
 
+def scrape(entry: str, key: str = ADMIN_KEY) -> Answer:
+    """Return the metrics of an entry's host."""
+    return send(entry + "/metrics", method="GET", key=key)
+
+
 def open_stream(
     url: str,
     *,
--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -28,6 +28,10 @@
     And "up" is 0 for "scheduler"
     And "up" is 1 for "controller"
 
+  Scenario: Metrics are for operators
+    When entry 0 is scraped with the key "key-buyers"
+    Then it is refused with 403 and code 1103
+
   Scenario: Health and readiness are told apart
     Then entry 0 answers "/healthz" with 200 and "/readyz" with 200
     When entry 2 is drained by its operator with a stop
--- a/features/steps/badinput.py
+++ b/features/steps/badinput.py
@@ -10,7 +10,7 @@
 import urllib.parse
 
 from behave import given, then, when
-from helper import Answer, open_stream, send, start_fleet, wait_for
+from helper import Answer, open_stream, scrape, send, start_fleet, wait_for
 
 LOW = {
     "entry": {
@@ -405,7 +405,7 @@
 def few_kinds(context, limit):
     kinds = set()
     for url in context.fleet.entries():
-        text = send(url + "/metrics", method="GET").text
+        text = scrape(url).text
         kinds |= {
             line.split('kind="')[1].split('"')[0]
             for line in text.splitlines()
--- a/features/steps/lengths.py
+++ b/features/steps/lengths.py
@@ -4,7 +4,7 @@
 import time
 
 from behave import given, then, when
-from helper import send, start_fleet, wait_for
+from helper import scrape, send, start_fleet, wait_for
 
 from baobabturn.scheduler.learned import pack, take_in
 from baobabturn.scheduler.lengths import Lengths
@@ -81,7 +81,7 @@
 def scheduler_metric(context, number, name):
     """Return a gauge of a host's scheduler, 0 where it can't be read."""
     try:
-        text = send(context.fleet.entry(number) + "/metrics", method="GET").text
+        text = scrape(context.fleet.entry(number)).text
     except OSError:
         return 0
     for line in text.splitlines():
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -4,7 +4,7 @@
 import signal
 
 from behave import given, then, when
-from helper import open_stream, send, wait_for
+from helper import open_stream, scrape, send, wait_for
 
 from baobabturn.core.metrics import Metrics
 
@@ -24,7 +24,7 @@
 
 @when("entry {number:d} is scraped")
 def scraped(context, number):
-    answer = send(context.fleet.entry(number) + "/metrics", method="GET")
+    answer = scrape(context.fleet.entry(number))
     assert answer.status == 200
     assert answer.headers["content-type"].startswith("text/plain; version=0.0.4")
     context.exposition = answer.text
@@ -119,3 +119,14 @@
     url = context.fleet.entry(number)
     found = [send(url + path, method="GET").status for path in (one, two)]
     assert found == [first, second], found
+
+
+@when('entry {number:d} is scraped with the key "{key}"')
+def scraped_with(context, number, key):
+    context.answer = scrape(context.fleet.entry(number), key)
+
+
+@then("it is refused with {status:d} and code {code:d}")
+def scrape_refused(context, status, code):
+    assert context.answer.status == status, context.answer
+    assert context.answer.error["code"] == code, context.answer.text
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -4,7 +4,7 @@
 import threading
 
 from behave import given, then, when
-from helper import open_stream, send, token_indexes, wait_for
+from helper import open_stream, scrape, token_indexes, wait_for
 
 BYTES_PER_TOKEN = 4
 
@@ -54,7 +54,7 @@
 
 def metric(context, number, role, name):
     """Return one metric's value at a host, None where it has none."""
-    text = send(context.fleet.entry(number) + "/metrics", method="GET").text
+    text = scrape(context.fleet.entry(number)).text
     for line in text.splitlines():
         if line.startswith(f'baobabturn_{name}{{role="{role}"'):
             return float(line.rpartition(" ")[2])
--- a/features/steps/stragglers.py
+++ b/features/steps/stragglers.py
@@ -3,7 +3,7 @@
 import threading
 
 from behave import given, then, when
-from helper import send, token_indexes, wait_for
+from helper import scrape, send, token_indexes, wait_for
 
 from baobabturn.scheduler.stragglers import Stragglers
 from baobabturn.settings.load import load
@@ -139,7 +139,7 @@
 def step_won(context):
     total = 0.0
     for entry in context.fleet.entries():
-        text = send(entry + "/metrics", method="GET").text
+        text = scrape(entry).text
         for line in text.splitlines():
             if line.startswith("baobabturn_hedges_won"):
                 total += float(line.rpartition(" ")[2])
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -4,7 +4,15 @@
 import time
 
 from behave import given, then, when
-from helper import Reader, open_stream, send, start_fleet, token_indexes, wait_for
+from helper import (
+    Reader,
+    open_stream,
+    scrape,
+    send,
+    start_fleet,
+    token_indexes,
+    wait_for,
+)
 
 from baobabturn.core.results import Failure
 from baobabturn.entry.resume import Place, sign, verify
@@ -233,7 +241,7 @@
     """Return how many places the schedulers say are held."""
     found = 0
     for url in context.fleet.entries():
-        text = send(url + "/metrics", method="GET").text
+        text = scrape(url).text
         for line in text.splitlines():
             if line.startswith('baobabturn_places_held{role="scheduler"'):
                 found += int(float(line.rpartition(" ")[2]))
--- a/src/baobabturn/entry/admin.py
+++ b/src/baobabturn/entry/admin.py
@@ -11,7 +11,7 @@
 from starlette.routing import Route
 
 from baobabturn.core.metrics import Metrics, merged
-from baobabturn.core.results import Failure
+from baobabturn.core.results import Code, Failure
 from baobabturn.entry.answers import error_body
 from baobabturn.entry.bodies import parse_json
 from baobabturn.entry.node import Node
@@ -60,6 +60,8 @@
 
     async def metrics(self, request: Request) -> Response:
         """Expose the metrics of this host's processes."""
+        if not self.allowed(request):
+            return not_allowed()
         texts = await self.all_of("metrics")
         for role, text in zip(OTHERS, texts[1:], strict=True):
             if not text:
@@ -71,13 +73,13 @@
     async def events(self, request: Request) -> Response:
         """Return the newest event lines of this host's processes."""
         if not self.allowed(request):
-            return Response(status_code=403)
+            return not_allowed()
         return PlainTextResponse("".join(await self.all_of("events")))
 
     async def status(self, request: Request) -> Response:
         """Return the members with their revisions, and this host's state."""
         if not self.allowed(request):
-            return Response(status_code=403)
+            return not_allowed()
         members = [
             {
                 "host": member.name,
@@ -112,14 +114,14 @@
     async def pools(self, request: Request) -> Response:
         """Return the pools that this host's scheduler owns, with their endpoints."""
         if not self.allowed(request):
-            return Response(status_code=403)
+            return not_allowed()
         text = await self.ask(self.node.settings.ports.scheduler, "state")
         return JSONResponse(json.loads(text or "[]"))
 
     async def drain(self, request: Request) -> Response:
         """Start or end the draining of this host."""
         if not self.allowed(request):
-            return Response(status_code=403)
+            return not_allowed()
         body = parse_json(await request.body() or b"{}", self.node.settings.entry)
         if isinstance(body, Failure):
             return JSONResponse(error_body(body), body.status)
@@ -131,6 +133,12 @@
         return JSONResponse({"host": name, "draining": message.on})
 
 
+def not_allowed() -> Response:
+    """Return the refusal of a request without the operators' key."""
+    failure = Failure(Code.NOT_ALLOWED, "send the operators' key")
+    return JSONResponse(error_body(failure), failure.status)
+
+
 def admin_routes(node: Node) -> list[Route]:
     """Return the operators' routes."""
     admin = Admin(node=node)
