A workspace with few samples follows what its kind has learned since

A workspace's cached length curve was made with what its kind had learned by then and kept until 8 samples of its own; taken for long work, its questions waited behind long work and so gave no samples. Ruled out: the engines' room (memory use fell to 0.6 while they waited). Change: a curve is made anew when the coarser one that it leans on has changed.

--- a/features/lengths.feature
+++ b/features/lengths.feature
@@ -15,6 +15,13 @@
     And the chance of "other/m/read" over 64 tokens is 0 to 0.05
     And the chance of "w/m/summary" over 64 tokens is 0.9 to 1
 
+  Scenario: A workspace with few samples follows what its kind has learned since
+    Given learned lengths that hold at most 50 keys
+    When 2 generations of "other/m/read" of about 10 tokens ended
+    Then the chance of "other/m/read" over 64 tokens is 0.15 to 0.9
+    When 300 generations of "w/m/read" of about 10 tokens ended
+    Then the chance of "other/m/read" over 64 tokens is 0 to 0.05
+
   Scenario: Generations that were cut off don't make lengths look short
     Given learned lengths that hold at most 50 keys
     When 300 generations of "w/m/k" of 200 tokens ended, as many cut at 5
--- a/src/baobabturn/scheduler/lengths.py
+++ b/src/baobabturn/scheduler/lengths.py
@@ -113,9 +113,13 @@
 
 
 class Curve:
-    """A distribution of lengths, ready to be asked."""
+    """A distribution of lengths, ready to be asked.
 
-    def __init__(self, *, hazards: list[float]):
+    ``parent`` is the coarser one that it leans on, None for the prior.
+    """
+
+    def __init__(self, *, hazards: list[float], parent: Curve | None = None):
+        self.parent = parent
         self.hazards = array("d", hazards)
         self.cumulative = array("d", [0.0])
         for hazard in hazards:
@@ -193,16 +197,20 @@
             self.curves.pop(old, None)
 
     def curve(self, workspace: str, model: str, kind: str) -> Curve:
-        """Return the distribution for a key."""
+        """Return the distribution for a key.
+
+        It is made anew when the coarser one that it leans on has learned: a
+        workspace with few samples would else keep what was thought before.
+        """
         parent = self.prior
         for key in reversed(levels(workspace, model, kind)):
             counts = self.counts.get(key)
             if counts is None:
                 continue
             found = self.curves.get(key)
-            if found is None:
-                found = Curve(hazards=counts.hazards(parent.hazards))
-                self.curves[key] = found
+            if found is None or found.parent is not parent:
+                hazards = counts.hazards(parent.hazards)
+                found = self.curves[key] = Curve(hazards=hazards, parent=parent)
             parent = found
         return parent
 
