A route's methods are no mutable default

Cause: a list as default argument, excused by a note to the linter. Change: a named tuple of methods.

--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from starlette.applications import Starlette
@@ -39,6 +39,7 @@
 )
 
 BEARER = "bearer "
+POST = ("POST",)
 KEY_LIMIT = 255
 
 Handler = Callable[[Scope, Receive, Send], Awaitable[None]]
@@ -318,9 +319,10 @@
         )
 
 
-def route(path: str, handler: Handler, methods: list[str] | None = ["POST"]) -> Route:  # noqa: B006
-    """Return a route to an ASGI handler."""
-    return Route(path, Endpoint(handler=handler), methods=methods)
+def route(path: str, handler: Handler, methods: Sequence[str] | None = POST) -> Route:
+    """Return a route to an ASGI handler, for all methods where none is named."""
+    named = None if methods is None else list(methods)
+    return Route(path, Endpoint(handler=handler), methods=named)
 
 
 def failure_response(failure: Failure) -> Response:
