Words that both ends of a message must share stand once

Cause: the outcomes of an attempt stood in four modules on both sides of the link, the ping's word in two, the drain role in two; changed on one side, length learning or the closing of refusing endpoints would have stopped without an error. OVERLOAD_STATUSES was used nowhere. Change: wire/words.py holds them; the rollout takes the document's role name; the dead constant is gone. Behaviour and tests are unchanged.

--- a/src/baobabturn/controller/localprocesses.py
+++ b/src/baobabturn/controller/localprocesses.py
@@ -10,9 +10,9 @@
 from baobabturn.core.results import Failure
 from baobabturn.wire.link import Link
 from baobabturn.wire.messages import Stats, StatsRequest
+from baobabturn.wire.words import PING
 
 ROLES = ("entry", "scheduler")
-PING = "ping"
 OPEN_REQUESTS = "open-requests"
 IDLE_CHECK_S = 0.1
 
--- a/src/baobabturn/controller/rollout.py
+++ b/src/baobabturn/controller/rollout.py
@@ -12,11 +12,10 @@
 
 import attrs
 
-from baobabturn.config.document import Endpoint, Model
+from baobabturn.config.document import DRAIN_ROLE, Endpoint, Model
 from baobabturn.endpoints.engine import EngineState, Order
 
 SERVE = "serve"
-DRAIN = "drain"
 DISRUPTED_SHARE = 0.25
 
 
@@ -61,8 +60,10 @@
         if wanted.models.get(name) != version
     )
     if replaced:
-        if state.role != DRAIN:
-            return Order(order="role", role=DRAIN, term=term) if may_disrupt else None
+        if state.role != DRAIN_ROLE:
+            return (
+                Order(order="role", role=DRAIN_ROLE, term=term) if may_disrupt else None
+            )
         if state.open_count:
             return None
         return replacement(wanted, replaced[0], term)
--- a/src/baobabturn/entry/cancels.py
+++ b/src/baobabturn/entry/cancels.py
@@ -12,12 +12,12 @@
 from baobabturn.entry.resume import Place
 from baobabturn.entry.schedulers import Schedulers
 from baobabturn.wire.messages import Held, Holding, WhoHolds
+from baobabturn.wire.words import ABANDONED
 
 RETRY_S = 0.5
 TRIES = 10
 ASK_AGAIN_S = 0.5
 ASK_LIMIT_S = 15.0
-ABANDONED = "abandoned"
 
 
 class Cancels:
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -27,13 +27,10 @@
 from baobabturn.entry.resume import Place
 from baobabturn.entry.retries import backoff_s
 from baobabturn.wire.messages import Admit, Grant, Holding
+from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
 US = 1_000_000
 RETRY_AFTER_S = 1.0
-FINISHED = "finished"
-FAILED = "failed"
-ABANDONED = "abandoned"
-REFUSED = "refused"
 
 
 @attrs.frozen
--- a/src/baobabturn/entry/outcome.py
+++ b/src/baobabturn/entry/outcome.py
@@ -88,7 +88,6 @@
 REFUSED_STATUSES = frozenset((401, 403, 404, 409, 429, 503))
 # Statuses by which an engine says that it can't take the request as it is.
 REJECTED_STATUSES = frozenset((400, 413, 422))
-OVERLOAD_STATUSES = frozenset((429, 503))
 
 
 def error_state(error: BaseException) -> Attempt:
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -22,6 +22,7 @@
 from baobabturn.scheduler.state import EndpointState, PoolState, Reservation, Waiting
 from baobabturn.scheduler.stragglers import SILENCE_S, Stragglers
 from baobabturn.settings.model import Scheduler
+from baobabturn.wire.words import FINISHED
 
 SHORT_FIRST = -100_000
 PRIORITY_STEP = 10.0
@@ -32,7 +33,6 @@
 BATCH_STEP = 0.5
 BATCH_CUT = 0.95
 HEDGE_BURST = 20.0
-FINISHED = "finished"
 CLASSES = 2
 COST = operator.itemgetter(0)
 
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -38,10 +38,10 @@
     WhoHolds,
 )
 from baobabturn.wire.server import LinkServer
+from baobabturn.wire.words import PING
 
 TICK_S = 0.05
 PLACES_CHECK = 4
-PING = "ping"
 MAY_RUN = {ALIVE, LEAVING, SUSPECT}
 
 
--- a/src/baobabturn/scheduler/refusals.py
+++ b/src/baobabturn/scheduler/refusals.py
@@ -9,10 +9,11 @@
 
 import attrs
 
+from baobabturn.wire.words import REFUSED
+
 REFUSALS_IN_A_ROW = 2
 PAUSE_FIRST_S = 0.2
 PAUSE_LIMIT_S = 3.2
-REFUSED = "refused"
 
 
 @attrs.define(kw_only=True)
