Prompts that other hosts have sent count as being read

Cause: a place that another scheduler holds came in with no prompt tokens to read (PoolScheduler.hold left uncached_tokens at 0), so the bound on prompts read beside each other saw only a host's own. Many entries that decide within one network delay also chose the same cheapest engine (three within 8 ms at 0.10 s).

Ruled out: waiting in the queue (0 to 2 ms), pauses between events (all under 160 ms), memory (no preemption).

Change: such a place counts its whole prompt until its first token; the gateway's choice adds a random part to near costs (scheduler.choice_spread).

--- a/features/policy.feature
+++ b/features/policy.feature
@@ -44,3 +44,19 @@
     When the first engine is leaving
     And 8 requests of "read" come
     Then the requests are at 1 engine
+
+  Scenario: Prompts that other entries have sent are counted while they are read
+    Given a pool of 2 engines with 30000 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    And another entry runs 9000 tokens at the engine "e0"
+    When another entry has sent a prompt of 3000 tokens to the engine "e1"
+    And 1 request of "summary" comes
+    Then the last request is at "e0"
+    When that prompt is read
+    And 1 request of "summary" comes
+    Then the last request is at "e1"
+
+  Scenario: Requests come in at many entries at the same instant
+    Given 12 entries that know 6 free engines and nothing of each other yet
+    When each entry gets 1 request
+    Then no engine is chosen by more than 6 of them
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -11,7 +11,7 @@
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import Waiting
 from baobabturn.settings.load import load
-from baobabturn.wire.messages import Admit, ProgressItem, Release
+from baobabturn.wire.messages import Admit, Holding, ProgressItem, Release
 
 DEADLINE_S = 600.0
 
@@ -73,18 +73,24 @@
     context.pool.progress(ProgressItem(reservation=name, produced=produced))
 
 
-@given("a pool of {count:d} engine with {memory:d} tokens of memory")
-@given("a pool of {count:d} engines with {memory:d} tokens of memory")
-def step_pool(context, count, memory):
-    settings = load().settings
+def make_pool(seed=1, flags=None):
+    """Return a pool that has settled, with a policy of some seed."""
+    settings = load(None, flags).settings
     silent = types.SimpleNamespace(emit=lambda *names, **fields: None)
     program = types.SimpleNamespace(
         settings=settings, metrics=Metrics(role="scheduler"), events=silent
     )
-    policy = POLICIES["baobabturn"](settings=settings.scheduler, seed=1)
-    context.pool = PoolScheduler(name="p", program=program, policy=policy)
-    context.pool.dispatch_soon = context.pool.dispatch
-    context.pool.settled = True
+    policy = POLICIES["baobabturn"](settings=settings.scheduler, seed=seed)
+    pool = PoolScheduler(name="p", program=program, policy=policy)
+    pool.dispatch_soon = pool.dispatch
+    pool.settled = True
+    return pool
+
+
+@given("a pool of {count:d} engine with {memory:d} tokens of memory")
+@given("a pool of {count:d} engines with {memory:d} tokens of memory")
+def step_pool(context, count, memory):
+    context.pool = make_pool()
     context.count, context.memory = count, memory
     context.number, context.asked = 0, []
     engines(context)
@@ -150,6 +156,68 @@
     engines(context, leaving=("e0",))
 
 
+def hold(context, name, engine, tokens, produced):
+    """Let another entry hold a place at an engine."""
+    holding = Holding(
+        reservation=name,
+        endpoint=engine,
+        workspace="w",
+        model="m",
+        kind="summary",
+        prompt_tokens=tokens,
+        max_tokens=4000,
+        produced=produced,
+    )
+    context.pool.hold(None, holding)
+
+
+@given('another entry runs {tokens:d} tokens at the engine "{engine}"')
+def step_runs(context, tokens, engine):
+    hold(context, "runs", engine, tokens, produced=1)
+
+
+@when('another entry has sent a prompt of {tokens:d} tokens to the engine "{engine}"')
+def step_sent(context, tokens, engine):
+    hold(context, "sent", engine, tokens, produced=0)
+
+
+@when("that prompt is read")
+def step_read(context):
+    context.pool.progress(ProgressItem(reservation="sent", produced=1))
+
+
+@then('the last request is at "{engine}"')
+def step_there(context, engine):
+    assert context.asked[-1].future.grant.endpoint == engine
+
+
+@given(
+    "{entries:d} entries that know {count:d} free engines and nothing of each other yet"
+)
+def step_entries(context, entries, count):
+    context.count, context.memory = count, 30000
+    context.number, context.asked = 0, []
+    context.pools = [
+        make_pool(seed, ["scheduler.choice_spread=0.2"]) for seed in range(entries)
+    ]
+
+
+@when("each entry gets 1 request")
+def step_each(context):
+    for pool in context.pools:
+        context.pool = pool
+        engines(context)
+        ask(context, "summary")
+        pool.dispatch()
+
+
+@then("no engine is chosen by more than {most:d} of them")
+def step_most(context, most):
+    chosen = [waiting.future.grant.endpoint for waiting in placed(context)]
+    assert len(chosen) == len(context.pools), chosen
+    assert max(map(chosen.count, chosen)) <= most, chosen
+
+
 @then("between {low:d} and {high:d} of them are placed and the others wait")
 def step_some(context, low, high):
     count = len(placed(context))
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -80,7 +80,8 @@
     def make_pool(self, name: str) -> PoolScheduler:
         """Return the scheduler of a new pool."""
         settings = self.program.settings.scheduler
-        policy = POLICIES[settings.policy](settings=settings, seed=0)
+        seed = self.program.identity.incarnation
+        policy = POLICIES[settings.policy](settings=settings, seed=seed)
         pool = PoolScheduler(name=name, program=self.program, policy=policy)
         pool.settle()
         return pool
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import operator
+import random
 import time
 from collections.abc import Iterator
 
@@ -52,6 +53,7 @@
         self.full: set[bool] = set()
         self.judged = 0.0
         self.hedge_budget = HEDGE_BURST
+        self.random = random.Random(seed)
 
     @property
     def saturated(self) -> bool:
@@ -121,7 +123,8 @@
         for endpoint in pool.usable(admit):
             if self.may_take(endpoint, now):
                 uncached = self.uncached(endpoint, waiting, now)
-                offers.append((self.cost(endpoint, uncached), uncached, endpoint))
+                cost = self.cost(endpoint, uncached) + self.spread()
+                offers.append((cost, uncached, endpoint))
         offers.sort(key=COST)
         for _, uncached, endpoint in offers:
             if self.has_room(endpoint, waiting, uncached):
@@ -132,6 +135,14 @@
                 self.full.add(False)
         return None
 
+    def spread(self) -> float:
+        """Return what is added to a cost by chance.
+
+        Schedulers that decide at the same instant so don't all choose the same
+        endpoint.
+        """
+        return self.random.random() * self.settings.choice_spread
+
     def may_take(self, endpoint: EndpointState, now: float) -> bool:
         """Return whether an endpoint neither refuses nor is slow, or is probed."""
         if not self.refusals.may_take(endpoint.name, now):
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -259,6 +259,7 @@
             prompt_tokens=item.prompt_tokens,
             max_tokens=item.max_tokens,
             produced=item.produced,
+            uncached_tokens=0 if item.produced else item.prompt_tokens,
             granted=now,
             updated=now,
             holder=holder,
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -136,6 +136,7 @@
     aging_s: float = number(0.1, 3600)
     top_level: int = number(0, 1000)
     affinity_tokens: int = number(1, 10_000_000)
+    choice_spread: float = number(0, 10)
     length_half_life: int = number(10, 1_000_000)
     length_keys: int = number(10, 1_000_000)
     straggler_ratio: float = number(1.1, 100)
