Moves give their place back when the caller leaves; settings that change hold

Cause of the first: a caller who left while the last copy of a move was under way cancelled the future that the move was to settle; nobody gave the place at the target back until the process ended (and settling raised). Now the run drops the move when it ends, and the move frees its copy and place. A gauge shows the places held.

Of the second: the settings file was looked at only at SIGHUP and nothing of it was put in force. Now it is read at a signal and when it has changed; times and budgets hold at once, what needs a new start is named in the log line, a file with a mistake changes nothing.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -251,7 +251,8 @@
 
     ``script`` gives the bytes of an answer to a plain request, after which the
     connection is closed; without one the answer is whole and signed.  An engine
-    streams ``events`` events with ``pause_s`` between them.
+    streams ``events`` events with ``pause_s`` between them, and takes
+    ``stop_pause_s`` for the copy of a run that it has stopped.
     """
 
     def __init__(self, *, name: str, service: str, events: int = 0):
@@ -267,6 +268,7 @@
         self.moves: list[dict] = []
         self.copies: dict[str, int] = {}
         self.move_status = 200
+        self.stop_pause_s = 0.0
         self.stopped: set[str] = set()
         self.closed_at = 0
         self.others: dict[str, SiteEndpoint] = {}
@@ -324,6 +326,7 @@
         made = self.running[ident]
         if body["last"]:
             self.stopped.add(ident)
+            await asyncio.sleep(self.stop_pause_s)
         self.others[body["target"]].copies[ident] = made
         return 200, {"handle": ident, "createRevision": made}
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -120,3 +120,9 @@
     When a caller streams /draft/x and the engine leaves after 10 events
     Then the caller gets events 1 to 60 and the end
     And the run was stopped at one engine and went on at the other from its memory
+
+  Scenario: A caller that leaves while its run is moved leaves no place held
+    Given a site with 2 engines of 400 events
+    And engines take 0.5 seconds for the copy of a run that they have stopped
+    When a caller streams, the engine leaves, and the caller leaves while the run is stopped
+    Then no place is held after 1 second
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -203,6 +203,12 @@
     context.know_after = (seconds, know)
 
 
+@given("engines take {seconds:g} seconds for the copy of a run that they have stopped")
+def slow_stops(context, seconds):
+    for engine in context.case.endpoints.values():
+        engine.stop_pause_s = seconds
+
+
 @when('a caller posts "{path}" with forged headers')
 def forged_post(context, path):
     context.body = b'{"calf": 1}'
@@ -272,14 +278,20 @@
     context.reply = run(context, context.case.call(path, "POST", b"{}"))
 
 
+async def begin_stream(context):
+    """Send a stream's request; return the connection's writer and reader."""
+    address = context.case.gateways[0].addresses["callers"]
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = request_headers("/draft/x", {})
+    writer.write(request_bytes("POST", "/draft/x", headers, b"{}"))
+    return writer, reader
+
+
 @when("a caller leaves a stream after {count:d} events")
 def leave_stream(context, count):
     async def play():
-        address = context.case.gateways[0].addresses["callers"]
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        headers = request_headers("/draft/x", {})
-        writer.write(request_bytes("POST", "/draft/x", headers, b"{}"))
+        writer, reader = await begin_stream(context)
         for number in range(1, count + 1):
             await reader.readuntil(b"id: %d\n" % number)
         writer.close()
@@ -287,6 +299,33 @@
     run(context, play())
 
 
+@when(
+    "a caller streams, the engine leaves, and the caller leaves while the run is"
+    " stopped"
+)
+def leave_in_move(context):
+    engines = context.case.endpoints
+
+    def found(attribute):
+        return next((n for n, e in engines.items() if getattr(e, attribute)), None)
+
+    async def play():
+        writer, _ = await begin_stream(context)
+        name = await eventually(lambda: found("running"), "a run")
+        context.case.leave(name)
+        await eventually(lambda: found("stopped"), "a run that is stopped")
+        assert context.case.gateways[0].gauge("places_held") == 2
+        writer.close()
+
+    run(context, play())
+
+
+@then("no place is held after {seconds:g} second")
+def none_held(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    assert context.case.gateways[0].gauge("places_held") == 0
+
+
 @then("the engine ends that run within {seconds:g} seconds")
 def run_ended(context, seconds):
     engine = context.case.endpoints["e0"]
--- /dev/null
+++ b/features/steps/gatewaysettings.py
@@ -0,0 +1,66 @@
+"""Steps on a gateway's settings file that changes."""
+
+import json
+import pathlib
+import tempfile
+
+from behave import given, then, when
+
+from baobabturn.core.events import Event
+from features.sitecase import eventually
+from features.steps.gateway import run, start
+
+
+def write(context, seconds, **more):
+    """Write the settings file."""
+    gateway = {"revoke_ms": 1000 * (seconds + 1), "config_watch_s": 0.3}
+    context.path.write_text(json.dumps({"gateway": gateway, **more}))
+
+
+@given(
+    "a site with {count:d} plain endpoints whose settings file lets keys be trusted"
+    " for {seconds:g} seconds"
+)
+def file_site(context, count, seconds):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / "settings.jsonc"
+    write(context, seconds)
+    start(context, plain=count, options={"settings_path": str(context.path)})
+
+
+@when("the file lets keys be trusted for {seconds:g} seconds")
+def shorter(context, seconds):
+    write(context, seconds)
+
+
+@when("the file names another level of the log")
+def other_level(context):
+    write(context, 9, log={"level": "warning"})
+
+
+@when("the file holds a mistake")
+def mistake(context):
+    context.path.write_text('{"gateway": {"revoke_ms": "soon"}}')
+
+
+def soon_logged(context, text):
+    """Wait until a line on the settings holds a text."""
+    gateway = context.case.gateways[0]
+    lines = lambda: any(text in line for line in gateway.logged(Event.SETTINGS_READ))  # noqa: E731
+    run(context, eventually(lines, f"a line with {text}", 5.0))
+
+
+@then('the gateway logs that "{name}" is applied')
+def applied(context, name):
+    soon_logged(context, f"applied={name}")
+
+
+@then('the gateway logs that "{name}" waits for a new start')
+def waits(context, name):
+    soon_logged(context, f"at_restart={name}")
+
+
+@then("the gateway logs the mistake")
+def logged_mistake(context):
+    soon_logged(context, "revoke_ms")
--- a/src/baobabturn/core/program.py
+++ b/src/baobabturn/core/program.py
@@ -22,7 +22,7 @@
 from baobabturn.core.logs import setup_logging
 from baobabturn.core.metrics import Metrics
 from baobabturn.core.results import Failure
-from baobabturn.settings.load import EXIT_USAGE, load
+from baobabturn.settings.load import EXIT_USAGE, Loaded, load
 from baobabturn.settings.model import Settings
 from baobabturn.wire.identity import Identity
 from baobabturn.wire.link import TRAFFIC
@@ -37,9 +37,18 @@
 class Program:
     """One running program: its settings, identity, clock, events and metrics."""
 
-    def __init__(self, *, role: str, settings: Settings):
+    def __init__(
+        self,
+        *,
+        role: str,
+        settings: Settings,
+        settings_path: str = "",
+        flags: list[str] | None = None,
+    ):
         self.role = role
         self.settings = settings
+        self.settings_path = settings_path
+        self.flags = flags
         self.clock = HybridClock()
         self.identity = Identity(
             node=settings.host.name,
@@ -67,6 +76,10 @@
         self.metrics.gauge("inner_sent_bytes", lambda: TRAFFIC.sent_bytes)
         self.metrics.gauge("inner_received_bytes", lambda: TRAFFIC.received_bytes)
 
+    def read_settings(self) -> Loaded | Failure:
+        """Return the settings as file and flags give them now."""
+        return load(self.settings_path or None, self.flags)
+
     def stop(self) -> None:
         """Ask the program to stop gracefully."""
         self.stopping.set()
@@ -86,9 +99,8 @@
 Main = Callable[[Program], Awaitable[Failure | None]]
 
 
-async def run_program(role: str, settings: Settings, main: Main) -> Failure | None:
+async def run_program(program: Program, main: Main) -> Failure | None:
     """Run a program's main until a signal; return why it could not start."""
-    program = Program(role=role, settings=settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, program.stop)
@@ -134,12 +146,16 @@
         set:
             One field as section.field=value, laid over the file; may be repeated.
         """
-        loaded = load(settings or os.environ.get(SETTINGS_VARIABLE), set)
+        path = settings or os.environ.get(SETTINGS_VARIABLE, "")
+        loaded = load(path or None, set)
         if isinstance(loaded, Failure):
             complain(loaded.reason)
             return EXIT_USAGE
         setup_logging(loaded.settings.log.level)
-        failed = asyncio.run(run_program(role, loaded.settings, main))
+        program = Program(
+            role=role, settings=loaded.settings, settings_path=path, flags=set
+        )
+        failed = asyncio.run(run_program(program, main))
         if failed is not None:
             complain(failed.reason)
             return EXIT_USAGE
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
 import socket
 import time
 
 import uvicorn
 
 from baobabturn.core.events import Event
-from baobabturn.core.program import SETTINGS_VARIABLE, Program, start
+from baobabturn.core.program import Program, start
 from baobabturn.core.results import Failure
 from baobabturn.entry.main import listen, spare_collector
 from baobabturn.gateway.app import GatewayApp
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.peers import address_of
 from baobabturn.gateway.protocol import caller_protocol
+from baobabturn.gateway.reload import SettingsWatch
 from baobabturn.gateway.transport import Transport
 from baobabturn.platform.site import Site
 
@@ -71,9 +70,11 @@
         transport=transport,
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
+    program.metrics.gauge("places_held", lambda: len(node.pools.held))
     program.metrics.gauge("platform_calls", lambda: site.store.calls)
     await node.start()
-    watch_settings(program)
+    watch = SettingsWatch(program=program, apply=node.take_settings)
+    program.background.start(watch.run(), "settings")
     app = GatewayApp(node=node, dialect=site.dialect, edge=site.edge)
     server = make_server(node, app)
     server.install_signal_handlers = lambda: None  # type: ignore[attr-defined]
@@ -90,36 +91,6 @@
     return None
 
 
-def watch_settings(program: Program) -> None:
-    """Read the settings file again at SIGHUP.
-
-    What is in force was read at the start; a change is logged, and holds from
-    the next start on.
-    """
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    known = read_text(path)
-
-    def check(cause: str) -> None:
-        nonlocal known
-        text = read_text(path)
-        program.events.emit(
-            Event.SETTINGS_READ, cause=cause, changed=str(text != known).lower()
-        )
-        known = text
-
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, check, "signal")
-
-
-def read_text(path: str) -> str:
-    """Return a file's text, empty where it can't be read."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            return file.read()
-    except OSError:
-        return ""
-
-
 async def drain(program: Program, node: GatewayNode) -> None:
     """Serve on until nothing is open and no caller can hold this address.
 
--- a/src/baobabturn/gateway/moves.py
+++ b/src/baobabturn/gateway/moves.py
@@ -17,7 +17,7 @@
 from baobabturn.gateway.pools import EnginePools, Place
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.streamrun import Onward, StreamRun
-from baobabturn.wire.words import FAILED
+from baobabturn.wire.words import ABANDONED, FAILED
 
 MS = 1000
 COPY_TIMEOUT_S = 2.5
@@ -124,6 +124,12 @@
         onward: Onward = asyncio.get_running_loop().create_future()
         run.onward = onward
         second = await self.copy(run, source, target, stop=True)
+        if onward.done():
+            # The caller left meanwhile: nobody goes on from the copy.
+            if isinstance(second, Copy):
+                await self.mover.discard(source.record.address, second.memory)
+            self.pools.release(target, ABANDONED)
+            return None
         if isinstance(second, Failure):
             onward.set_result(None)
             return self.failed(run, source, target, second)
--- a/src/baobabturn/gateway/streamrun.py
+++ b/src/baobabturn/gateway/streamrun.py
@@ -98,11 +98,21 @@
     def finish(self, outcome: str) -> None:
         """Close what is open and give the place back."""
         self.ended = True
+        self.drop_onward()
         if self.opened is not None:
             self.opened.close()
         if self.place is not None:
             self.pools.release(self.place, outcome)
 
+    def drop_onward(self) -> None:
+        """Give back the place of a move that this run doesn't follow any more."""
+        onward, self.onward = self.onward, None
+        if onward is None or onward.cancel() or onward.cancelled():
+            return
+        found = onward.result()
+        if found is not None:
+            self.pools.release(found[0], ABANDONED)
+
     async def start(self) -> Failure | None:
         """Find an engine that takes the request; return why there is none."""
         failure: Any = None
@@ -327,13 +337,12 @@
         onward = self.onward
         if onward is None:
             return None
-        try:
-            async with asyncio.timeout(max(0.0, self.call.left_s())):
-                return await onward
-        except TimeoutError:
+        await asyncio.wait({onward}, timeout=max(0.0, self.call.left_s()))
+        if not onward.done():
+            self.drop_onward()
             return None
-        finally:
-            self.onward = None
+        self.onward = None
+        return onward.result()
 
     async def go_on_moved(self, place: Place, onward: Continuation) -> Failure | None:
         """Go on from the copy of the run's memory at another engine."""
