A fault soak of the gateway, and what it found: SIGHUP while it is loaded

It had been started again half a second before its settings were signalled to have changed; until its handler stood, the signal's default ended it. Test: gatewaysettings.feature 'A signal while the program is loaded doesn't end it'.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import time
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
@@ -21,12 +22,16 @@
 
 @attrs.define(kw_only=True)
 class Request:
-    """A request as an endpoint got it; header names are in lower case."""
+    """A request as an endpoint got it; header names are in lower case.
+
+    ``at`` is when it came, in monotonic seconds.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = attrs.Factory(time.monotonic)
 
     @property
     def ident(self) -> str:
@@ -252,7 +257,8 @@
     ``script`` gives the bytes of an answer to a plain request, after which the
     connection is closed; without one the answer is whole and signed.  An engine
     streams ``events`` events with ``pause_s`` between them, and takes
-    ``stop_pause_s`` for the copy of a run that it has stopped.
+    ``stop_pause_s`` for the copy of a run that it has stopped.  Its entry names
+    ``advertised`` where that is set, the address of a proxy before it.
     """
 
     def __init__(self, *, name: str, service: str, events: int = 0):
@@ -267,6 +273,8 @@
         self.cancelled: list[str] = []
         self.moves: list[dict] = []
         self.copies: dict[str, int] = {}
+        self.advertised = ""
+        self.leaving = False
         self.move_status = 200
         self.stop_pause_s = 0.0
         self.stopped: set[str] = set()
@@ -277,7 +285,7 @@
         """Return the endpoint's entry in the store."""
         return {
             "service": self.service,
-            "address": self.address,
+            "address": self.advertised or self.address,
             "zone": "z1",
             "version": "v1",
             "slots": 4,
@@ -313,7 +321,9 @@
         return True
 
     async def control(self, request: Request) -> tuple[int, Any]:
-        """Answer a call that moves a run's memory."""
+        """Answer a call for a report, or one that moves a run's memory."""
+        if request.method == "GET":
+            return 200, {"state": "draining" if self.leaving else "ready"}
         if request.method == "DELETE":
             return 200, {}
         body = json.loads(request.body)
@@ -333,10 +343,12 @@
     async def stream(self, request, reader, writer) -> None:
         """Stream events from where the request says."""
         memory = request.headers.get("kv-from", "")
-        if memory and memory.rpartition("/")[2] not in self.copies:
+        held = {*self.copies, *self.stopped}
+        if memory and memory.rpartition("/")[2] not in held:
             writer.write(answer(503, b"", {"X-Not-Executed": "1"}))
             await writer.drain()
             return
+        self.stopped.discard(request.ident)
         first = int(request.headers.get("last-event-id") or 0)
         headers = {
             "X-Attempt-Id": request.ident,
--- /dev/null
+++ b/fakes/siteconfig.py
@@ -0,0 +1,72 @@
+"""The configuration of a small site, as its operator writes it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+HOST = "desk.example"
+KEY = "key-of-herders"
+WORKSPACE = "herders"
+PLAIN, ENGINE = "ledger", "summaries"
+MOVE_TRAITS = {
+    "slots": 8,
+    "kvTokens": 40_000,
+    "kvBytes": 1000,
+    "linkMbps": 1000.0,
+    "moves": True,
+    "backups": True,
+    "stride": 4,
+    "most": 12,
+}
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict:
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutMs": 3000,
+        "sloMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2 if kind == "safe" or more.get("streamResume") else 1,
+        "authExempt": False,
+        "stickySessions": kind == "stream",
+        "streamResume": False,
+        "gapAimMs": 180,
+        **more,
+    }
+
+
+def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict:
+    """Return a whole configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            route("read", "/read/", "safe", PLAIN),
+            route("post", "/post/", "unsafe", PLAIN),
+            route("open", "/open/", "safe", PLAIN, authExempt=True),
+            route("draft", "/draft/", "stream", ENGINE, timeoutMs=20_000),
+            route(
+                "check",
+                "/check/",
+                "stream",
+                ENGINE,
+                timeoutMs=20_000,
+                streamResume=True,
+            ),
+        ],
+        "services": [
+            {"name": PLAIN, "healthPath": "/healthz", "maxConns": 100},
+            {"name": ENGINE, "healthPath": "/healthz", "engine": MOVE_TRAITS},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": WORKSPACE, "apiKeys": list(keys), "priority": 1}],
+    }
--- a/features/gatewaysettings.feature
+++ b/features/gatewaysettings.feature
@@ -18,3 +18,8 @@
     When the file holds a mistake
     Then the gateway logs the mistake
     And requests with a key are soon served
+
+  Scenario: A signal while the program is loaded doesn't end it
+    Given a gateway process that is just started
+    When its settings are signalled to have changed, again and again for 1.5 seconds
+    Then the process still runs
--- a/features/sitecase.py
+++ b/features/sitecase.py
@@ -4,109 +4,19 @@
 
 import asyncio
 import json
-import socket
 from typing import Any
 
-import attrs
-
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.gateway.main import serve
 from baobabturn.settings.load import Loaded, load
+from fakes.callers import Reply, ask, free_port, request_headers
 from fakes.proxy import Proxy
 from fakes.site import SiteEndpoint, SiteStore
+from fakes.siteconfig import ENGINE, HOST, PLAIN, configuration
 
-HOST = "desk.example"
-KEY = "key-of-herders"
-WORKSPACE = "herders"
-PLAIN, ENGINE = "ledger", "summaries"
 WAIT_S = 8.0
 POLL_S = 0.02
-MOVE_TRAITS = {
-    "slots": 8,
-    "kvTokens": 40_000,
-    "kvBytes": 1000,
-    "linkMbps": 1000.0,
-    "moves": True,
-    "backups": True,
-    "stride": 4,
-    "most": 12,
-}
-
-
-def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict:
-    """Return a route as the operator writes it."""
-    return {
-        "name": name,
-        "host": HOST,
-        "pathPrefix": prefix,
-        "routeType": kind,
-        "timeoutMs": 3000,
-        "sloMs": 500,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 2 if kind == "safe" or more.get("streamResume") else 1,
-        "authExempt": False,
-        "stickySessions": kind == "stream",
-        "streamResume": False,
-        "gapAimMs": 180,
-        **more,
-    }
-
-
-def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict:
-    """Return a whole configuration as the operator writes it."""
-    return {
-        "version": version,
-        "routes": [
-            route("read", "/read/", "safe", PLAIN),
-            route("post", "/post/", "unsafe", PLAIN),
-            route("open", "/open/", "safe", PLAIN, authExempt=True),
-            route("draft", "/draft/", "stream", ENGINE, timeoutMs=20_000),
-            route(
-                "check",
-                "/check/",
-                "stream",
-                ENGINE,
-                timeoutMs=20_000,
-                streamResume=True,
-            ),
-        ],
-        "services": [
-            {"name": PLAIN, "healthPath": "/healthz", "maxConns": 100},
-            {"name": ENGINE, "healthPath": "/healthz", "engine": MOVE_TRAITS},
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{"name": WORKSPACE, "apiKeys": list(keys), "priority": 1}],
-    }
-
-
-@attrs.define(kw_only=True)
-class Reply:
-    """An answer as a caller got it; ``whole`` says that its end came."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    whole: bool
-
-    @property
-    def event_ids(self) -> list[int]:
-        """Return the ids of the events in the body."""
-        lines = self.body.decode().splitlines()
-        return [int(line[3:]) for line in lines if line.startswith("id:")]
-
-
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
 
 
 class Gateway:
@@ -272,80 +182,6 @@
         ]
 
 
-def request_headers(path: str, more: dict[str, str]) -> dict[str, str]:
-    """Return a caller's headers for a path."""
-    headers = {
-        "Host": HOST,
-        "X-Attempt-Id": "a1b2c3d4e5f60718",
-        "X-Deadline-Ms": "15000",
-        "Authorization": f"Bearer {KEY}",
-    }
-    if path.startswith(("/draft/", "/check/")):
-        headers["X-Model"] = "m"
-        headers["X-Token-Count"] = "1000,2000"
-        headers["X-Prompt-Prefix"] = "ab:600,cd:400"
-    headers.update({name.replace("_", "-"): value for name, value in more.items()})
-    return {name: value for name, value in headers.items() if value}
-
-
-async def ask(
-    address: str, method: str, path: str, headers: dict[str, str], body: bytes
-) -> Reply:
-    """Send one request on a connection of its own and return the answer."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write(request_bytes(method, path, headers, body))
-        await writer.drain()
-        async with asyncio.timeout(WAIT_S * 2):
-            return await read_reply(reader)
-    finally:
-        writer.close()
-
-
-def request_bytes(
-    method: str, path: str, headers: dict[str, str], body: bytes
-) -> bytes:
-    """Return the bytes of a request."""
-    lines = [f"{method} {path} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body or method == "POST":
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
-
-
-async def read_reply(reader: asyncio.StreamReader) -> Reply:
-    """Return one answer, whole or as far as it came."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, *lines = head.decode("latin-1").split("\r\n")
-    pairs = [line.split(":", 1) for line in lines if line]
-    headers = {name.strip().lower(): value.strip() for name, value in pairs}
-    status = int(first.split(" ")[1])
-    if headers.get("transfer-encoding") == "chunked":
-        body, whole = await read_chunks(reader)
-        return Reply(status=status, headers=headers, body=body, whole=whole)
-    length = int(headers.get("content-length", "0"))
-    try:
-        body, whole = await reader.readexactly(length), True
-    except asyncio.IncompleteReadError as error:
-        body, whole = error.partial, False
-    return Reply(status=status, headers=headers, body=body, whole=whole)
-
-
-async def read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
-    """Return a chunked body as far as it came, and whether its end came."""
-    body = b""
-    while True:
-        try:
-            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
-            data = await reader.readexactly(size + 2)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return body, False
-        if not size:
-            return body, True
-        body += data[:-2]
-
-
 async def eventually(check: Any, what: str, limit_s: float = WAIT_S) -> Any:
     """Return the first true value of a check, or fail when the limit has passed."""
     end = asyncio.get_running_loop().time() + limit_s
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -5,16 +5,10 @@
 
 from behave import given, then, when
 
+from fakes.callers import request_bytes, request_headers
 from fakes.site import SIGNATURE, answer
-from features.sitecase import (
-    KEY,
-    WORKSPACE,
-    SiteCase,
-    configuration,
-    eventually,
-    request_bytes,
-    request_headers,
-)
+from fakes.siteconfig import KEY, WORKSPACE, configuration
+from features.sitecase import SiteCase, eventually
 
 FORGED = {
     "X-Tenant": "rivals",
--- a/features/steps/gatewaysettings.py
+++ b/features/steps/gatewaysettings.py
@@ -1,7 +1,9 @@
 """Steps on a gateway's settings file that changes."""
 
+import asyncio
 import json
 import pathlib
+import signal
 import tempfile
 
 from behave import given, then, when
@@ -9,6 +11,8 @@
 from baobabturn.core.events import Event
 from features.sitecase import eventually
 from features.steps.gateway import run, start
+from soak.process import GatewayProcess
+from soak.world import World
 
 
 def write(context, seconds, **more):
@@ -47,8 +51,11 @@
 def soon_logged(context, text):
     """Wait until a line on the settings holds a text."""
     gateway = context.case.gateways[0]
-    lines = lambda: any(text in line for line in gateway.logged(Event.SETTINGS_READ))  # noqa: E731
-    run(context, eventually(lines, f"a line with {text}", 5.0))
+
+    def logged():
+        return any(text in line for line in gateway.logged(Event.SETTINGS_READ))
+
+    run(context, eventually(logged, f"a line with {text}", 5.0))
 
 
 @then('the gateway logs that "{name}" is applied')
@@ -64,3 +71,41 @@
 @then("the gateway logs the mistake")
 def logged_mistake(context):
     soon_logged(context, "revoke_ms")
+
+
+@given("a gateway process that is just started")
+def started(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    place = pathlib.Path(folder.name)
+    context.world = World(seed=0, folder=place, hosts=1, domains=1)
+
+    async def play():
+        await context.world.store.start()
+        await context.world.add_gateway(0)
+
+    run(context, play())
+    context.add_cleanup(lambda: run(context, context.world.stop()))
+
+
+@when(
+    "its settings are signalled to have changed, again and again for {seconds:g}"
+    " seconds"
+)
+def signalled(context, seconds):
+    gateway: GatewayProcess = context.world.gateways[0]
+
+    async def play():
+        # The interpreter itself needs some time before any code of ours runs.
+        await asyncio.sleep(0.1)
+        for _ in range(int(seconds / 0.05)):
+            gateway.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+
+    run(context, play())
+
+
+@then("the process still runs")
+def still_runs(context):
+    gateway = context.world.gateways[0]
+    assert not gateway.exits, gateway.exits
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real gateways as processes, under faults from outside."""
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,155 @@
+"""One gateway as a process of its own, with signals and restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import time
+from typing import Any
+
+import attrs
+
+from fakes.proxy import Proxy
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+GRACE_S = 4.0
+# Beyond the grace time until the process is killed.
+KILL_SLACK_S = 1.0
+LISTENERS = ("callers", "ready", "directory", "metrics", "peers")
+
+
+@attrs.frozen(kw_only=True)
+class Exit:
+    """How a process ended; ``asked`` says whether a signal had asked for it."""
+
+    host: str
+    code: int
+    asked: bool
+    took_s: float
+
+
+class GatewayProcess:
+    """A gateway of one host, reached by callers and the store through proxies.
+
+    ``calm_since`` is when it was last started or let go on, in monotonic
+    seconds, and infinity while it is down or stopped by a signal.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        ports: dict[str, int],
+        store: Proxy,
+        folder: pathlib.Path,
+        options: dict[str, Any],
+    ):
+        self.name = name
+        self.domain = domain
+        self.addresses = {part: f"127.0.0.1:{ports[part]}" for part in LISTENERS}
+        self.store = store
+        self.door = Proxy(target=self.addresses["callers"])
+        self.path = folder / f"{name}.jsonc"
+        self.log_path = folder / f"{name}.log"
+        self.options = dict(options)
+        self.process: asyncio.subprocess.Process | None = None
+        self.exits: list[Exit] = []
+        self.asked_at = 0.0
+        self.calm_since = float("inf")
+        self.watching: asyncio.Task | None = None
+        self.ended = asyncio.Event()
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        settings = {
+            "host": {"name": self.name, "failure_domain": self.domain},
+            "gateway": {
+                **self.addresses,
+                "platform": self.store.address,
+                "grace_s": GRACE_S,
+                **self.options,
+            },
+        }
+        self.path.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.write_settings()
+        environment = {**os.environ, "PYTHONPATH": f"{ROOT}/src:{ROOT}"}
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "baobabturn.gateway",
+                "--settings",
+                str(self.path),
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.asked_at = 0.0
+        self.ended.clear()
+        self.calm_since = time.monotonic()
+        self.watching = asyncio.create_task(self.watch(self.process))
+
+    async def watch(self, process: asyncio.subprocess.Process) -> None:
+        """Note how the process ends."""
+        code = await process.wait()
+        self.calm_since = float("inf")
+        asked = self.asked_at > 0
+        took_s = time.monotonic() - self.asked_at if asked else 0.0
+        self.exits.append(Exit(host=self.name, code=code, asked=asked, took_s=took_s))
+        self.ended.set()
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self.asked_at = time.monotonic()
+        self.send_signal(signal.SIGKILL)
+        await self.ended.wait()
+
+    async def terminate(self) -> None:
+        """Ask the process to stop; kill it when the grace time is well over."""
+        self.asked_at = time.monotonic()
+        self.calm_since = float("inf")
+        self.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S + KILL_SLACK_S):
+                await self.ended.wait()
+        except TimeoutError:
+            await self.kill()
+
+    async def pause(self, seconds: float) -> None:
+        """Stop the process for some seconds and let it go on."""
+        self.calm_since = float("inf")
+        self.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.send_signal(signal.SIGCONT)
+        self.calm_since = time.monotonic()
+
+    def touch(self) -> None:
+        """Note a fault on the process's links: it is calm from now on at best."""
+        if self.calm_since < float("inf"):
+            self.calm_since = time.monotonic()
+
+    def resident_bytes(self) -> int:
+        """Return the process's resident memory, 0 where it doesn't run."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        with open(f"/proc/{self.process.pid}/statm") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def open_files(self) -> int:
+        """Return how many descriptors the process holds."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -11,7 +11,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Failure
-from baobabturn.entry.main import listen, spare_collector
+from baobabturn.core.serving import listen, spare_collector
 from baobabturn.gateway.app import GatewayApp
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.peers import address_of
@@ -113,7 +113,3 @@
 def main() -> None:
     """Start the program from the command line."""
     start("gateway", serve)
-
-
-if __name__ == "__main__":
-    main()
--- a/src/baobabturn/gateway/reload.py
+++ b/src/baobabturn/gateway/reload.py
@@ -16,6 +16,7 @@
 
 # How often the file is looked at for a change that no signal told of.
 LOOK_S = 2.0
+SIGNALLED, CHANGED = "signal", "file"
 # Fields that hold from the moment at which they are read.
 LIVE = frozenset(
     {
@@ -35,12 +36,14 @@
     """Follows the settings file; ``apply`` gets the gateway's new settings.
 
     A file that can't be read or holds a mistake changes nothing, and is logged.
+    The first look, soon after the start, finds what has changed since the file
+    was read for it.
     """
 
     def __init__(self, *, program: Program, apply: Callable[[Gateway], None]):
         self.program = program
         self.apply = apply
-        self.seen = self.stamp()
+        self.seen = (0, 0)
 
     def stamp(self) -> tuple[int, int]:
         """Return what tells versions of the file apart, zeros without a file."""
@@ -53,11 +56,11 @@
     async def run(self) -> None:
         """Read the file at each signal and change for as long as the process runs."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.read, "signal")
+        loop.add_signal_handler(signal.SIGHUP, self.read, SIGNALLED)
         while True:
             await asyncio.sleep(LOOK_S)
             if self.stamp() != self.seen:
-                self.read("file")
+                self.read(CHANGED)
 
     def read(self, cause: str) -> None:
         """Read the file and put in force what has changed."""
@@ -69,6 +72,8 @@
             )
             return
         applied, waiting = self.take(loaded.settings)
+        if cause == CHANGED and not applied and not waiting:
+            return
         self.program.events.emit(
             Event.SETTINGS_READ,
             cause=cause,
