The gateway loads less: declared types, and what all servers need, on their own

Types that operators declare now stand in config/declared.py, listeners and the like in core/serving.py.

--- a/bench/capacityconfig.py
+++ b/bench/capacityconfig.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from baobabturn.config.document import Document, Endpoint, Model, Workspace
+from baobabturn.config.declared import Document, Endpoint, Model, Workspace
 from baobabturn.config.parts import Manifest, digest, split, write_manifest
 from baobabturn.config.state import ConfigState
 from baobabturn.membership.owners import ALIVE, owner
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -15,7 +15,7 @@
 
 import cyclopts
 
-from baobabturn.config.document import Endpoint, Workspace
+from baobabturn.config.declared import Endpoint, Workspace
 from baobabturn.core.metrics import Metrics
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.config.state import make_pools
 from baobabturn.membership.owners import ALIVE, owner
 from baobabturn.wire.messages import Member
--- a/src/baobabturn/commands/apply.py
+++ b/src/baobabturn/commands/apply.py
@@ -14,8 +14,8 @@
     read_settings,
 )
 from baobabturn.commands.progress import with_progress
+from baobabturn.config.declared import Document
 from baobabturn.config.differ import differences
-from baobabturn.config.document import Document
 from baobabturn.config.parts import Manifest
 from baobabturn.config.publish import Published, current, publish
 from baobabturn.core.results import Code, Failure
--- a/src/baobabturn/commands/common.py
+++ b/src/baobabturn/commands/common.py
@@ -10,7 +10,8 @@
 import aiohttp
 
 from baobabturn.config.check import check
-from baobabturn.config.document import Document, read_document
+from baobabturn.config.declared import Document
+from baobabturn.config.document import read_document
 from baobabturn.core.program import complain
 from baobabturn.core.results import Code, Failure
 from baobabturn.settings.load import EXIT_USAGE, load
--- a/src/baobabturn/commands/diff.py
+++ b/src/baobabturn/commands/diff.py
@@ -13,8 +13,8 @@
     read_settings,
 )
 from baobabturn.commands.progress import with_progress
+from baobabturn.config.declared import Document
 from baobabturn.config.differ import Difference, differences
-from baobabturn.config.document import Document
 from baobabturn.config.publish import current
 from baobabturn.core.results import Failure
 from baobabturn.settings.model import Settings
--- a/src/baobabturn/config/check.py
+++ b/src/baobabturn/config/check.py
@@ -5,7 +5,7 @@
 import collections
 import re
 
-from baobabturn.config.document import Document
+from baobabturn.config.declared import Document
 from baobabturn.core.results import Code, Failure
 
 NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$")
--- a/src/baobabturn/config/differ.py
+++ b/src/baobabturn/config/differ.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from baobabturn.config.document import CONVERTER, Document
+from baobabturn.config.declared import Document
+from baobabturn.config.document import CONVERTER
 
 KINDS = ("workspaces", "models", "endpoints", "services")
 
--- a/src/baobabturn/config/parts.py
+++ b/src/baobabturn/config/parts.py
@@ -15,15 +15,8 @@
 import cattrs.errors
 import xxhash
 
-from baobabturn.config.document import (
-    CONVERTER,
-    Document,
-    Endpoint,
-    Model,
-    Service,
-    Workspace,
-    first_error,
-)
+from baobabturn.config.declared import Document, Endpoint, Model, Service, Workspace
+from baobabturn.config.document import CONVERTER, first_error
 from baobabturn.core.results import Code, Failure
 
 KINDS: dict[str, type] = {
--- a/src/baobabturn/config/publish.py
+++ b/src/baobabturn/config/publish.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from baobabturn.config.document import Document
+from baobabturn.config.declared import Document
 from baobabturn.config.parts import Manifest, digest, join, read_manifest, split
 from baobabturn.core.idents import nonce
 from baobabturn.core.results import Code, Failure
--- a/src/baobabturn/config/state.py
+++ b/src/baobabturn/config/state.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from baobabturn.config.document import Endpoint, Model, Operation, Service, Workspace
+from baobabturn.config.declared import Endpoint, Model, Operation, Service, Workspace
 from baobabturn.config.parts import (
     Manifest,
     digest,
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.configsync import ConfigSync
 from baobabturn.controller.contact import Contact
--- a/src/baobabturn/controller/orders.py
+++ b/src/baobabturn/controller/orders.py
@@ -14,7 +14,7 @@
 import attrs
 import xxhash
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.rollout import (
     group_of,
--- a/src/baobabturn/controller/orphans.py
+++ b/src/baobabturn/controller/orphans.py
@@ -13,7 +13,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.core.events import Event
 from baobabturn.core.idents import request_of
 from baobabturn.core.program import Program
--- a/src/baobabturn/controller/polling.py
+++ b/src/baobabturn/controller/polling.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.endpoints.engine import Engine
--- a/src/baobabturn/controller/rollout.py
+++ b/src/baobabturn/controller/rollout.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from baobabturn.config.document import DRAIN_ROLE, Endpoint, Model
+from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Model
 from baobabturn.endpoints.engine import EngineState, Order
 
 SERVE = "serve"
--- a/src/baobabturn/declare.py
+++ b/src/baobabturn/declare.py
@@ -27,15 +27,15 @@
 import attrs
 
 from baobabturn.config import check
-from baobabturn.config.document import (
+from baobabturn.config.declared import (
     Document,
     Endpoint,
     Model,
     Operation,
     Service,
     Workspace,
-    write_document,
 )
+from baobabturn.config.document import write_document
 from baobabturn.config.state import hash_key
 
 Item = TypeVar("Item")
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -11,7 +11,7 @@
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
-from baobabturn.config.document import Workspace
+from baobabturn.config.declared import Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.idents import request_id
 from baobabturn.core.results import Code, Failure
--- a/src/baobabturn/entry/main.py
+++ b/src/baobabturn/entry/main.py
@@ -3,37 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import socket
 import time
 
 import uvicorn
 
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program, start
-from baobabturn.core.results import Code, Failure
+from baobabturn.core.results import Failure
+from baobabturn.core.serving import listen, spare_collector
 from baobabturn.entry.app import EntryApp
 from baobabturn.entry.node import Node
 from baobabturn.entry.protocol import limited_protocol
 
-BACKLOG = 2048
 DRAIN_CHECK_S = 0.1
 
 
-def listen(address: str, port: int) -> socket.socket | Failure:
-    """Return a listening socket, or the failure where the address is in use."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listener.bind((address, port))
-    except OSError as error:
-        listener.close()
-        return Failure(Code.ADDRESS_IN_USE, f"{address}:{port}: {error.strerror}")
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
 def make_server(program: Program, node: Node) -> uvicorn.Server:
     """Return the HTTP server over the entry's application."""
     entry = program.settings.entry
@@ -78,16 +62,6 @@
     return None
 
 
-def spare_collector() -> None:
-    """Take what the start has made out of later collections.
-
-    A full collection over the imported modules stops all streams for
-    milliseconds.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 async def drain(program: Program, node: Node) -> None:
     """Serve on for as long as addresses may be held and requests are open.
 
--- a/src/baobabturn/entry/requests.py
+++ b/src/baobabturn/entry/requests.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from baobabturn.config.document import Model, Workspace
+from baobabturn.config.declared import Model, Workspace
 from baobabturn.config.state import ConfigState
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.prefixes import chat_text, estimate_tokens, prefix_hashes
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from baobabturn.config.document import DRAIN_ROLE
+from baobabturn.config.declared import DRAIN_ROLE
 from baobabturn.config.state import ConfigState, Pool
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -11,7 +11,7 @@
 import aiohttp
 import attrs
 
-from baobabturn.config.document import DRAIN_ROLE, Endpoint, Operation, Workspace
+from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Operation, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.answers import send_bytes, send_failure
--- a/src/baobabturn/entry/streams.py
+++ b/src/baobabturn/entry/streams.py
@@ -10,6 +10,7 @@
 
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure
+from baobabturn.core.serving import gone
 from baobabturn.entry.answers import (
     SSE_HEADERS,
     send_failure,
@@ -33,12 +34,6 @@
 LAST_WORD_S = 1.0
 
 
-async def gone(receive: Any) -> None:
-    """Return when the caller has gone away."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 async def until_gone(work: Any, receive: Any, limit_s: float | None = None) -> bool:
     """Run work until it ends, the caller goes or the limit; return if it ended."""
     task = asyncio.create_task(work)
--- a/src/baobabturn/scheduler/fairness.py
+++ b/src/baobabturn/scheduler/fairness.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from baobabturn.config.document import Workspace
+from baobabturn.config.declared import Workspace
 from baobabturn.core.results import Code, Failure
 
 MINUTE_S = 60.0
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from baobabturn.config.document import DRAIN_ROLE, Endpoint, Workspace
+from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Workspace
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
