A gateway measures and logs how late it runs what is due

The line says how much processor time was used meanwhile, which tells work of its own from a machine that was held up.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -73,6 +73,7 @@
     ENTRY_UNREADABLE = "entry-unreadable"
     GATEWAY_SEEN = "gateway-seen"
     GATEWAY_SILENT = "gateway-silent"
+    PROCESS_LATE = "process-late"
     GATEWAY_GONE = "gateway-gone"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
     KEYS_CONFIRMED = "keys-confirmed"
@@ -141,6 +142,10 @@
     ),
     Event.GATEWAY_SEEN: "Another gateway is heard of, `address` says where.",
     Event.GATEWAY_SILENT: "Another gateway has been silent for `gateway.silent_s`.",
+    Event.PROCESS_LATE: (
+        "The process ran what was due `late_ms` late; it used `used_ms` of its"
+        " processor meanwhile, and stood still for the rest."
+    ),
     Event.GATEWAY_GONE: (
         "A gateway was not heard of for ten minutes; its record is deleted."
     ),
--- /dev/null
+++ b/src/baobabturn/core/lag.py
@@ -0,0 +1,40 @@
+"""Measures how late a process runs what is due, and logs when it stood still."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+
+CHECK_S = 0.1
+# Later than this, callers see a pause.
+LATE_S = 0.05
+MS = 1000
+US = 1_000_000
+
+
+class LagWatch:
+    """Sleeps for a fixed time again and again, and notes how much longer it took."""
+
+    def __init__(self, *, program: Program):
+        self.program = program
+
+    async def run(self) -> None:
+        """Measure for as long as the process runs."""
+        while True:
+            before = time.monotonic()
+            used = time.process_time()
+            await asyncio.sleep(CHECK_S)
+            self.note(
+                time.monotonic() - before - CHECK_S, time.process_time() - used
+            )
+
+    def note(self, late_s: float, used_s: float) -> None:
+        """Record one delay, and how much processor time was used meanwhile."""
+        self.program.metrics.record("loop_lag_us", late_s * US)
+        if late_s >= LATE_S:
+            self.program.events.emit(
+                Event.PROCESS_LATE, late_ms=int(late_s * MS), used_ms=int(used_s * MS)
+            )
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from baobabturn.core.events import Event
+from baobabturn.core.lag import LagWatch
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.gateway.askreports import ReportAsker
@@ -78,6 +79,7 @@
             serving=self.serving,
             contact_s=self.contact.age_s,
         )
+        self.pools.local_first = self.peers.is_large
         self.pools.took = self.peers.took
         self.pools.gave_back = self.peers.gave_back
         self.registry = Registry(
@@ -160,6 +162,7 @@
         background.start(self.pools.judge(), "judge")
         background.start(self.asker.run(), "reports")
         background.start(self.watch_keys(), "keys")
+        background.start(LagWatch(program=self.program).run(), "lag")
 
     def config_listed(self, changes: tuple[Change, ...]) -> None:
         """Take in the configuration among all objects of its kind."""
@@ -214,7 +217,7 @@
     def stop(self) -> None:
         """Begin to stop; the others hear of it at once."""
         self.stopping_since = time.monotonic()
-        self.peers.flush_soon()
+        self.peers.tell_all()
 
     def connection_headers(self) -> Headers:
         """Return the headers that concern a caller's connection."""
