Fleets of more than 32 and of more than 128 gateways say less to each other

Cause: on sites of 65 and 69 machines 10,000 datagrams a second are half of the processor time and most of the bytes between zones; with requests times gateways they pass a whole core a host at the target.

Change: what was told of a place is a sign of life, so a heartbeat is left out then; above 128 gateways only those of the same failure domain hear of places at once, the others with a heartbeat, and engines near by are preferred. One look at the records of the others is enough after a start (of two gateways the one that wrote later sees the other). A watch waits 50 ms after a change for those that follow.

Conclusion: up to 128 gateways all are told, since what a late first event costs is more than the bytes.

--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -7,7 +7,7 @@
 import attrs
 from behave import given, then, when
 
-from baobabturn.config.document import Endpoint, Workspace
+from baobabturn.config.declared import Endpoint, Workspace
 from baobabturn.core.metrics import Metrics
 from baobabturn.core.results import Code, Failure
 from baobabturn.scheduler.policy import POLICIES
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -11,7 +11,7 @@
 
 from baobabturn.commands.apply import conflict
 from baobabturn.config import state as state_module
-from baobabturn.config.document import Document, Workspace
+from baobabturn.config.declared import Document, Workspace
 from baobabturn.config.parts import Manifest, digest, split, write_manifest
 from baobabturn.config.publish import current, publish
 from baobabturn.config.state import ConfigState
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from baobabturn.config.document import Workspace
+from baobabturn.config.declared import Workspace
 from baobabturn.core.results import Code
 from baobabturn.scheduler.fairness import MINUTE_S, FairShares, Limits
 
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from baobabturn.config.document import Endpoint
+from baobabturn.config.declared import Endpoint
 from baobabturn.core.metrics import Metrics
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
--- a/src/baobabturn/gateway/follow.py
+++ b/src/baobabturn/gateway/follow.py
@@ -13,6 +13,8 @@
 
 PAUSE_FIRST_S = 0.1
 PAUSE_LIMIT_S = 0.6
+# After a change others often follow at once; one more call then brings them all.
+GATHER_S = 0.05
 # How often a follower that doesn't watch looks whether it must.
 PASSIVE_CHECK_S = 0.1
 # Failures over this long are an outage, after which entries may be missing.
@@ -181,6 +183,7 @@
         self.confirm(self.certain(asked, found))
         if found.changes:
             self.passed_on(self, before, found)
+            await asyncio.sleep(GATHER_S)
         return None
 
     def certain(self, asked: float, found: Changes) -> float:
--- a/src/baobabturn/gateway/moveplan.py
+++ b/src/baobabturn/gateway/moveplan.py
@@ -13,7 +13,7 @@
 
 # An engine that leaves is expected to run on for this long, in seconds.
 NOTICE_S = 1.6
-# A run with at least this chance to end within the notice isn't moved.
+# A run with at least this chance to end within the notice is moved after others.
 ENDS_CHANCE = 0.7
 # Between two runs' copies: the second copy of the first one goes in between.
 SWITCH_S = 0.04
@@ -21,15 +21,20 @@
 FAR_FACTOR = 2.0
 
 
-def ends_by_itself(held: Reservation, gap_s: float) -> bool:
-    """Return whether a run will probably end within the notice."""
+def ends_surely(held: Reservation, gap_s: float) -> bool:
+    """Return whether a run ends within the notice, as nearly as can be known."""
     tokens = NOTICE_S / max(gap_s, 1e-4)
-    if held.produced + tokens >= held.max_tokens:
-        return True
-    if held.short:
-        return True
+    return held.short or held.produced + tokens >= held.max_tokens
+
+
+def ends_probably(held: Reservation, gap_s: float) -> bool:
+    """Return whether a run is more likely to end within the notice than not.
+
+    Lengths are learned from runs that ended, so long ones come late to be known.
+    """
     if held.curve is None:
         return False
+    tokens = NOTICE_S / max(gap_s, 1e-4)
     return 1 - held.curve.survival(held.produced, tokens) >= ENDS_CHANCE
 
 
@@ -43,11 +48,14 @@
     """Return when the copy of each run that is to be moved begins.
 
     Times are seconds after the notice, by reservation.  Small runs go first, so
-    that as many as possible get away.  ``near_room_tokens`` is the room at other
+    that as many as possible get away, and those last that will probably have ended
+    when their turn comes.  ``near_room_tokens`` is the room at other
     engines of the same failure domain, which the first runs take.
     """
-    staying = [held for held in runs if not ends_by_itself(held, gap_s)]
-    staying.sort(key=lambda held: (held.memory_tokens, held.name))
+    staying = [held for held in runs if not ends_surely(held, gap_s)]
+    staying.sort(
+        key=lambda held: (ends_probably(held, gap_s), held.memory_tokens, held.name)
+    )
     token_s = traits.token_bytes / max(traits.link_bytes_per_s, 1.0)
     starts: dict[str, float] = {}
     at = 0.0
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -4,6 +4,10 @@
 as it takes or gives back a place.  So each counts what is in flight at an engine
 nearly as it is, and no two send their work to the same free place unless they do
 so within one network delay.
+
+In a large fleet only the gateways of the same failure domain hear of places at
+once, and those of other domains with a heartbeat: what is told grows with the
+requests times those who hear of them.  Engines near by are preferred there.
 """
 
 from __future__ import annotations
@@ -30,8 +34,14 @@
 FORGET_S = 3.0
 # Fleets of more gateways than this send heartbeats less often.
 SMALL_FLEET = 32
-# In a larger fleet one heartbeat of so many holds all places.
+# Fleets of more gateways than this don't tell all of every place at once.
+LARGE_FLEET = 128
+# In a larger fleet one heartbeat of so many holds all places, and one of so many
+# goes to other failure domains.
 FULL_EVERY = 4
+FAR_EVERY = 2
+# Far gateways are heard of so much less often.
+FAR_PATIENCE = 1.5
 MS = 1000
 CONTACT_LIMIT_MS = 3_600_000
 
@@ -106,6 +116,9 @@
         self.added: dict[tuple[str, str], Holding] = {}
         self.ended: list[Release] = []
         self.flushing = False
+        self.flushed_at = 0.0
+        self.far_added: dict[tuple[str, str], Holding] = {}
+        self.far_ended: list[Release] = []
         self.handlers: dict[type, Callable[[Any, Peer], None]] = {}
 
     def connection_made(self, transport: Any) -> None:
@@ -204,12 +217,23 @@
     def is_alive(self, peer: Peer) -> bool:
         """Return whether a gateway was heard of lately."""
         silence = time.monotonic() - peer.heard
-        return silence < self.settings.silent_s * self.pace()
+        patience = 1.0 if self.is_near(peer) else FAR_PATIENCE
+        return silence < self.settings.silent_s * self.pace() * patience
 
     def pace(self) -> float:
         """Return by how much heartbeats are rarer than in a small fleet."""
         return max(1.0, len(self.peers) / SMALL_FLEET)
 
+    def is_large(self) -> bool:
+        """Return whether the fleet is too large to tell all of every place."""
+        return len(self.peers) > LARGE_FLEET
+
+    def is_near(self, peer: Peer) -> bool:
+        """Return whether a gateway hears of every place at once."""
+        if not self.is_large():
+            return True
+        return peer.failure_domain == self.record.failure_domain
+
     def alive(self) -> list[Peer]:
         """Return the gateways that were heard of lately."""
         return [peer for peer in self.peers.values() if self.is_alive(peer)]
@@ -241,17 +265,47 @@
             asyncio.get_running_loop().call_later(FLUSH_S, self.flush)
 
     def flush(self) -> None:
-        """Send what changed."""
+        """Send what changed to those who hear of it at once."""
         self.flushing = False
+        self.flushed_at = time.monotonic()
         added, ended = self.added, self.ended
         self.added, self.ended = {}, []
+        near = [peer for peer in self.alive() if self.is_near(peer)]
+        self.send_body(self.changes(added, ended), near)
+        if self.is_large():
+            self.keep_for_far(added, ended)
+
+    def changes(
+        self, added: dict[tuple[str, str], Holding], ended: list[Release]
+    ) -> GatewayState:
+        """Return a state that holds some changes of places."""
         body = self.state(full=False)
         by_pool: dict[str, list[Holding]] = {}
         for (pool, _), holding in added.items():
             by_pool.setdefault(pool, []).append(holding)
         body.holdings = [Holdings(pool=p, items=i) for p, i in by_pool.items()]
         body.ended = ended
-        self.send_body(body, self.alive())
+        return body
+
+    def keep_for_far(
+        self, added: dict[tuple[str, str], Holding], ended: list[Release]
+    ) -> None:
+        """Keep changes for the next heartbeat to other failure domains.
+
+        A place that is given back before then is never told of.
+        """
+        self.far_added.update(added)
+        pools = {reservation: pool for pool, reservation in self.far_added}
+        for release in ended:
+            pool = pools.get(release.reservation)
+            if pool is None:
+                self.far_ended.append(release)
+            else:
+                del self.far_added[pool, release.reservation]
+
+    def tell_all(self) -> None:
+        """Tell every gateway at once whether this one serves."""
+        self.send_body(self.state(full=False), self.alive())
 
     def state(self, *, full: bool) -> GatewayState:
         """Return this gateway's state, with all that it holds or nothing."""
@@ -277,11 +331,28 @@
         for peer in peers:
             self.transport.sendto(data, peer.address)
 
+    def send_heartbeat(self, number: int) -> None:
+        """Send the heartbeat of a number to those whose turn it is."""
+        peers = list(self.peers.values())
+        if self.pace() == 1.0 or number % FULL_EVERY == 0:
+            self.far_added, self.far_ended = {}, []
+            self.send_body(self.state(full=True), peers)
+            return
+        interval_s = self.settings.heartbeat_s * self.pace()
+        if time.monotonic() - self.flushed_at >= interval_s:
+            # What was told of a place lately was a sign of life as well.
+            near = [peer for peer in peers if self.is_near(peer)]
+            self.send_body(self.state(full=False), near)
+        if number % FAR_EVERY == 0:
+            added, ended = self.far_added, self.far_ended
+            self.far_added, self.far_ended = {}, []
+            far = [peer for peer in peers if not self.is_near(peer)]
+            self.send_body(self.changes(added, ended), far)
+
     async def beat(self) -> None:
         """Send signs of life, and note who has gone silent."""
         for number in itertools.count():
-            full = self.pace() == 1.0 or number % FULL_EVERY == 0
-            self.send_body(self.state(full=full), list(self.peers.values()))
+            self.send_heartbeat(number)
             await asyncio.sleep(self.settings.heartbeat_s * self.pace())
             now = time.monotonic()
             for peer in list(self.peers.values()):
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from baobabturn.config.document import Endpoint as DeclaredEndpoint
+from baobabturn.config.declared import Endpoint as DeclaredEndpoint
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.call import Call
@@ -35,6 +35,9 @@
 
 MS = 1000
 JUDGE_S = 0.1
+# What choosing an engine of another failure domain costs in a large fleet, where
+# less is known of it, in shares of an engine's memory.
+FAR_COST = 0.5
 # Room that a moved run needs beyond what it holds, in tokens.
 MOVE_ROOM_TOKENS = 512
 
@@ -64,6 +67,7 @@
         self.held: dict[str, Place] = {}
         self.foreign: dict[str, dict[str, str]] = {}
         self.numbers = itertools.count(1)
+        self.local_first: Callable[[], bool] = lambda: False
         self.took: Callable[[str, Holding], None] = lambda pool, holding: None
         self.gave_back: Callable[[Release], None] = lambda release: None
 
@@ -98,6 +102,15 @@
             declared = [declare(endpoint, traits) for endpoint in found]
             leaving = {endpoint.name for endpoint in found if endpoint.leaving}
             pool.set_endpoints(declared, leaving)
+            self.weigh_distance(pool)
+
+    def weigh_distance(self, pool: PoolScheduler) -> None:
+        """Let engines of other failure domains cost more where that is wanted."""
+        own = self.program.settings.host.failure_domain
+        local_first = self.local_first()
+        for name, state in pool.state.endpoints.items():
+            far = local_first and self.domain(name) != own
+            state.distance_cost = FAR_COST if far else 0.0
 
     async def judge(self) -> None:
         """Look for slow engines for as long as the process runs."""
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -11,8 +11,9 @@
 from baobabturn.gateway.peers import Peers
 from baobabturn.store.interface import ABSENT, ANY_VERSION, ObjectStore, StoredObject
 
-# Pauses between looks: gateways start together and write their records then.
-PAUSES_S = (0.8, 2.0, 6.0)
+# Pauses before looks.  Of two gateways at least the one that wrote its record
+# later sees the other's at its first look, and is heard of by it from then on.
+PAUSES_S = (0.5,)
 PAUSE_S = 20.0
 RETRY_S = 0.5
 # A gateway that was not heard of for this long has been taken away for good.
@@ -47,7 +48,8 @@
             await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
         looks = 0
         while True:
-            pause_s = PAUSES_S[looks] if looks < len(PAUSES_S) else PAUSE_S
+            later_s = PAUSE_S * self.peers.pace()
+            pause_s = PAUSES_S[looks] if looks < len(PAUSES_S) else later_s
             if await self.look() is None:
                 looks += 1
             else:
--- a/src/baobabturn/scheduler/chance.py
+++ b/src/baobabturn/scheduler/chance.py
@@ -200,7 +200,7 @@
         memory = max(1, endpoint.memory_tokens)
         full = endpoint.growth.peak() / memory
         reading = (uncached + endpoint.reading) / self.settings.affinity_tokens
-        return full + reading
+        return full + reading + endpoint.distance_cost
 
     def engine_priority(self, waiting: Waiting) -> int:
         """Return the priority for the engine: short work first, then as declared."""
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -70,6 +70,7 @@
     reading_short: int = 0
     reading_long: int = 0
     batch_limit: float = 0.0
+    distance_cost: float = 0.0
     cached: CachedBlocks = attrs.Factory(
         lambda: CachedBlocks(limit=CACHED_BLOCK_LIMIT, trust_s=CACHE_TRUST_S)
     )
