--- a/features/steps/gatewayparts.py
+++ b/features/steps/gatewayparts.py
@@ -18,7 +18,7 @@
 from baobabturn.scheduler.lengths import Lengths
 from baobabturn.scheduler.state import Reservation
 from baobabturn.settings.load import load
-from baobabturn.wire.codec import unpack
+from baobabturn.wire.codec import unpack_small
 from baobabturn.wire.messages import GatewayState, Holding, Release
 from features.helper import ROOT
 
@@ -110,7 +110,7 @@
 
     def sendto(self, data, address):
         """Keep a datagram."""
-        self.sent.append((unpack(data[TAG_BYTES:]).body, address))
+        self.sent.append((unpack_small(data[TAG_BYTES:]).body, address))
 
     def heard(self):
         """Return the addresses that heard of a change of places, and forget all."""
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -25,7 +26,7 @@
 from baobabturn.core.results import Failure
 from baobabturn.gateway.dialect import GatewayRecord
 from baobabturn.membership.datagrams import Seal
-from baobabturn.wire.codec import Envelope, pack, unpack
+from baobabturn.wire.codec import Envelope, pack_small, unpack_small
 from baobabturn.wire.messages import GatewayState, Holding, Holdings, Release
 
 # Changes within this are sent together.
@@ -40,8 +41,13 @@
 # goes to other failure domains.
 FULL_EVERY = 4
 FAR_EVERY = 2
+# Into so many parts a large fleet's heartbeat is split, sent one after another: all
+# at once they would hold up answers on a slow link.
+PARTS = 8
 # Far gateways are heard of so much less often.
 FAR_PATIENCE = 1.5
+# Of a heartbeat's pause, by chance, so that gateways don't all send at once.
+JITTER = 0.1
 MS = 1000
 CONTACT_LIMIT_MS = 3_600_000
 
@@ -119,6 +125,7 @@
         self.flushed_at = 0.0
         self.far_added: dict[tuple[str, str], Holding] = {}
         self.far_ended: list[Release] = []
+        self.far_news = self.state(full=False)
         self.handlers: dict[type, Callable[[Any, Peer], None]] = {}
 
     def connection_made(self, transport: Any) -> None:
@@ -131,7 +138,7 @@
         if opened is None:
             self.program.metrics.count("datagrams_refused")
             return
-        envelope = unpack(opened)
+        envelope = unpack_small(opened)
         if isinstance(envelope, Failure):
             self.program.metrics.count("datagrams_refused")
             return
@@ -327,15 +334,18 @@
         if self.transport is None or not peers:
             return
         envelope = Envelope(body=body, hlc=self.program.clock.now())
-        data = self.seal.close(pack(envelope))
+        data = self.seal.close(pack_small(envelope))
         for peer in peers:
             self.transport.sendto(data, peer.address)
 
-    def send_heartbeat(self, number: int) -> None:
-        """Send the heartbeat of a number to those whose turn it is."""
-        peers = list(self.peers.values())
+    def send_heartbeat(self, number: int, part: int = 0, parts: int = 1) -> None:
+        """Send the heartbeat of a number to one part of those whose turn it is."""
+        peers = list(self.peers.values())[part::parts]
+        if part == 0:
+            self.far_news = self.changes(self.far_added, self.far_ended)
+            if number % FAR_EVERY == 0:
+                self.far_added, self.far_ended = {}, []
         if self.pace() == 1.0 or number % FULL_EVERY == 0:
-            self.far_added, self.far_ended = {}, []
             self.send_body(self.state(full=True), peers)
             return
         interval_s = self.settings.heartbeat_s * self.pace()
@@ -344,24 +354,32 @@
             near = [peer for peer in peers if self.is_near(peer)]
             self.send_body(self.state(full=False), near)
         if number % FAR_EVERY == 0:
-            added, ended = self.far_added, self.far_ended
-            self.far_added, self.far_ended = {}, []
             far = [peer for peer in peers if not self.is_near(peer)]
-            self.send_body(self.changes(added, ended), far)
+            self.sequence += 1
+            self.far_news.sequence = self.sequence
+            self.send_body(self.far_news, far)
 
     async def beat(self) -> None:
         """Send signs of life, and note who has gone silent."""
         for number in itertools.count():
-            self.send_heartbeat(number)
-            await asyncio.sleep(self.settings.heartbeat_s * self.pace())
-            now = time.monotonic()
-            for peer in list(self.peers.values()):
-                silence = now - peer.heard
-                if peer.heard and not peer.silent and not self.is_alive(peer):
-                    peer.silent = True
-                    self.program.events.emit(Event.GATEWAY_SILENT, gateway=peer.name)
-                if silence >= FORGET_S * self.pace():
-                    self.places.keep_foreign(peer.name, set())
+            parts = 1 if self.pace() == 1.0 else PARTS
+            for part in range(parts):
+                self.send_heartbeat(number, part, parts)
+                interval_s = self.settings.heartbeat_s * self.pace()
+                jitter = random.uniform(1 - JITTER, 1 + JITTER)
+                await asyncio.sleep(interval_s * jitter / parts)
+            self.note_silence()
+
+    def note_silence(self) -> None:
+        """Note who has gone silent, and take its places for free after a while."""
+        now = time.monotonic()
+        for peer in list(self.peers.values()):
+            silence = now - peer.heard
+            if peer.heard and not peer.silent and not self.is_alive(peer):
+                peer.silent = True
+                self.program.events.emit(Event.GATEWAY_SILENT, gateway=peer.name)
+            if silence >= FORGET_S * self.pace():
+                self.places.keep_foreign(peer.name, set())
 
     def error_received(self, exc: Exception) -> None:
         """Count a datagram that could not be delivered."""
--- a/src/baobabturn/wire/codec.py
+++ b/src/baobabturn/wire/codec.py
@@ -15,6 +15,8 @@
 
 VERSION = 1
 TRAVERSAL_WORDS = 8 * 1024 * 1024
+# What the library raises over bytes that aren't a message.
+UNREADABLE = (capnp.KjException, ValueError, UnicodeDecodeError, RuntimeError)
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(
@@ -105,16 +107,25 @@
     version: int = VERSION
 
 
-def pack(envelope: Envelope) -> bytes:
-    """Return the bytes of a message."""
-    out = SCHEMA.Envelope.new_message(
+def message(envelope: Envelope) -> Any:
+    """Return a message as the schema's builder."""
+    return SCHEMA.Envelope.new_message(
         version=VERSION,
         hlc=envelope.hlc,
         call=envelope.call,
         reply=envelope.reply,
         body={body_name(type(envelope.body)): to_dict(envelope.body)},
     )
-    return out.to_bytes()
+
+
+def pack(envelope: Envelope) -> bytes:
+    """Return the bytes of a message."""
+    return message(envelope).to_bytes()
+
+
+def pack_small(envelope: Envelope) -> bytes:
+    """Return the bytes of a message without its zeros, about half as many."""
+    return message(envelope).to_bytes_packed()
 
 
 def unpack(data: bytes) -> Envelope | Failure:
@@ -127,24 +138,40 @@
         with SCHEMA.Envelope.from_bytes(
             data, traversal_limit_in_words=TRAVERSAL_WORDS
         ) as reader:
-            try:
-                member = reader.body.which()
-            except (capnp.KjException, ValueError, KeyError):
-                return Failure(Code.UNSUPPORTED, "unknown message kind")
-            kind = MEMBERS.get(str(member))
-            if kind is None:
-                return Failure(Code.UNSUPPORTED, f"message kind {member}")
-            return Envelope(
-                body=from_reader(kind, getattr(reader.body, str(member))),
-                hlc=reader.hlc,
-                call=reader.call,
-                reply=reader.reply,
-                version=reader.version,
-            )
-    except (capnp.KjException, ValueError, UnicodeDecodeError, RuntimeError) as error:
+            return envelope_in(reader)
+    except UNREADABLE as error:
         return Failure(Code.MALFORMED, f"not a message: {type(error).__name__}")
 
 
+def unpack_small(data: bytes) -> Envelope | Failure:
+    """Return the message in what ``pack_small`` gave, or why there is none."""
+    try:
+        reader = SCHEMA.Envelope.from_bytes_packed(
+            data, traversal_limit_in_words=TRAVERSAL_WORDS
+        )
+        return envelope_in(reader)
+    except UNREADABLE as error:
+        return Failure(Code.MALFORMED, f"not a message: {type(error).__name__}")
+
+
+def envelope_in(reader: Any) -> Envelope | Failure:
+    """Return the message that a schema reader holds; raises ``UNREADABLE``."""
+    try:
+        member = reader.body.which()
+    except (capnp.KjException, ValueError, KeyError):
+        return Failure(Code.UNSUPPORTED, "unknown message kind")
+    kind = MEMBERS.get(str(member))
+    if kind is None:
+        return Failure(Code.UNSUPPORTED, f"message kind {member}")
+    return Envelope(
+        body=from_reader(kind, getattr(reader.body, str(member))),
+        hlc=reader.hlc,
+        call=reader.call,
+        reply=reader.reply,
+        version=reader.version,
+    )
+
+
 def pack_item(item: Any) -> bytes:
     """Return the bytes of one message class on its own, without an envelope."""
     schema = getattr(SCHEMA, type(item).__name__)
@@ -155,7 +182,7 @@
     """Return the item in some bytes, or why there is none."""
     try:
         return from_reader(kind, getattr(SCHEMA, kind.__name__).from_bytes_packed(data))
-    except (capnp.KjException, ValueError, UnicodeDecodeError, RuntimeError) as error:
+    except UNREADABLE as error:
         return Failure(Code.MALFORMED, f"not a message: {type(error).__name__}")
 
 
