--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,13 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 export PYTHONPATH := src:.:$(PYTHONPATH)
-CODE = src fakes dev bench features examples
+CODE = src fakes dev bench soak features examples
 JOBS ?= 4
 DEPLOYMENT ?= herd
 
-.PHONY: test demo lint format bench fleet capacity install lock
+SEEDS ?= 1 12
+
+.PHONY: test demo lint format bench fleet soak capacity install lock
 
 install: $(STAMP)
 
@@ -31,6 +33,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench.main $(BENCH)
 
+# Plays seeds of the fault soak, SEEDS="first last".
+soak: $(STAMP)
+	$(BIN)/python -m soak.main many $(SEEDS) --jobs $(JOBS)
+
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
--- a/bench/members.py
+++ b/bench/members.py
@@ -243,12 +243,25 @@
             for host in self.live()
         )
 
+    def views(self) -> dict[str, dict[str, str]]:
+        """Return what each running member sees that isn't alive, for a failure."""
+        found = {}
+        for host in self.live():
+            others = {
+                member.name: f"{member.state}/{member.incarnation}"
+                for member in host.membership.members()
+                if member.state != ALIVE
+            }
+            count = len(host.membership.members())
+            found[host.name] = {"known": str(count), **others}
+        return found
+
     async def until(self, check: Callable[[], bool], limit_s: float) -> float:
         """Return the seconds until a check holds; fails after a limit."""
         began = time.monotonic()
         while not check():
             if time.monotonic() - began > limit_s:
-                raise TimeoutError(f"not within {limit_s:g} s")
+                raise TimeoutError(f"not within {limit_s:g} s: {self.views()}")
             await asyncio.sleep(0.05)
         return time.monotonic() - began
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from fakes.proxy import Proxy, Way
 from fakes.site import SIGNATURE, Request, answer
@@ -13,7 +14,7 @@
 from soak.process import GatewayProcess
 from soak.world import World
 
-Fault = Callable[[World, float], Awaitable[None]]
+Fault = Callable[[World, float], Coroutine[Any, Any, None]]
 DELAY_S = 0.15
 NOTICE_S = 2.0
 SPOILT = 0.5
--- a/src/baobabturn/core/lag.py
+++ b/src/baobabturn/core/lag.py
@@ -27,9 +27,7 @@
             before = time.monotonic()
             used = time.process_time()
             await asyncio.sleep(CHECK_S)
-            self.note(
-                time.monotonic() - before - CHECK_S, time.process_time() - used
-            )
+            self.note(time.monotonic() - before - CHECK_S, time.process_time() - used)
 
     def note(self, late_s: float, used_s: float) -> None:
         """Record one delay, and how much processor time was used meanwhile."""
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -32,6 +32,7 @@
     "hedges_won": "Second attempts that brought the answer.",
     "inner_received_bytes": "Bytes received over inner links.",
     "inner_sent_bytes": "Bytes sent over inner links.",
+    "loop_lag_us": "How late the process ran what was due.",
     "member_pushes": "Messages with members sent to this host's processes.",
     "learned_keys": "Length distributions that the owned pools have learned.",
     "open_requests": "Requests that the entry is answering.",
