Runs of a leaving engine are moved one by one, each when the last has left

Each gateway began by a time table that took for granted room near by: room was added up over engines none of which had enough, so copies went to other failure domains and took twice as long. The link filled up, copies of what was new never were quick, and the stops came at 19.26 s, all at once, too late.

Ruled out: a late notice (all had it at 18.01 s), refusals at targets.

Change: a run's copy begins when the runs before it in the plan have left the engine, of which all gateways hear at once, or have had half as long again as planned; room near by is counted engine by engine.

--- a/features/gatewayparts.feature
+++ b/features/gatewayparts.feature
@@ -13,6 +13,18 @@
     Then the copies begin with the smallest run, each after the one before
     And the last of 3 copies begins after 0.8 seconds or more
 
+  Scenario: Drafts pile up and the neighbours' room is scattered
+    Given runs of 4000, 2000 and 3000 tokens at an engine, 1000 tokens copied in 0.1 s
+    When the engine leaves and two neighbours have room for 1500 tokens each
+    Then the copies begin with the smallest run, each after the one before
+    And the last of 3 copies begins after 1.0 seconds or more
+
+  Scenario: Drafts pile up and each copy takes another time than planned
+    Given runs of 4000, 2000 and 3000 tokens at an engine, 1000 tokens copied in 0.1 s
+    When the engine leaves and the neighbours have room for all
+    Then a copy's turn comes when those before it have left, and not sooner
+    And a run that doesn't leave holds up the next one for 0.4 seconds at most
+
   Scenario: Short checks at an engine that is reclaimed
     Given a run of short work at an engine
     When the engine leaves and the neighbours have room for all
--- a/features/steps/gatewayparts.py
+++ b/features/steps/gatewayparts.py
@@ -185,9 +185,32 @@
 
 @when("the engine leaves and the neighbours have room for {tokens:d} tokens")
 def leaves(context, tokens):
-    context.plan = move_plan(
-        context.runs, traits(0.0001), GAP_S, near_room_tokens=tokens
+    context.turns = move_plan(context.runs, traits(0.0001), GAP_S, near_rooms=[tokens])
+    context.plan = {name: turn.latest_s for name, turn in context.turns.items()}
+
+
+@when("the engine leaves and two neighbours have room for {tokens:d} tokens each")
+def leaves_scattered(context, tokens):
+    context.turns = move_plan(
+        context.runs, traits(0.0001), GAP_S, near_rooms=[tokens, tokens]
     )
+    context.plan = {name: turn.latest_s for name, turn in context.turns.items()}
+
+
+@then("a copy's turn comes when those before it have left, and not sooner")
+def turns_come(context):
+    for place, name in enumerate(context.order):
+        before = context.order[:place]
+        for left in range(place):
+            assert not context.turns[name].has_come(before[left:], 0.0), name
+        assert context.turns[name].has_come(context.order[place:], 0.0), name
+
+
+@then("a run that doesn't leave holds up the next one for {seconds:g} seconds at most")
+def held_up(context, seconds):
+    second = context.turns[context.order[1]]
+    assert not second.has_come([context.order[0]], 0.2)
+    assert second.has_come([context.order[0]], seconds)
 
 
 @then("the copies begin with the smallest run, each after the one before")
--- a/src/baobabturn/gateway/moves.py
+++ b/src/baobabturn/gateway/moves.py
@@ -14,6 +14,7 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.dialect import Continuation, Copy, Mover
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
+from baobabturn.gateway.moveplan import Turn
 from baobabturn.gateway.pools import EnginePools, Place
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.streamrun import Onward, StreamRun
@@ -24,6 +25,8 @@
 # Longest time after a notice in which a move is still tried.
 TRY_S = 2.2
 RETRY_S = 0.08
+# How often a run looks whether its turn has come.
+TURN_CHECK_S = 0.01
 # A copy of what is new that takes less than this found the link free.
 QUICK_S = 0.06
 # Time after a notice from which a run is stopped whether the link is free or not.
@@ -58,24 +61,28 @@
         plan = self.pools.move_plan(service, endpoint.name)
         for run in self.streams.at(endpoint):
             place = run.place
-            start_s = plan.get(place.holding.reservation) if place is not None else None
-            if start_s is None:
+            turn = plan.get(place.holding.reservation) if place is not None else None
+            if turn is None:
                 self.program.events.emit(
                     Event.MOVE_PASSED, request=run.call.ident, endpoint=endpoint.name
                 )
                 continue
             self.program.background.start(
-                self.evacuate(run, endpoint, start_s), f"move-{run.call.ident}"
+                self.evacuate(run, endpoint, turn), f"move-{run.call.ident}"
             )
 
-    async def evacuate(self, run: StreamRun, source: Endpoint, start_s: float) -> None:
+    async def evacuate(self, run: StreamRun, source: Endpoint, turn: Turn) -> None:
         """Move one run, trying engines for as long as the source may live.
 
         A run that its engine doesn't know yet is asked for again.
         """
         noticed = time.monotonic()
         tried: set[str] = set()
-        await asyncio.sleep(start_s)
+        pool, name = source.record.service, source.name
+        while not turn.has_come(
+            self.pools.held_at(pool, name), time.monotonic() - noticed
+        ):
+            await asyncio.sleep(TURN_CHECK_S)
         while time.monotonic() - noticed < TRY_S:
             if run.ended or run.endpoint is not source or run.place is None:
                 return
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import attrs
 
@@ -18,7 +18,7 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.call import Call
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
-from baobabturn.gateway.moveplan import move_plan
+from baobabturn.gateway.moveplan import Turn, move_plan
 from baobabturn.gateway.routes import EngineTraits, RouteTable
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
@@ -200,8 +200,8 @@
         self.pools[place.pool].release(release)
         self.gave_back(release)
 
-    def move_plan(self, pool: str, endpoint: str) -> dict[str, float]:
-        """Return how long after a notice each run's move begins, by reservation."""
+    def move_plan(self, pool: str, endpoint: str) -> dict[str, Turn]:
+        """Return when each run's move begins after a notice, by reservation."""
         scheduler = self.pools[pool]
         state = scheduler.state.endpoints.get(endpoint)
         if state is None:
@@ -211,20 +211,25 @@
             state.reservations.values(),
             self.traits[pool],
             gap_s,
-            near_room_tokens=self.near_room_tokens(pool, endpoint),
+            near_rooms=self.near_rooms(pool, endpoint),
         )
 
-    def near_room_tokens(self, pool: str, endpoint: str) -> int:
-        """Return the room for runs at the other engines of a failure domain."""
+    def near_rooms(self, pool: str, endpoint: str) -> list[int]:
+        """Return the tokens free at the other engines of a failure domain."""
         domain = self.domain(endpoint)
         states = self.pools[pool].state.endpoints
-        return sum(
-            max(0, states[other.name].free_tokens - MOVE_ROOM_TOKENS)
+        return [
+            states[other.name].free_tokens - MOVE_ROOM_TOKENS
             for other in self.endpoints.usable(pool)
             if other.name != endpoint
             and other.name in states
             and other.record.failure_domain == domain
-        )
+        ]
+
+    def held_at(self, pool: str, endpoint: str) -> Container[str]:
+        """Return the reservations at an engine, of all gateways."""
+        state = self.pools[pool].state.endpoints.get(endpoint)
+        return state.reservations if state is not None else ()
 
     def place_for_move(self, call: Call, place: Place, tried: set[str]) -> Place | None:
         """Take a place at another engine for a run that is to be moved there."""
