--- a/fakes/proxy.py
+++ b/fakes/proxy.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from fakes.site import Server
+
 READ_BYTES = 65_536
 SOL_SOCKET, SO_LINGER = 1, 13
 
@@ -27,7 +29,7 @@
     far: asyncio.StreamWriter
 
 
-class Proxy:
+class Proxy(Server):
     """Passes bytes between callers and one address.
 
     ``delay_s`` is added to each read in both directions, ``silent`` names the
@@ -36,20 +38,13 @@
     """
 
     def __init__(self, *, target: str):
+        super().__init__()
         self.target = target
-        self.address = ""
         self.delay_s = 0.0
         self.silent: set[Way] = set()
         self.refusing = False
         self.heard = asyncio.Event()
         self.pairs: set[Pair] = set()
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
 
     async def connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -117,10 +112,8 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
-        if self.server is not None:
-            self.server.close()
         self.restore()
-        self.drop()
+        await super().stop()
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -126,3 +126,13 @@
     And engines take 0.5 seconds for the copy of a run that they have stopped
     When a caller streams, the engine leaves, and the caller leaves while the run is stopped
     Then no place is held after 1 second
+
+  Scenario: A route's time is over before its endpoint answers
+    Given a site with 1 plain endpoints that take 4 seconds
+    When a caller sends a safe request
+    Then the answer is 504 after 3 to 3.4 seconds
+
+  Scenario: A caller that reads slowly gets all of a stream
+    Given a site with 1 engines of 40 events
+    When a caller streams /draft/x and reads it byte by byte with pauses
+    Then the caller gets events 1 to 40 and the end
--- a/features/soakseeds.feature
+++ b/features/soakseeds.feature
@@ -9,5 +9,6 @@
     Examples:
       | seed | why                                                   |
       | 8    | a signal to read the settings ended a starting process |
+      | 57   | the same signal while the interpreter itself starts   |
       | 11   | all gateways killed twice while keys and routes change |
       | 13   | the store fails, forgets, and callers are cut off      |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import struct
+import time
 
 from behave import given, then, when
 
-from fakes.callers import request_bytes, request_headers
+from fakes.callers import read_reply, request_bytes, request_headers
 from fakes.site import SIGNATURE, answer
 from fakes.siteconfig import KEY, WORKSPACE, configuration
 from features.sitecase import SiteCase, eventually
@@ -226,7 +227,9 @@
 @when("a caller sends a {kind} request")
 def one_request(context, kind):
     path, method = {"safe": ("/read/x", "GET"), "unsafe": ("/post/x", "POST")}[kind]
+    began = time.monotonic()
     context.reply = run(context, context.case.call(path, method))
+    context.took_s = time.monotonic() - began
 
 
 @when("a caller sends {count:d} safe requests")
@@ -266,6 +269,26 @@
     context.reply = run(context, play())
 
 
+@when("a caller streams {path} and reads it byte by byte with pauses")
+def slow_stream(context, path):
+    async def play():
+        writer, reader = await begin_stream(context)
+        slow = asyncio.StreamReader()
+
+        async def feed():
+            while data := await reader.read(16):
+                slow.feed_data(data)
+                await asyncio.sleep(0.005)
+            slow.feed_eof()
+
+        feeding = asyncio.create_task(feed())
+        context.reply = await read_reply(slow)
+        writer.close()
+        await feeding
+
+    run(context, play())
+
+
 @when("a caller streams {path}")
 def stream(context, path):
     context.path = path
@@ -374,6 +397,12 @@
         assert context.reply.body == b"done" and context.reply.whole, context.reply
 
 
+@then("the answer is {status:d} after {least:g} to {most:g} seconds")
+def status_after(context, status, least, most):
+    assert context.reply.status == status, context.reply
+    assert least <= context.took_s <= most, context.took_s
+
+
 @then("the answer is {status:d} with a time to come back")
 def told_when(context, status):
     assert context.reply.status == status, context.reply
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -67,7 +67,7 @@
     gateway = some_gateway(world)
     gateway.options["retry_slack"] = world.random.randint(40, 56)
     gateway.write_settings()
-    if world.random.random() < SPOILT:
+    if world.random.random() < SPOILT and gateway.runs_own_code():
         gateway.send_signal(signal.SIGHUP)
     await asyncio.sleep(0)
 
--- a/soak/process.py
+++ b/soak/process.py
@@ -19,6 +19,8 @@
 GRACE_S = 4.0
 # Beyond the grace time until the process is killed.
 KILL_SLACK_S = 1.0
+# The interpreter alone takes no longer than this.
+INTERPRETER_S = 1.0
 LISTENERS = ("callers", "ready", "directory", "metrics", "peers")
 
 
@@ -60,6 +62,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.exits: list[Exit] = []
         self.asked_at = 0.0
+        self.started_at = 0.0
         self.calm_since = float("inf")
         self.watching: asyncio.Task | None = None
         self.ended = asyncio.Event()
@@ -94,7 +97,7 @@
             )
         self.asked_at = 0.0
         self.ended.clear()
-        self.calm_since = time.monotonic()
+        self.calm_since = self.started_at = time.monotonic()
         self.watching = asyncio.create_task(self.watch(self.process))
 
     async def watch(self, process: asyncio.subprocess.Process) -> None:
@@ -111,6 +114,21 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def runs_own_code(self) -> bool:
+        """Return whether more than the interpreter has run since the start.
+
+        The program's first act is to decide on SIGHUP; until then the signal ends
+        the interpreter, which no program can change.
+        """
+        if self.process is None or self.process.returncode is not None:
+            return False
+        if time.monotonic() - self.started_at > INTERPRETER_S:
+            return True
+        with open(f"/proc/{self.process.pid}/status") as file:
+            fields = dict(line.split(":", 1) for line in file)
+        masks = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+        return bool(masks & (1 << (signal.SIGHUP - 1)))
+
     async def kill(self) -> None:
         """Kill the process."""
         self.asked_at = time.monotonic()
