--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,7 +17,8 @@
 Fault = Callable[[World, float], Coroutine[Any, Any, None]]
 DELAY_S = 0.15
 NOTICE_S = 2.0
-SPOILT = 0.5
+# Changes of the settings that are told by a signal.
+SIGNAL_SHARE = 0.5
 LEAST_ENDPOINTS = 2
 WAYS = ((Way.THERE, Way.BACK), (Way.THERE,), (Way.BACK,))
 
@@ -67,7 +68,7 @@
     gateway = some_gateway(world)
     gateway.options["retry_slack"] = world.random.randint(40, 56)
     gateway.write_settings()
-    if world.random.random() < SPOILT and gateway.runs_own_code():
+    if world.random.random() < SIGNAL_SHARE and gateway.runs_own_code():
         gateway.send_signal(signal.SIGHUP)
     await asyncio.sleep(0)
 
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -11,8 +11,9 @@
 from baobabturn.gateway.peers import Peers
 from baobabturn.store.interface import ABSENT, ANY_VERSION, ObjectStore, StoredObject
 
-# Pauses before looks.  Of two gateways at least the one that wrote its record
-# later sees the other's at its first look, and is heard of by it from then on.
+# Pauses after the first looks.  Of two gateways at least the one that wrote its
+# record later sees the other's at its first look, and is heard of by it from then
+# on; the second look makes up for answers that were lost.
 PAUSES_S = (0.5,)
 PAUSE_S = 20.0
 RETRY_S = 0.5
