--- a/fakes/site.py
+++ b/fakes/site.py
@@ -17,6 +17,7 @@
 
 PLATFORM_PATH = "/baobabturn/"
 RESPONSE_STAMP = "stamp-1"
+ENDLESS_BLOCK_BYTES = 262_144
 EVENT_INTERVAL_S = 0.01
 
 
@@ -124,7 +125,9 @@
     """The platform's object store, with lists, watches and conditional writes.
 
     ``failing_status`` is a status that every call gets (0 for none); with ``silent``
-    calls get no answer.
+    calls get no answer.  ``repeat_after_s`` is the time after which each answer is
+    sent a second time (0 for never).  With ``endless_lists`` the answer to a list
+    has no end.
     """
 
     def __init__(self, *, page: int = 500):
@@ -137,6 +140,8 @@
         self.changed = asyncio.Event()
         self.failing_status = 0
         self.silent = False
+        self.repeat_after_s = 0.0
+        self.endless_lists = False
         self.calls: list[str] = []
 
     def write(self, kind: str, name: str, spec: Any) -> int:
@@ -183,9 +188,15 @@
         )
         if self.failing_status:
             status, body = self.failing_status, {}
+        if self.endless_lists and request.method == "GET":
+            await send_endless_list(writer)
         data = json.dumps(body).encode()
-        writer.write(response_bytes(status, data, {"Content-Type": "application/json"}))
+        answer = response_bytes(status, data, {"Content-Type": "application/json"})
+        writer.write(answer)
         await writer.drain()
+        if self.repeat_after_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.repeat_after_s, write_if_open, writer, answer)
         return True
 
     async def execute(self, request: Request) -> tuple[int, Any]:
@@ -264,6 +275,21 @@
         return 200, self.objects[kind][name]
 
 
+def write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write data unless the connection is closed."""
+    if not writer.is_closing():
+        writer.write(data)
+
+
+async def send_endless_list(writer: asyncio.StreamWriter) -> None:
+    """Send the beginning of a list, and then items until the caller closes."""
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b'{"items": [')
+    while not writer.is_closing():
+        writer.write(b" " * ENDLESS_BLOCK_BYTES)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
 ResponseScript = Callable[[Request], bytes]
 
 
--- /dev/null
+++ b/features/gatewayfleet.feature
@@ -0,0 +1,130 @@
+Feature: Hundreds of gateways
+  No network and a clock of its own: what gateways tell each other, and what they
+  hold of one another, when there are many of them.
+
+  Scenario Outline: Heartbeats of a growing fleet (<size>)
+    Given a fleet of <size> gateways in 5 failure domains
+    When the fleet runs for 12 seconds
+    Then no gateway has received more than 9000 bytes or 30 datagrams a second
+
+    Examples:
+      | size |
+      | 65   |
+      | 195  |
+      | 350  |
+
+  Scenario Outline: A gateway of a fleet dies (<size>)
+    Given a fleet of <size> gateways in <domains> failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 1 dies
+    And the fleet runs for 2.4 seconds
+    Then no gateway near it takes it for alive
+    And all others are taken for alive by those near them
+
+    Examples:
+      | size | domains |
+      | 9    | 3       |
+      | 65   | 3       |
+      | 145  | 5       |
+
+  Scenario: Half of a fleet dies at once
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And every second gateway dies
+    And the fleet runs for 4 seconds
+    Then no gateway near them takes one of the dead for alive
+    And all others are taken for alive by those near them
+
+  Scenario: A killed process is back before its silence is noticed
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 1 takes a place
+    And the gateway 1 is restarted
+    And the fleet runs for 0.8 seconds
+    Then no gateway near it holds a place of it
+    And all others are taken for alive by those near them
+
+  Scenario: A monitor that hears nothing of a sound gateway is refuted
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And a monitor of the gateway 1 doesn't hear it any more
+    And the fleet runs for 2.4 seconds
+    Then all others but that monitor take the gateway 1 for alive
+
+  Scenario: A process that was paused takes nobody for silent when it wakes
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 1 is paused for 5 seconds and wakes
+    Then it reports nobody as silent
+    And the fleet runs for 1.2 seconds
+    And all others are taken for alive by those near them
+
+  Scenario: A gateway is cut off from its failure domain and joined again
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 0 is cut off from those near it for 6 seconds
+    And the fleet runs for 2.4 seconds
+    Then all others are taken for alive by those near them
+
+  Scenario: Machines are added to a fleet that others monitor already
+    Given a fleet of 145 gateways in 5 failure domains of which 45 start late
+    When the fleet runs for 4 seconds
+    And the late ones start
+    And the fleet runs for 8 seconds
+    Then no gateway was reported as silent
+
+  Scenario: Work is counted exactly near by and in aggregate far away
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 1 takes a place
+    Then all gateways near it hold the place
+    When the fleet runs for 2 seconds
+    Then all other failure domains count 1 request at the engine
+    When the gateway 1 gives it back
+    Then no gateway near it holds a place of it
+    When the fleet runs for 2 seconds
+    Then all other failure domains count 0 requests at the engine
+
+  Scenario: Place holders die with their work
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 1 takes a place
+    And the gateway 1 dies
+    And the fleet runs for 5 seconds
+    Then no gateway near it holds a place of it
+    And all other failure domains count 0 requests at the engine
+
+  Scenario: The watchers of all failure domains die at once
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And the watchers of all failure domains die
+    And the fleet runs for 12 seconds
+    Then every gateway has a fresh aggregate of each other failure domain
+
+  Scenario: The likeliest watchers are gone before anybody starts
+    Given a fleet of 145 gateways in 5 failure domains without its likeliest watchers
+    When the fleet runs for 12 seconds
+    Then every gateway has a fresh aggregate of each other failure domain
+
+  Scenario: Callers are spread over all failure domains
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    Then every gateway names 64 others, of each failure domain 11 to 15
+    When the failure domain "z0" goes dark
+    And the fleet runs for 6 seconds
+    Then no gateway names one of "z0"
+
+  Scenario: Callers of a failure domain that is nearly gone are sent elsewhere
+    Given a fleet of 145 gateways in 5 failure domains
+    When the fleet runs for 4 seconds
+    And all gateways of "z0" but one die
+    And the fleet runs for 6 seconds
+    Then the one that is left names 30 gateways or more
+
+  Scenario: A crowded engine far away isn't taken for an empty one
+    Given a pool of two engines of which others far away fill the first
+    When a long request comes
+    Then it goes to the second engine
+    When the far ones are gone and the second fills up
+    And a long request comes
+    Then it goes to the first engine
--- a/features/gatewayparts.feature
+++ b/features/gatewayparts.feature
@@ -40,13 +40,6 @@
     When the engine leaves and the neighbours have room for all
     Then the copies begin with "lasting" and then "ending"
 
-  Scenario: A large fleet tells of places near by at once and far away at heartbeats
-    Given a gateway among 70 of its failure domain and 70 of another
-    When it takes a place
-    Then the 70 of its domain hear of it, and the others at the second heartbeat
-    When it takes a place and gives it back
-    Then the others hear of neither
-
   Scenario: A burst of failures spends the budget once for all gateways
     Given 8 gateways whose services may get 20 percent and 56 repeats in 10 s
     When each gateway gets 100 requests and every one fails
--- a/features/sitecase.py
+++ b/features/sitecase.py
@@ -45,15 +45,26 @@
         flags += [f'gateway.{part}="{address}"' for part, address in ports.items()]
         flags.append(f'gateway.platform="{platform}"')
         flags += [f"gateway.{key}={json.dumps(v)}" for key, v in options.items()]
-        loaded = load(settings_path or None, flags)
+        self.settings_path = settings_path
+        self.flags = flags
+        self.task: asyncio.Task | None = None
+        self.program = self.make_program()
+
+    def make_program(self) -> Program:
+        """Return a program that knows nothing yet."""
+        loaded = load(self.settings_path or None, self.flags)
         assert isinstance(loaded, Loaded), loaded
-        self.program = Program(
+        return Program(
             role="gateway",
             settings=loaded.settings,
-            settings_path=settings_path,
-            flags=flags,
+            settings_path=self.settings_path,
+            flags=self.flags,
         )
-        self.task: asyncio.Task | None = None
+
+    def restart(self) -> None:
+        """Start anew after ``stop``, as a new process would."""
+        self.program = self.make_program()
+        self.start()
 
     def start(self) -> None:
         """Start to serve."""
@@ -77,6 +88,7 @@
 
     async def is_ready(self) -> bool:
         """Return whether the gateway says that it is ready."""
+        assert self.task is None or not self.task.done(), self.task.result()
         try:
             reply = await send_request(
                 self.addresses["ready"], "GET", "/baobabturn/readyz", {}, b""
--- a/src/baobabturn/core/background.py
+++ b/src/baobabturn/core/background.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable
+import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
+MIN_RESTART_DELAY_S = 0.2
+MAX_RESTART_DELAY_S = 5.0
+
 log = logging.getLogger("baobabturn.tasks")
 
 
@@ -27,6 +31,25 @@
         task.add_done_callback(self.on_task_done)
         return task
 
+    def supervise(self, work: Callable[[], Awaitable[Any]], name: str) -> None:
+        """Run work that has no end; start it again after an error."""
+        self.start(self.run_again(work, name), name)
+
+    async def run_again(self, work: Callable[[], Awaitable[Any]], name: str) -> None:
+        """Run work, and run it again after each error, with backoff."""
+        delay_s = MIN_RESTART_DELAY_S
+        while True:
+            started_at = time.monotonic()
+            try:
+                await work()
+                return
+            except Exception:
+                log.exception("event=task-restarted task=%s", name)
+            if time.monotonic() - started_at > MAX_RESTART_DELAY_S:
+                delay_s = MIN_RESTART_DELAY_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
+
     def on_task_done(self, task: asyncio.Task) -> None:
         """Remove a task that ended and log its error, if any."""
         self.tasks.discard(task)
--- a/src/baobabturn/core/httpclient.py
+++ b/src/baobabturn/core/httpclient.py
@@ -1,4 +1,4 @@
-"""Middleware of all HTTP client sessions: each request is sent only once.
+"""Shared by all HTTP clients: requests are sent once, responses read within a limit.
 
 aiohttp by itself retries a request with an idempotent method (``PUT``, ``DELETE``
 or ``GET``) if the connection drops before the response.  This could run a request
@@ -18,6 +18,22 @@
     ServerDisconnectedError,
 )
 
+READ_CHUNK_BYTES = 65_536
+
+
+class ResponseTooLarge(ClientError):
+    """A response's body is larger than its reader accepts."""
+
+
+async def read_limited(response: ClientResponse, max_bytes: int) -> bytes:
+    """Return a response's body; raise ``ResponseTooLarge`` over ``max_bytes``."""
+    body = bytearray()
+    async for data in response.content.iter_chunked(READ_CHUNK_BYTES):
+        body += data
+        if len(body) > max_bytes:
+            raise ResponseTooLarge(f"over {max_bytes} bytes")
+    return bytes(body)
+
 
 class AnswerLost(ClientError):
     """The connection dropped after the request may have been sent."""
--- a/src/baobabturn/core/lag.py
+++ b/src/baobabturn/core/lag.py
@@ -8,7 +8,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 
-CHECK_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.25
 # From this delay on, callers notice a pause.
 MIN_LOGGED_DELAY_S = 0.05
 MS_PER_S = 1000
--- a/src/baobabturn/entry/app.py
+++ b/src/baobabturn/entry/app.py
@@ -204,8 +204,10 @@
         """Return a reader that charges a request's body to a workspace."""
         return BodyReader(
             memory=self.node.body_memory,
+            settings=self.node.settings.entry,
             workspace=workspace.name,
             length=body_length(headers),
+            limit_bytes=self.node.settings.entry.body_limit_bytes,
         )
 
     def parse_generation_request(
--- a/src/baobabturn/entry/bodies.py
+++ b/src/baobabturn/entry/bodies.py
@@ -21,15 +21,16 @@
 
 
 class BodyMemory:
-    """Bounds the bytes that all request bodies in progress hold together.
+    """Bounds the bytes that all bodies in progress hold together.
 
-    One workspace may hold at most ``MAX_WORKSPACE_RATIO`` of the limit, so that it
-    can't starve others.
+    A body waits up to ``wait_s`` seconds for memory that others release.  One
+    workspace may hold at most ``MAX_WORKSPACE_RATIO`` of the limit, so that it can't
+    starve others.
     """
 
-    def __init__(self, *, settings: Entry):
-        self.settings = settings
-        self.limit_bytes = settings.body_memory_bytes
+    def __init__(self, *, limit_bytes: int, wait_s: float):
+        self.limit_bytes = limit_bytes
+        self.wait_s = wait_s
         self.held_bytes = 0
         self.workspace_bytes: dict[str, int] = {}
         self.released = asyncio.Event()
@@ -44,16 +45,16 @@
         return within_share and self.held_bytes + size_bytes <= self.limit_bytes
 
     async def acquire(self, workspace: str, size_bytes: int) -> Failure | None:
-        """Acquire bytes for a body, waiting up to ``body_wait_s`` for their release."""
+        """Acquire bytes for a body, waiting up to ``wait_s`` for their release."""
         try:
-            async with asyncio.timeout(self.settings.body_wait_s):
+            async with asyncio.timeout(self.wait_s):
                 while not self.fits(workspace, size_bytes):
                     self.released.clear()
                     await self.released.wait()
         except TimeoutError:
             return Failure(
                 Code.BODY_MEMORY,
-                f"request bodies hold the limit of {self.limit_bytes} bytes,"
+                f"bodies hold the limit of {self.limit_bytes} bytes,"
                 " or the workspace its share of it",
                 retry_after_s=RETRY_AFTER_S,
             )
@@ -73,13 +74,25 @@
 
 
 class BodyReader:
-    """Reads one request's body and holds memory for it until ``release``."""
+    """Reads one request's body and holds memory for it until ``release``.
+
+    ``length`` is the declared length, ``limit_bytes`` the largest that is accepted.
+    """
 
-    def __init__(self, *, memory: BodyMemory, workspace: str, length: int):
+    def __init__(
+        self,
+        *,
+        memory: BodyMemory,
+        settings: Entry,
+        workspace: str,
+        length: int,
+        limit_bytes: int,
+    ):
         self.memory = memory
-        self.settings = memory.settings
+        self.settings = settings
         self.workspace = workspace
         self.length = length
+        self.limit_bytes = limit_bytes
         self.acquired_bytes = 0
         self.remaining_s = self.settings.body_timeout_s
 
@@ -102,7 +115,7 @@
         Memory is acquired for a declared length before reading, otherwise for
         each chunk as it arrives.
         """
-        limit = self.settings.body_limit_bytes
+        limit = self.limit_bytes
         if self.length > limit:
             return Failure(Code.BODY_TOO_LARGE, f"body exceeds {limit} bytes")
         if self.length > 0:
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -57,7 +57,10 @@
         self.open_requests = 0
         self.schedulers = Schedulers(program=program, state=self.state)
         self.retry_budget = RetryBudget(share=self.settings.entry.retry_share)
-        self.body_memory = BodyMemory(settings=self.settings.entry)
+        self.body_memory = BodyMemory(
+            limit_bytes=self.settings.entry.body_memory_bytes,
+            wait_s=self.settings.entry.body_wait_s,
+        )
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             middlewares=[send_once],
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -11,6 +11,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.core.serving import wait_for_disconnect
+from baobabturn.entry.bodies import BodyReader, body_length
 from baobabturn.entry.responses import error_body, send_bytes, send_json
 from baobabturn.gateway.endpointclient import CompleteResponse
 from baobabturn.gateway.httpheaders import (
@@ -20,7 +21,7 @@
     first_value,
 )
 from baobabturn.gateway.node import GatewayNode
-from baobabturn.gateway.peers import parse_address
+from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.platforminterface import GatewayPaths, HeaderTranslator
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.routes import Route, RouteKind, RouteTable
@@ -79,7 +80,7 @@
             )
             return
         lifetime_s = self.node.program.settings.gateway.address_lifetime_s
-        body = self.paths.directory_body(self.node.addresses(), lifetime_s)
+        body = self.paths.directory_body(self.node.directory.addresses(), lifetime_s)
         data = json.dumps(body).encode()
         await send_bytes(
             send, data, 200, b"application/json", self.node.connection_headers()
@@ -94,20 +95,25 @@
         """Handle one request of a caller, and count it as open meanwhile."""
         arrived_at = time.monotonic()
         node = self.node
-        node.open_requests += 1
-        try:
-            request = await self.read_request(scope, receive, arrived_at)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(node.count_request())
+            request = await self.read_request(scope, receive, arrived_at, stack)
             if isinstance(request, Failure):
                 await self.refuse(scope, send, request)
                 return
             await self.process(request, receive, send)
-        finally:
-            node.open_requests -= 1
 
     async def read_request(
-        self, scope: Any, receive: Any, arrived_at: float
+        self,
+        scope: Any,
+        receive: Any,
+        arrived_at: float,
+        stack: contextlib.ExitStack,
     ) -> CallerRequest | Failure:
-        """Return the complete request, or the failure with which it is refused."""
+        """Return the complete request, or the failure with which it is refused.
+
+        ``stack`` releases the memory that the body holds.
+        """
         headers: Headers = scope["headers"]
         table = self.node.table
         if table is None:
@@ -116,7 +122,15 @@
         if isinstance(authorized, Failure):
             return authorized
         route, workspace, priority = authorized
-        body = await read_body(receive, table.limits.max_body_bytes)
+        reader = BodyReader(
+            memory=self.node.body_memory,
+            settings=self.node.program.settings.entry,
+            workspace=workspace,
+            length=body_length(dict(headers)),
+            limit_bytes=table.limits.max_body_bytes,
+        )
+        stack.callback(reader.release)
+        body = await reader.read(receive)
         if isinstance(body, Failure):
             return body
         caller_timeout_s = self.header_translator.caller_timeout_s(headers)
@@ -340,20 +354,3 @@
         else:
             headers += self.node.connection_headers()
         await send_json(send, error_body(failure, request_id), status, headers)
-
-
-async def read_body(receive: Any, max_bytes: int) -> bytes | Failure:
-    """Return a request's complete body, or the failure if there is none."""
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return Failure(Code.CANCELLED, "the caller disconnected")
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > max_bytes:
-            return Failure(Code.BODY_TOO_LARGE, f"over {max_bytes} bytes")
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return b"".join(chunks)
--- /dev/null
+++ b/src/baobabturn/gateway/domainloads.py
@@ -0,0 +1,128 @@
+"""Exchanges aggregates between the failure domains of a large fleet.
+
+In a large fleet a gateway learns of single reservations only from those of its own
+failure domain.  Of each other domain it gets an aggregate once in a while: the load
+of its gateways on each engine, and some addresses for callers.  The domain's watcher
+sends it to the watchers of the other domains, which forward it to their gateways.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+
+from baobabturn.core.program import Program
+from baobabturn.gateway.peer import Peer
+from baobabturn.gateway.peers import Peers
+from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.watchers import ANNOUNCEMENT_EXPIRY_S, Watchers
+from baobabturn.wire.messages import DomainLoad
+
+SEND_INTERVAL_S = 1.0
+SEND_JITTER_RATIO = 0.1
+# How many addresses for callers an aggregate carries at most.
+MAX_CALLER_ADDRESSES = 16
+
+
+@attrs.frozen(kw_only=True)
+class ReceivedLoad:
+    """A domain's newest aggregate and the monotonic time at which it came."""
+
+    load: DomainLoad
+    received_at: float
+
+
+class DomainLoads:
+    """Sends the own domain's aggregate, if this gateway watches; keeps the others."""
+
+    def __init__(
+        self, *, program: Program, peers: Peers, pools: EnginePools, watchers: Watchers
+    ):
+        self.program = program
+        self.peers = peers
+        self.table = peers.table
+        self.pools = pools
+        self.watchers = watchers
+        self.received: dict[str, ReceivedLoad] = {}
+        peers.handlers[DomainLoad] = self.handle_load
+
+    async def run(self) -> None:
+        """Send the aggregate at intervals for as long as the process runs."""
+        while True:
+            await asyncio.sleep(
+                SEND_INTERVAL_S
+                * random.uniform(1 - SEND_JITTER_RATIO, 1 + SEND_JITTER_RATIO)
+            )
+            self.expire()
+            if self.table.is_large_fleet() and self.watchers.is_watcher():
+                self.send()
+
+    def send(self) -> None:
+        """Send the own domain's aggregate to the watchers of the other domains."""
+        load = self.own_load()
+        for domain in self.table.far_domains():
+            self.peers.send_message(load, self.watchers.contacts(domain))
+
+    def own_load(self) -> DomainLoad:
+        """Return the aggregate of the own domain."""
+        callers = self.near_callers()
+        record = self.table.record
+        return DomainLoad(
+            node=record.name,
+            failure_domain=record.failure_domain,
+            stamp=self.program.clock.now(),
+            serving=len(callers),
+            callers=random.sample(callers, min(len(callers), MAX_CALLER_ADDRESSES)),
+            engines=self.pools.own_domain_load(),
+        )
+
+    def near_callers(self) -> list[str]:
+        """Return the callers' addresses of the near gateways that are serving."""
+        callers = [
+            peer.callers
+            for peer in self.table.near_alive()
+            if peer.serving and peer.callers
+        ]
+        if self.peers.serving():
+            callers.append(self.table.record.callers)
+        return callers
+
+    def handle_load(self, load: DomainLoad, author: Peer) -> None:
+        """Apply another domain's aggregate and forward it within this domain."""
+        domain = load.failure_domain
+        if domain == self.table.record.failure_domain:
+            return
+        known = self.received.get(domain)
+        if known is not None and load.stamp <= known.load.stamp:
+            return
+        self.received[domain] = ReceivedLoad(load=load, received_at=self.table.clock())
+        self.watchers.record_announcement(domain, load.node)
+        self.pools.apply_domain_load(domain, load.engines)
+        if not load.forwarded:
+            self.forward(load)
+
+    def forward(self, load: DomainLoad) -> None:
+        """Send an aggregate on to all near gateways, or to the watcher that does.
+
+        An author that doesn't know this domain's watcher sends to other gateways.
+        """
+        if self.watchers.is_watcher():
+            copy = attrs.evolve(load, forwarded=True)
+            self.peers.send_message(copy, self.table.near_alive())
+            return
+        own_domain = self.table.record.failure_domain
+        self.peers.send_message(load, self.watchers.contacts(own_domain))
+
+    def expire(self) -> None:
+        """Drop the aggregates of domains that have sent none for a while."""
+        now = self.table.clock()
+        for domain, received in list(self.received.items()):
+            if now - received.received_at >= ANNOUNCEMENT_EXPIRY_S:
+                del self.received[domain]
+                self.pools.apply_domain_load(domain, [])
+
+    def far_loads(self) -> list[DomainLoad]:
+        """Return the newest aggregate of each other domain."""
+        return [received.load for received in self.received.values()]
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -9,7 +9,9 @@
 import yarl
 from multidict import CIMultiDict
 
+from baobabturn.core.httpclient import READ_CHUNK_BYTES
 from baobabturn.core.results import Code, Failure
+from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.platforminterface import (
@@ -21,7 +23,8 @@
 from baobabturn.gateway.transport import Transport
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-READ_CHUNK_BYTES = 65_536
+# Up to this size a body isn't counted towards the memory for bodies.
+UNCOUNTED_BYTES = 65_536
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -54,9 +57,16 @@
 class EndpointClient:
     """Sends requests to endpoints and reads their responses."""
 
-    def __init__(self, *, transport: Transport, header_translator: HeaderTranslator):
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        header_translator: HeaderTranslator,
+        body_memory: BodyMemory,
+    ):
         self.transport = transport
         self.header_translator = header_translator
+        self.body_memory = body_memory
 
     async def open(
         self,
@@ -130,7 +140,7 @@
                 open_response = await self.open(request, endpoint, timeout_s=timeout_s)
                 if isinstance(open_response, Failure):
                     return open_response
-                body = await read_response_body(open_response.response)
+                body = await self.read_body(request, open_response)
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, f"no response in {timeout_s:.3g} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -144,6 +154,33 @@
             status=open_response.status, headers=open_response.headers, body=body
         )
 
+    async def read_body(
+        self, request: CallerRequest, open_response: OpenResponse
+    ) -> bytes | Failure:
+        """Return a response's body, or a failure that names the limit it exceeds.
+
+        Raise the errors of aiohttp.  Memory is held while the body is read.
+        """
+        body = bytearray()
+        acquired_bytes = 0
+        content = open_response.response.content
+        try:
+            async for data in content.iter_chunked(READ_CHUNK_BYTES):
+                body += data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    reason = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+                    return Failure(Code.OUTCOME_UNKNOWN, reason)
+                if len(body) <= UNCOUNTED_BYTES:
+                    continue
+                failure = await self.body_memory.acquire(request.workspace, len(data))
+                if failure is not None:
+                    return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
+                acquired_bytes += len(data)
+            return bytes(body)
+        finally:
+            if acquired_bytes:
+                self.body_memory.release(request.workspace, acquired_bytes)
+
 
 def to_multidict(headers: Headers) -> CIMultiDict[str]:
     """Return headers in the type that aiohttp takes."""
@@ -167,16 +204,3 @@
     if not response_metadata.signed:
         return Failure(Code.OUTCOME_UNKNOWN, f"status {status}, unsigned response")
     return None
-
-
-async def read_response_body(response: aiohttp.ClientResponse) -> bytes | Failure:
-    """Return a response's body, or a failure if it is too large.
-
-    Raise the errors of aiohttp.
-    """
-    body = bytearray()
-    async for data in response.content.iter_chunked(READ_CHUNK_BYTES):
-        body += data
-        if len(body) > MAX_RESPONSE_BYTES:
-            return Failure(Code.OUTCOME_UNKNOWN, f"over {MAX_RESPONSE_BYTES} bytes")
-    return bytes(body)
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -17,7 +18,7 @@
 # call return them together.
 BATCH_DELAY_S = 0.05
 # How often a mirror that doesn't watch the store checks whether it should.
-INACTIVE_CHECK_INTERVAL_S = 0.1
+INACTIVE_CHECK_INTERVAL_S = 0.25
 # Failures for at least this long are an outage, after which entries may be missing.
 MIN_OUTAGE_S = 1.0
 
@@ -104,6 +105,7 @@
         self.complete_version = 0
         self.confirmed_at = 0.0
         self.failures = 0
+        self.invalidated = asyncio.Event()
         self.is_active: Callable[[], bool] = lambda: True
         self.on_watch_changes: Callable[[Mirror, int, Changes], None] = (
             lambda mirror, before, changes: None
@@ -111,9 +113,11 @@
 
     async def run(self) -> None:
         """List and watch the kind for as long as the process runs."""
+        # After an error some changes may not have been applied.
+        self.watch_version = None
         while True:
             if self.watch_version is not None and not self.is_active():
-                await asyncio.sleep(INACTIVE_CHECK_INTERVAL_S)
+                await self.wait_inactive()
                 continue
             step = self.list if self.watch_version is None else self.watch
             failure = await step()
@@ -122,6 +126,13 @@
                 continue
             await self.wait_after(failure)
 
+    async def wait_inactive(self) -> None:
+        """Wait for the next check, or until the mirror is invalidated."""
+        self.invalidated.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(INACTIVE_CHECK_INTERVAL_S):
+                await self.invalidated.wait()
+
     async def wait_after(self, failure: Failure) -> None:
         """Back off after a failure.
 
@@ -180,6 +191,7 @@
     def invalidate(self) -> None:
         """Have all objects read again, because a change was missed."""
         self.watch_version = None
+        self.invalidated.set()
 
     async def watch(self) -> Failure | None:
         """Wait once for changes and apply them."""
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import random
+import contextlib
 import time
+from collections.abc import Iterator
 from typing import Any
 
 from baobabturn.core.events import Event
 from baobabturn.core.lag import LagWatch
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
+from baobabturn.entry.bodies import BodyMemory
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.directory import Directory
+from baobabturn.gateway.domainloads import DomainLoads
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
 from baobabturn.gateway.migration import Migrator
 from baobabturn.gateway.mirror import Mirror, StoreContact
-from baobabturn.gateway.peers import Peers, parse_address
+from baobabturn.gateway.peer import NEVER, parse_address
+from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.plain import PlainForwarder
 from baobabturn.gateway.platforminterface import (
     CacheCopier,
@@ -34,17 +39,19 @@
 from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.transport import Transport
+from baobabturn.gateway.watchers import Watchers
 from baobabturn.settings.model import Gateway
 from baobabturn.store.interface import Change, ObjectStore
 
 MS_PER_S = 1000
-KEYS_CHECK_INTERVAL_S = 0.25
+KEYS_CHECK_INTERVAL_S = 0.5
 
 
 class GatewayNode:
     """One gateway: its configuration, endpoints, peers and callers' requests.
 
-    ``stopping_since`` is in monotonic seconds, 0 while the gateway isn't stopping.
+    Times are monotonic seconds.  ``stopping_since`` is 0 while the gateway isn't
+    stopping; ``last_request_at`` is when a caller's request last began or ended.
     """
 
     def __init__(
@@ -62,6 +69,7 @@
         self.object_codec = object_codec
         self.table: RouteTable | None = None
         self.open_requests = 0
+        self.last_request_at = NEVER
         self.stopping_since = 0.0
         self.keys_accepted = False
         self.config_staleness = ConfigStaleness(revoke_s=settings.revoke_ms / MS_PER_S)
@@ -87,7 +95,15 @@
             serving=self.serving,
             store_contact_age_s=self.contact.age_s,
         )
-        self.pools.prefer_own_domain = self.peers.is_large_fleet
+        self.watchers = Watchers(table=self.peers.table)
+        self.domain_loads = DomainLoads(
+            program=program,
+            peers=self.peers,
+            pools=self.pools,
+            watchers=self.watchers,
+        )
+        self.directory = Directory(peers=self.peers, domain_loads=self.domain_loads)
+        self.pools.prefer_own_domain = self.peers.table.is_large_fleet
         self.pools.on_reserved = self.peers.publish_reservation
         self.pools.on_released = self.peers.publish_release
         self.registry = Registry(
@@ -103,8 +119,14 @@
             slack=settings.retry_slack,
             gateway_count=self.peers.gateway_count,
         )
+        self.body_memory = BodyMemory(
+            limit_bytes=settings.body_memory_bytes,
+            wait_s=program.settings.entry.body_wait_s,
+        )
         endpoint_client = EndpointClient(
-            transport=transport, header_translator=header_translator
+            transport=transport,
+            header_translator=header_translator,
+            body_memory=self.body_memory,
         )
         self.plain = PlainForwarder(
             program=program,
@@ -155,7 +177,10 @@
         ]
 
         self.store_updates = StoreUpdates(
-            peers=self.peers, contact=self.contact, mirrors=self.mirrors
+            peers=self.peers,
+            watchers=self.watchers,
+            contact=self.contact,
+            mirrors=self.mirrors,
         )
 
     async def start(self) -> None:
@@ -165,14 +190,15 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self.peers, local_addr=address)
         for mirror in self.mirrors:
-            background.start(mirror.run(), f"mirror-{mirror.kind}")
-        background.start(self.store_updates.run(), "store-updates")
-        background.start(self.registry.run(), "registry")
-        background.start(self.peers.run_heartbeats(), "heartbeat")
-        background.start(self.pools.detect_stragglers(), "stragglers")
-        background.start(self.report_poller.run(), "reports")
-        background.start(self.log_key_acceptance(), "keys")
-        background.start(LagWatch(program=self.program).run(), "lag")
+            background.supervise(mirror.run, f"mirror-{mirror.kind}")
+        background.supervise(self.store_updates.run, "store-updates")
+        background.supervise(self.registry.run, "registry")
+        background.supervise(self.peers.run_heartbeats, "heartbeat")
+        background.supervise(self.domain_loads.run, "domain-loads")
+        background.supervise(self.pools.detect_stragglers, "stragglers")
+        background.supervise(self.report_poller.run, "reports")
+        background.supervise(self.log_key_acceptance, "keys")
+        background.supervise(LagWatch(program=self.program).run, "lag")
 
     def apply_config_list(self, changes: tuple[Change, ...]) -> None:
         """Apply the configuration from the list of all objects of its kind."""
@@ -218,35 +244,35 @@
             and self.config_staleness.allows_keys()
         )
 
+    @contextlib.contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Count a caller's request as open for as long as it is handled."""
+        self.open_requests += 1
+        self.last_request_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.open_requests -= 1
+            self.last_request_at = time.monotonic()
+
     def apply_settings(self, settings: Gateway) -> None:
         """Apply new settings to the objects that copied them at the start."""
         self.config_staleness.set_limit(settings.revoke_ms / MS_PER_S)
         self.budget.ratio = settings.retry_ratio
         self.budget.slack = settings.retry_slack
         self.budget.set_window(settings.retry_window_s)
-        self.peers.settings = settings
+        self.peers.table.settings = settings
 
     def stop(self) -> None:
         """Begin to stop, and notify the other gateways at once."""
         self.stopping_since = time.monotonic()
-        self.peers.send_state_to_all()
+        self.peers.send_state_to_near()
+
+    def close(self) -> None:
+        """Close the socket for peers."""
+        if self.peers.transport is not None:
+            self.peers.transport.close()
 
     def connection_headers(self) -> Headers:
         """Return the headers for a caller's connection: close while stopping."""
         return [CONNECTION_CLOSE] if self.stopping_since else []
-
-    def addresses(self) -> list[str]:
-        """Return the addresses that callers should use, in random order.
-
-        If no gateway is known to be serving, return all known gateways.
-        """
-        peers = self.peers.alive()
-        addresses = [peer.callers for peer in peers if peer.serving and peer.callers]
-        if self.serving():
-            addresses.append(self.program.settings.gateway.callers)
-        if not addresses:
-            addresses = [p.callers for p in self.peers.peers.values() if p.callers]
-        if not addresses:
-            addresses = [self.program.settings.gateway.callers]
-        random.shuffle(addresses)
-        return addresses
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -1,86 +1,52 @@
 """Heartbeats between gateways, with the reservations at engines that each holds.
 
-Each gateway sends all others a datagram at every heartbeat, and another one as
-soon as it makes or releases a reservation.  So each gateway's count of the load on
-an engine is nearly exact, and two gateways use the same free capacity only if they
-choose it within one network delay.
-
-In a large fleet only gateways of the same failure domain learn of reservations at
-once; those of other domains learn of them with a heartbeat.  Otherwise the traffic
-would grow with the requests times the gateways.  In such a fleet, gateways prefer
-engines of their own failure domain.
+A gateway sends its near gateways a datagram as soon as it makes or releases a
+reservation.  So each gateway's count of the load on an engine is nearly exact, and
+two gateways use the same free capacity only if they choose it within one network
+delay.  ``peertable.py`` says which gateways are near and who gets which heartbeat.
 """
 
 from __future__ import annotations
 
 import asyncio
-import itertools
+import logging
 import random
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
-import attrs
-
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
+from baobabturn.gateway.peer import NEVER, Address, Peer, parse_address
+from baobabturn.gateway.peertable import ROUND_S, PeerTable
 from baobabturn.gateway.platforminterface import GatewayRecord
 from baobabturn.membership.datagrams import DatagramSigner
 from baobabturn.wire.codec import Envelope, pack_small, unpack_small
-from baobabturn.wire.messages import GatewayState, Holding, Holdings, Release
+from baobabturn.wire.messages import (
+    GatewayState,
+    Holding,
+    Holdings,
+    PeerSilent,
+    Release,
+)
 
 # Changes within this time are sent in one message.
 CHANGE_BATCH_S = 0.002
-# A gateway silent for this long counts as holding no reservations.
-RESERVATION_EXPIRY_S = 3.0
-# With more gateways than this, each sends heartbeats less often.
-MAX_SMALL_FLEET_SIZE = 32
-# With more gateways than this, other failure domains don't get changes at once.
-MAX_BROADCAST_FLEET_SIZE = 128
-# In larger fleets one heartbeat in this many lists all reservations, and one in
-# this many also goes to gateways of other failure domains.
-HEARTBEATS_PER_FULL_STATE = 4
-HEARTBEATS_PER_FAR_SEND = 2
-# A heartbeat of a larger fleet is sent to this many parts of the gateways, one after
-# another: sent to all at once it would delay responses on a slow link.
-HEARTBEAT_PART_COUNT = 8
-# Gateways of other failure domains send less often; their silence limit is longer.
-FAR_SILENCE_FACTOR = 1.5
+# A gateway that has been silent for this long holds no reservations.
+RESERVATION_EXPIRY_S = 1.5
+# A heartbeat this late shows that the process was paused.
+PAUSE_S = 0.5
+# After a cut a gateway introduces itself anew at most once in this time.
+REINTRODUCTION_INTERVAL_S = 1.0
 # Heartbeat intervals vary by this share, so that gateways don't all send at once.
 HEARTBEAT_JITTER_RATIO = 0.1
 MS_PER_S = 1000
 # Longer ages are sent as this one.
 MAX_CONTACT_AGE_MS = 3_600_000
 
-Address = tuple[str, int]
-
-
-def parse_address(text: str) -> Address:
-    """Return the host and port of an ``address:port`` text."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
-@attrs.define(kw_only=True, eq=False)
-class Peer:
-    """Another gateway; times are monotonic seconds, and 0 means never.
-
-    ``known_since`` is when this gateway learned of it, ``heard_at`` when its last
-    message came, ``store_contact_at`` when the platform's store last answered it.
-    """
 
-    name: str
-    address: Address
-    known_since: float = attrs.Factory(time.monotonic)
-    heard_at: float = 0.0
-    incarnation: int = 0
-    sequence: int = 0
-    callers: str = ""
-    failure_domain: str = ""
-    serving: bool = False
-    silent: bool = False
-    store_contact_at: float = 0.0
+log = logging.getLogger("baobabturn.gateway.peers")
 
 
 class ReservationTable(Protocol):
@@ -112,23 +78,22 @@
         store_contact_age_s: Callable[[], float],
     ):
         self.program = program
-        self.settings = program.settings.gateway
         self.record = record
+        self.table = PeerTable(record=record, settings=program.settings.gateway)
         self.reservations = reservations
         self.serving = serving
         self.store_contact_age_s = store_contact_age_s
         self.signer = DatagramSigner(secret=program.settings.inner.secret)
-        self.peers: dict[str, Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
         self.pending_reservations: dict[tuple[str, str], Holding] = {}
         self.pending_releases: list[Release] = []
         self.flush_scheduled = False
-        self.flushed_at = 0.0
-        self.far_pending_reservations: dict[tuple[str, str], Holding] = {}
-        self.far_pending_releases: list[Release] = []
-        self.far_state = self.make_state(full=False)
-        self.handlers: dict[type, Callable[[Any, Peer], None]] = {}
+        self.last_monitors: list[Peer] = []
+        self.reintroduced_at = NEVER
+        self.handlers: dict[type, Callable[[Any, Peer], None]] = {
+            PeerSilent: self.handle_silence_report
+        }
 
     def connection_made(self, transport: Any) -> None:
         """Keep the datagram transport."""
@@ -146,38 +111,84 @@
             return
         self.program.clock.observe(envelope.hlc)
         message = envelope.body
+        try:
+            self.dispatch(message, addr)
+        except Exception:
+            # One message that can't be handled must not cost all later ones.
+            log.exception("event=datagram-failed kind=%s", type(message).__name__)
+            self.program.metrics.count("datagrams_refused")
+
+    def dispatch(self, message: Any, address: Address) -> None:
+        """Pass a message to its handler."""
         if isinstance(message, GatewayState):
-            self.handle_state(message, addr)
+            self.handle_state(message, address)
             return
         handler = self.handlers.get(type(message))
-        peer = self.peers.get(getattr(message, "node", ""))
+        peer = self.table.peers.get(getattr(message, "node", ""))
         if handler is not None and peer is not None:
             handler(message, peer)
 
+    def add_gateways(self, records: list[GatewayRecord]) -> None:
+        """Add gateways from the store, and introduce this one to new near ones.
+
+        The address of a known gateway that is silent is updated.
+        """
+        for record in records:
+            if record.name != self.record.name:
+                self.add_gateway(record)
+        self.table.records_read = True
+        new = [peer for peer in self.table.near() if not peer.introduced]
+        self.introduce(new)
+
     def add_gateway(self, record: GatewayRecord) -> None:
-        """Add a gateway from the store, or update the address of a silent one."""
-        if record.name == self.record.name:
-            return
-        peer = self.peers.get(record.name)
+        """Add or update one gateway from the store."""
         address = parse_address(record.peers)
+        peer = self.table.peers.get(record.name)
         if peer is None:
-            peer = Peer(name=record.name, address=address, callers=record.callers)
-            peer.failure_domain = record.failure_domain
-            self.peers[record.name] = peer
-            self.send_message(self.make_state(full=True), [peer])
-        elif not self.is_alive(peer):
-            peer.address = address
+            peer = self.table.peers[record.name] = Peer(
+                name=record.name, address=address
+            )
+        elif self.table.is_alive(peer):
+            return
+        peer.address = address
+        peer.callers = record.callers
+        peer.failure_domain = record.failure_domain
+
+    def introduce(self, peers: list[Peer]) -> None:
+        """Send gateways this one's whole state."""
+        self.send_message(self.make_state(full=True, interval_s=ROUND_S), peers)
+        for peer in peers:
+            peer.introduced = True
+
+    def reintroduce(self) -> None:
+        """Send the near gateways this one's state after a cut has ended.
+
+        The gateway that is heard again may have been cut off, or this one, whom all
+        others then take for silent.
+        """
+        now = self.table.clock()
+        if now - self.reintroduced_at >= REINTRODUCTION_INTERVAL_S:
+            self.reintroduced_at = now
+            self.introduce(self.table.near())
+
+    def resume_after_pause(self) -> None:
+        """Count silence anew, and tell the near gateways that this one is back."""
+        self.table.restart_silence()
+        self.introduce(self.table.near())
 
     def retain_gateways(self, names: set[str]) -> None:
         """Remove the silent gateways that are not among those named."""
-        for peer in list(self.peers.values()):
-            if peer.name not in names and not self.is_alive(peer):
-                del self.peers[peer.name]
+        for peer in list(self.table.peers.values()):
+            if peer.name not in names and not self.table.is_alive(peer):
+                del self.table.peers[peer.name]
 
     def silence_s(self, name: str) -> float:
-        """Return the seconds since a gateway's last message, 0 for an unknown one."""
-        peer = self.peers.get(name)
-        if peer is None:
+        """Return the seconds since a gateway's last message.
+
+        It is 0 for a gateway that sends none to this one.
+        """
+        peer = self.table.peers.get(name)
+        if peer is None or not self.table.is_near(peer):
             return 0.0
         return time.monotonic() - max(peer.heard_at, peer.known_since)
 
@@ -185,28 +196,53 @@
         """Handle a gateway's state, unless a newer one of it came before."""
         if state.node == self.record.name:
             return
-        peer = self.peers.get(state.node)
+        peer = self.table.peers.get(state.node)
         if peer is None:
-            peer = self.peers[state.node] = Peer(name=state.node, address=address)
+            peer = self.table.peers[state.node] = Peer(name=state.node, address=address)
         version = (state.incarnation, state.sequence)
         if version <= (peer.incarnation, peer.sequence):
             return
-        if peer.incarnation != state.incarnation:
+        is_new = not peer.heard
+        was_silent = peer.silent
+        is_restarted = peer.heard and peer.incarnation != state.incarnation
+        returned = was_silent or is_restarted
+        self.update_peer(peer, state, address)
+        if is_new or returned:
             self.reservations.retain_peer_reservations(peer.name, set())
-        if not peer.heard_at or peer.silent:
             self.program.events.emit(
                 Event.GATEWAY_SEEN, gateway=peer.name, address=state.callers
             )
-            self.send_message(self.make_state(full=True), [peer])
-        peer.incarnation, peer.sequence = version
-        peer.heard_at = time.monotonic()
+        if self.table.is_near(peer) and (returned or not peer.introduced):
+            self.introduce([peer])
+        if was_silent and not is_restarted:
+            self.reintroduce()
+        self.apply_holdings(peer, state)
+
+    def update_peer(self, peer: Peer, state: GatewayState, address: Address) -> None:
+        """Record what a gateway says of itself."""
+        peer.incarnation, peer.sequence = state.incarnation, state.sequence
+        peer.heard_at = self.table.clock()
         peer.silent = False
+        peer.silent_since = NEVER
         peer.address = address
         peer.callers = state.callers
         peer.failure_domain = state.failure_domain
         peer.serving = state.serving
         peer.store_contact_at = peer.heard_at - state.contact_ms / MS_PER_S
-        self.apply_holdings(peer, state)
+        if state.next_ms:
+            peer.heartbeat_interval_s = state.next_ms / MS_PER_S
+
+    def handle_silence_report(self, report: PeerSilent, peer: Peer) -> None:
+        """Handle a monitor's report; refute it if it is about this gateway."""
+        if report.gateway == self.record.name:
+            if report.incarnation == self.program.identity.incarnation:
+                self.send_message(self.make_state(full=True), self.table.near())
+            return
+        silent = self.table.apply_silence_report(report.gateway, report.incarnation)
+        if silent is not None:
+            self.program.events.emit(
+                Event.GATEWAY_SILENT, gateway=silent.name, reported_by=peer.name
+            )
 
     def apply_holdings(self, peer: Peer, state: GatewayState) -> None:
         """Apply the reservations that a gateway holds, has made or has released."""
@@ -225,42 +261,15 @@
             }
             self.reservations.retain_peer_reservations(peer.name, names)
 
-    def is_alive(self, peer: Peer) -> bool:
-        """Return whether a gateway's silence is within the limit."""
-        peer_silence_s = time.monotonic() - peer.heard_at
-        silence_factor = 1.0 if self.is_near(peer) else FAR_SILENCE_FACTOR
-        return (
-            peer_silence_s
-            < self.settings.silent_s * self.interval_factor() * silence_factor
-        )
-
-    def interval_factor(self) -> float:
-        """Return the heartbeat interval as a multiple of that of a small fleet."""
-        return max(1.0, len(self.peers) / MAX_SMALL_FLEET_SIZE)
-
-    def is_large_fleet(self) -> bool:
-        """Return whether the fleet is too large to send all gateways every change."""
-        return len(self.peers) > MAX_BROADCAST_FLEET_SIZE
-
-    def is_near(self, peer: Peer) -> bool:
-        """Return whether a gateway is sent every change of reservations at once."""
-        if not self.is_large_fleet():
-            return True
-        return peer.failure_domain == self.record.failure_domain
-
-    def alive(self) -> list[Peer]:
-        """Return the gateways whose silence is within the limit."""
-        return [peer for peer in self.peers.values() if self.is_alive(peer)]
-
     def fleet_contact_age_s(self) -> float:
         """Return the seconds since the store answered this gateway or a live peer."""
         now = time.monotonic()
         own = self.store_contact_age_s()
-        return min([own, *(now - peer.store_contact_at for peer in self.alive())])
+        return min([own, *(now - peer.store_contact_at for peer in self.table.alive())])
 
     def gateway_count(self) -> int:
         """Return how many gateways are known, including this one."""
-        return 1 + len(self.peers)
+        return 1 + len(self.table.peers)
 
     def publish_reservation(self, pool: str, holding: Holding) -> None:
         """Publish a reservation that this gateway made, or its progress."""
@@ -279,52 +288,27 @@
             asyncio.get_running_loop().call_later(CHANGE_BATCH_S, self.flush)
 
     def flush(self) -> None:
-        """Send the pending changes to the gateways that get them at once."""
+        """Send the pending changes of reservations to the near gateways."""
         self.flush_scheduled = False
-        self.flushed_at = time.monotonic()
         added, ended = self.pending_reservations, self.pending_releases
         self.pending_reservations, self.pending_releases = {}, []
-        near = [peer for peer in self.alive() if self.is_near(peer)]
-        self.send_message(self.state_of_changes(added, ended), near)
-        if self.is_large_fleet():
-            self.queue_for_far(added, ended)
-
-    def state_of_changes(
-        self, added: dict[tuple[str, str], Holding], ended: list[Release]
-    ) -> GatewayState:
-        """Return a state that lists only some changes of reservations."""
-        state = self.make_state(full=False)
         by_pool: dict[str, list[Holding]] = {}
         for (pool, _), holding in added.items():
             by_pool.setdefault(pool, []).append(holding)
+        state = self.make_state(full=False)
         state.holdings = [Holdings(pool=p, items=i) for p, i in by_pool.items()]
         state.ended = ended
-        return state
+        self.send_message(state, self.table.near_alive())
 
-    def queue_for_far(
-        self, added: dict[tuple[str, str], Holding], ended: list[Release]
-    ) -> None:
-        """Keep changes for the next heartbeat to other failure domains.
+    def send_state_to_near(self) -> None:
+        """Send the near gateways at once whether this one is serving."""
+        self.send_message(self.make_state(full=False), self.table.near_alive())
 
-        A reservation that is released before then is never sent to them.
+    def make_state(self, *, full: bool, interval_s: float = 0.0) -> GatewayState:
+        """Return this gateway's next state, listing all its reservations or none.
+
+        A heartbeat announces the interval until the next one.
         """
-        self.far_pending_reservations.update(added)
-        pools = {
-            reservation: pool for pool, reservation in self.far_pending_reservations
-        }
-        for release in ended:
-            pool = pools.get(release.reservation)
-            if pool is None:
-                self.far_pending_releases.append(release)
-            else:
-                del self.far_pending_reservations[pool, release.reservation]
-
-    def send_state_to_all(self) -> None:
-        """Send every gateway at once whether this one is serving."""
-        self.send_message(self.make_state(full=False), self.alive())
-
-    def make_state(self, *, full: bool) -> GatewayState:
-        """Return this gateway's next state, listing all its reservations or none."""
         self.sequence += 1
         return GatewayState(
             node=self.record.name,
@@ -338,6 +322,7 @@
             ),
             full=full,
             holdings=self.reservations.own_holdings() if full else [],
+            next_ms=int(interval_s * MS_PER_S),
         )
 
     def send_message(self, message: Any, peers: list[Peer]) -> None:
@@ -349,58 +334,58 @@
         for peer in peers:
             self.transport.sendto(data, peer.address)
 
-    def send_heartbeat(self, number: int, part: int = 0, parts: int = 1) -> None:
-        """Send the heartbeat of a number to one part of the gateways.
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat to the monitors and to those whose turn it is.
 
-        In a large fleet only one heartbeat in ``HEARTBEATS_PER_FULL_STATE`` holds the
-        full state; between them, gateways of the same failure domain get the state
-        without reservations, and those of others the pending changes.
+        A gateway that is no monitor any more is told so, as it would take this one
+        for silent.
         """
-        peers = list(self.peers.values())[part::parts]
-        if part == 0:
-            self.far_state = self.state_of_changes(
-                self.far_pending_reservations, self.far_pending_releases
-            )
-            if number % HEARTBEATS_PER_FAR_SEND == 0:
-                self.far_pending_reservations, self.far_pending_releases = {}, []
-        if self.interval_factor() == 1.0 or number % HEARTBEATS_PER_FULL_STATE == 0:
-            self.send_message(self.make_state(full=True), peers)
-            return
-        interval_s = self.settings.heartbeat_s * self.interval_factor()
-        # A recent message with changes has served as a heartbeat already.
-        if time.monotonic() - self.flushed_at >= interval_s:
-            near = [peer for peer in peers if self.is_near(peer)]
-            self.send_message(self.make_state(full=False), near)
-        if number % HEARTBEATS_PER_FAR_SEND == 0:
-            far = [peer for peer in peers if not self.is_near(peer)]
-            self.sequence += 1
-            self.far_state.sequence = self.sequence
-            self.send_message(self.far_state, far)
+        interval_s = self.table.settings.heartbeat_s
+        monitors = self.table.monitors()
+        if self.table.is_mesh():
+            state = self.make_state(full=True, interval_s=interval_s)
+            self.send_message(state, monitors)
+        else:
+            state = self.make_state(full=False, interval_s=interval_s)
+            self.send_message(state, monitors)
+            others = self.table.next_of_round() + self.last_monitors
+            others = [peer for peer in others if peer not in monitors]
+            state = self.make_state(full=True, interval_s=ROUND_S)
+            self.send_message(state, others)
+        self.last_monitors = monitors
 
     async def run_heartbeats(self) -> None:
         """Send heartbeats and look for silent gateways until the process ends."""
-        for number in itertools.count():
-            parts = 1 if self.interval_factor() == 1.0 else HEARTBEAT_PART_COUNT
-            for part in range(parts):
-                self.send_heartbeat(number, part, parts)
-                interval_s = self.settings.heartbeat_s * self.interval_factor()
-                jitter = random.uniform(
-                    1 - HEARTBEAT_JITTER_RATIO, 1 + HEARTBEAT_JITTER_RATIO
-                )
-                await asyncio.sleep(interval_s * jitter / parts)
+        while True:
+            self.send_heartbeat()
+            pause_s = self.table.settings.heartbeat_s * random.uniform(
+                1 - HEARTBEAT_JITTER_RATIO, 1 + HEARTBEAT_JITTER_RATIO
+            )
+            due_at = time.monotonic() + pause_s
+            await asyncio.sleep(pause_s)
+            if time.monotonic() - due_at > PAUSE_S:
+                self.resume_after_pause()
             self.check_silence()
 
     def check_silence(self) -> None:
-        """Mark silent gateways; expire the reservations of those silent for long."""
-        now = time.monotonic()
-        for peer in list(self.peers.values()):
-            peer_silence_s = now - peer.heard_at
-            if peer.heard_at and not peer.silent and not self.is_alive(peer):
-                peer.silent = True
-                self.program.events.emit(Event.GATEWAY_SILENT, gateway=peer.name)
-            if peer_silence_s >= RESERVATION_EXPIRY_S * self.interval_factor():
+        """Mark silent gateways, report them, and expire their reservations."""
+        self.table.update_monitored()
+        for peer in self.table.newly_silent():
+            self.program.events.emit(Event.GATEWAY_SILENT, gateway=peer.name)
+            if peer.name in self.table.monitored:
+                self.report_silence(peer)
+        expired_before = self.table.clock() - RESERVATION_EXPIRY_S
+        for peer in list(self.table.peers.values()):
+            if peer.silent and peer.silent_since <= expired_before:
                 self.reservations.retain_peer_reservations(peer.name, set())
 
+    def report_silence(self, peer: Peer) -> None:
+        """Report a silent gateway to all near ones and to itself, which may object."""
+        report = PeerSilent(
+            node=self.record.name, gateway=peer.name, incarnation=peer.incarnation
+        )
+        self.send_message(report, [*self.table.near_alive(), peer])
+
     def error_received(self, exc: Exception) -> None:
         """Count a datagram that could not be delivered."""
         self.program.metrics.count("datagrams_undelivered")
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -25,6 +25,7 @@
 from baobabturn.scheduler.state import EndpointState
 from baobabturn.wire.messages import (
     Admit,
+    EngineLoad,
     Grant,
     Holding,
     Holdings,
@@ -34,7 +35,7 @@
 from baobabturn.wire.words import FAILED
 
 MS_PER_S = 1000
-STRAGGLER_CHECK_INTERVAL_S = 0.1
+STRAGGLER_CHECK_INTERVAL_S = 0.2
 # The added cost of engines of other failure domains in a large fleet, where less is
 # known of their load; as a share of an engine's KV cache.
 OTHER_DOMAIN_COST_RATIO = 0.5
@@ -60,7 +61,9 @@
     """The schedulers of all services that have engines, and the reservations.
 
     ``reservations`` are this gateway's own, by name; ``peer_reservations`` holds for
-    each other gateway the pool of each of its reservations, by name.
+    each near gateway the pool of each of its reservations, by name.
+    ``domain_loads`` holds the aggregated load on engines by the gateways of each
+    failure domain whose single reservations aren't known.
     """
 
     def __init__(self, *, program: Program, endpoints: Endpoints):
@@ -70,6 +73,7 @@
         self.traits: dict[str, EngineTraits] = {}
         self.reservations: dict[str, HeldReservation] = {}
         self.peer_reservations: dict[str, dict[str, str]] = {}
+        self.domain_loads: dict[str, list[EngineLoad]] = {}
         self.counter = itertools.count(1)
         self.prefer_own_domain: Callable[[], bool] = lambda: False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
@@ -107,6 +111,40 @@
             leaving = {endpoint.name for endpoint in endpoints if endpoint.leaving}
             pool.set_endpoints(declared, leaving)
             self.set_distance_costs(pool)
+        self.apply_remote_loads()
+
+    def own_domain_load(self) -> list[EngineLoad]:
+        """Return the load on each engine by the reservations known one by one."""
+        return [
+            EngineLoad(
+                pool=name,
+                endpoint=state.name,
+                tokens=max(0, int(state.growth.peak_mean_tokens())),
+                requests=len(state.reservations),
+            )
+            for name, pool in self.pools.items()
+            for state in pool.state.endpoints.values()
+            if state.reservations
+        ]
+
+    def apply_domain_load(self, domain: str, loads: list[EngineLoad]) -> None:
+        """Replace the aggregated load of another failure domain's gateways."""
+        self.domain_loads[domain] = loads
+        self.apply_remote_loads()
+        for pool in self.pools.values():
+            pool.schedule_dispatch()
+
+    def apply_remote_loads(self) -> None:
+        """Set each engine's remote load to the sum over the failure domains."""
+        for pool in self.pools.values():
+            for state in pool.state.endpoints.values():
+                state.remote_tokens = state.remote_requests = 0
+        for load in itertools.chain.from_iterable(self.domain_loads.values()):
+            known = self.pools.get(load.pool)
+            if known is not None and load.endpoint in known.state.endpoints:
+                state = known.state.endpoints[load.endpoint]
+                state.remote_tokens += load.tokens
+                state.remote_requests += load.requests
 
     def set_distance_costs(self, pool: PoolScheduler) -> None:
         """Set the added cost of engines of other failure domains."""
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -16,6 +16,8 @@
 # for a lost answer.
 FIRST_READ_PAUSES_S = (0.5,)
 READ_INTERVAL_S = 20.0
+# Larger fleets read the records less often.
+READ_FLEET_SIZE = 32
 RETRY_DELAY_S = 0.5
 # A gateway that was silent for this long has been removed for good.
 RECORD_EXPIRY_S = 600.0
@@ -50,18 +52,20 @@
             await asyncio.sleep(random.uniform(RETRY_DELAY_S / 2, RETRY_DELAY_S))
         reads = 0
         while True:
-            interval_s = READ_INTERVAL_S * self.peers.interval_factor()
-            pause_s = (
-                FIRST_READ_PAUSES_S[reads]
-                if reads < len(FIRST_READ_PAUSES_S)
-                else interval_s
-            )
             if await self.read() is None:
+                pause_s = self.read_interval_s(reads)
                 reads += 1
             else:
                 pause_s = RETRY_DELAY_S
             await asyncio.sleep(random.uniform(0.8, 1.2) * pause_s)
 
+    def read_interval_s(self, reads: int) -> float:
+        """Return the seconds until the next read after a number of earlier ones."""
+        if reads < len(FIRST_READ_PAUSES_S):
+            return FIRST_READ_PAUSES_S[reads]
+        fleet_size = self.peers.gateway_count()
+        return READ_INTERVAL_S * max(1.0, fleet_size / READ_FLEET_SIZE)
+
     async def write(self) -> Failure | None:
         """Write this gateway's record; the write is idempotent."""
         kind, name = self.object_codec.gateway_kind, self.record.name
@@ -76,6 +80,7 @@
         objects = await self.store.find(self.object_codec.gateway_kind, "")
         if isinstance(objects, Failure):
             return objects
+        records = []
         for stored in objects:
             record = self.object_codec.decode_gateway(stored.name, stored.value)
             if isinstance(record, Failure):
@@ -83,7 +88,8 @@
                     Event.ENTRY_UNREADABLE, endpoint=stored.name, reason=record.reason
                 )
                 continue
-            self.peers.add_gateway(record)
+            records.append(record)
+        self.peers.add_gateways(records)
         names = {stored.name for stored in objects}
         self.peers.retain_gateways(names)
         if self.record.name not in names:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -17,14 +17,15 @@
     failure_from_exception,
     may_retry,
 )
-from baobabturn.gateway.endpointclient import OpenResponse, read_response_body
+from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.eventreader import EventReader, stall_timeout_s
 from baobabturn.gateway.httpheaders import end_to_end_headers
 from baobabturn.gateway.plain import more_significant
 from baobabturn.gateway.platforminterface import Continuation
 from baobabturn.gateway.pools import HeldReservation
 from baobabturn.gateway.request import CallerRequest
-from baobabturn.gateway.sse import EventSplitter, SseEvent
+from baobabturn.gateway.sse import SseEvent
 from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
 if TYPE_CHECKING:
@@ -247,21 +248,21 @@
         assert self.response is not None
         if self.response.status != 200:
             return await self.relay_body(self.response)
-        splitter = EventSplitter()
-        timeout_s = self.request.remaining_s()
-        try:
-            async with asyncio.timeout(timeout_s):
-                async for data in self.response.response.content.iter_any():
-                    for event in splitter.feed(data):
-                        failure = await self.relay_event(event)
-                        if failure is not None:
-                            return failure
-        except TimeoutError:
-            return Failure(Code.DEADLINE_PARTIAL, "the deadline passed")
-        except (aiohttp.ClientError, OSError) as error:
-            return failure_from_exception(error)
-        if splitter.pending.strip():
-            return Failure(Code.GENERATION_CUT, "the response ended within an event")
+        reader = EventReader(
+            response=self.response.response,
+            remaining_s=self.request.remaining_s(),
+            stall_timeout_s=stall_timeout_s(self.request.route),
+        )
+        while events := await reader.next_events():
+            if isinstance(events, Failure):
+                return events
+            for event in events:
+                failure = await self.relay_event(event)
+                if failure is not None:
+                    return failure
+            # The time that a slow caller takes isn't counted.
+            if not all(event.is_comment for event in events):
+                reader.restart_stall_timer()
         self.finish(FINISHED)
         return None
 
@@ -269,7 +270,9 @@
         """Pass on a response that is not a stream."""
         try:
             async with asyncio.timeout(max(0.0, self.request.remaining_s())):
-                body = await read_response_body(response.response)
+                body = await self.streams.endpoint_client.read_body(
+                    self.request, response
+                )
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, "the deadline passed")
         except (aiohttp.ClientError, OSError) as error:
--- a/src/baobabturn/gateway/sse.py
+++ b/src/baobabturn/gateway/sse.py
@@ -5,7 +5,10 @@
 import attrs
 
 ID_FIELD = b"id:"
+COMMENT_START = b":"
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+MAX_TERMINATOR_BYTES = 4
+MAX_EVENT_BYTES = 1_048_576
 
 
 @attrs.frozen
@@ -15,6 +18,12 @@
     data: bytes
     event_id: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event consists of comment lines only."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(COMMENT_START) for line in lines)
+
     @property
     def number(self) -> int | None:
         """Return the id as a number, None if it isn't one."""
@@ -33,21 +42,32 @@
     def __init__(self):
         self.pending = b""
 
+    @property
+    def overflowed(self) -> bool:
+        """Return whether the pending event is larger than any is expected to be."""
+        return len(self.pending) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> list[SseEvent]:
         """Add bytes to the stream; return the events that they complete."""
+        searched_bytes = max(0, len(self.pending) - MAX_TERMINATOR_BYTES)
         self.pending += data
         events: list[SseEvent] = []
         while True:
-            end = find_event_end(self.pending)
+            end = find_event_end(self.pending, searched_bytes)
             if end < 0:
                 return events
             event, self.pending = self.pending[:end], self.pending[end:]
+            searched_bytes = 0
             events.append(SseEvent(event, parse_event_id(event)))
 
 
-def find_event_end(data: bytes) -> int:
-    """Return the index after the first complete event, -1 if there is none."""
-    ends = [data.find(end) + len(end) for end in EVENT_TERMINATORS if end in data]
+def find_event_end(data: bytes, start: int) -> int:
+    """Return the index after the first event that ends after ``start``, or -1."""
+    ends = [
+        position + len(end)
+        for end in EVENT_TERMINATORS
+        if (position := data.find(end, start)) >= 0
+    ]
     return min(ends, default=-1)
 
 
--- a/src/baobabturn/gateway/transport.py
+++ b/src/baobabturn/gateway/transport.py
@@ -39,22 +39,30 @@
 CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,12}) *\r\n", re.IGNORECASE)
 
 
+# Bytes outside the body that a response may have for each byte of it, besides its
+# head: a chunk of one byte has five more for its size.
+MAX_FRAMING_RATIO = 16
+
+
 class SingleResponseHandler(ResponseHandler):
     """Accepts exactly one complete response from a connection.
 
     Bytes beyond the declared length belong to no request and are dropped; aiohttp
     would discard the whole response because of them.  A response without a declared
     length is complete only if the connection was closed cleanly; aiohttp would
-    accept a reset as its end.
+    accept a reset as its end.  Bytes that never become part of a body, as endless
+    early responses or chunk sizes, end the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.head: bytes | None = b""
         self.bytes_left: int | None = None
+        self.received_bytes = 0
 
     def data_received(self, data: bytes) -> None:
         """Pass on the bytes that belong to the response."""
+        self.received_bytes += len(data)
         if self.bytes_left is None and self.head is not None:
             self.parse_length(data)
         if self.bytes_left is not None:
@@ -62,6 +70,22 @@
             self.bytes_left -= len(data)
         if data:
             super().data_received(data)
+        if self.received_bytes > self.max_received_bytes():
+            self.fail("too many bytes outside the body")
+
+    def max_received_bytes(self) -> int:
+        """Return how many bytes may have come for the body that came with them."""
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        return MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
+
+    def fail(self, reason: str) -> None:
+        """Fail the response and reset the connection."""
+        error = aiohttp.ClientPayloadError(reason)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def parse_length(self, data: bytes) -> None:
         """Set ``bytes_left``, counted from ``data`` on, once the head is complete.
@@ -100,9 +124,9 @@
 class Transport:
     """The client sessions for endpoints and for the platform's store.
 
-    Each request to an endpoint gets a new connection.  So surplus bytes from an
-    endpoint can't be taken for the next response, and no request is sent on a
-    connection that the endpoint has already closed.
+    Each request gets a new connection.  So surplus bytes or a late second copy of a
+    response can't be taken for the next response, and no request is sent on a
+    connection that the server has already closed.
     """
 
     def __init__(self, *, connect_timeout_s: float):
@@ -118,7 +142,9 @@
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
         self.store_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, socket_factory=open_socket),
+            connector=SingleResponseConnector(
+                limit=0, force_close=True, socket_factory=open_socket
+            ),
             middlewares=[send_once],
             timeout=timeout,
             cookie_jar=aiohttp.DummyCookieJar(),
--- /dev/null
+++ b/src/baobabturn/gateway/watchers.py
@@ -0,0 +1,94 @@
+"""Elects the gateway of each failure domain that watches the platform's store.
+
+All gateways choose the same one, by rendezvous hashing over those that are alive.
+In a large fleet a gateway hears only those of its own failure domain.  It knows the
+watcher of another domain by the aggregate that this one sends, and before the first
+of them tries the likely ones.
+"""
+
+from __future__ import annotations
+
+import attrs
+import xxhash
+
+from baobabturn.gateway.peer import Peer
+from baobabturn.gateway.peertable import PeerTable
+
+# A watcher counts as known for this long after its last aggregate.
+ANNOUNCEMENT_EXPIRY_S = 4.0
+# Among how many gateways a watcher that isn't known is looked for at a time.
+LIKELY_WATCHER_COUNT = 3
+
+
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """A watcher that sent its domain's aggregate, and when it came."""
+
+    name: str
+    received_at: float
+
+
+class Watchers:
+    """Names the watcher of each failure domain."""
+
+    def __init__(self, *, table: PeerTable):
+        self.table = table
+        self.announcements: dict[str, Announcement] = {}
+        self.attempts: dict[str, int] = {}
+
+    def watcher_of(self, domain: str) -> str:
+        """Return the name of a domain's watcher, empty if it isn't known."""
+        record = self.table.record
+        if self.table.is_large_fleet() and domain != record.failure_domain:
+            return self.announced_watcher(domain)
+        names = [
+            peer.name for peer in self.table.alive() if peer.failure_domain == domain
+        ]
+        if record.failure_domain == domain:
+            names.append(record.name)
+        return max(names, key=lambda name: rank(domain, name), default="")
+
+    def is_watcher(self) -> bool:
+        """Return whether this gateway is the watcher of its failure domain."""
+        record = self.table.record
+        return self.watcher_of(record.failure_domain) == record.name
+
+    def record_announcement(self, domain: str, name: str) -> None:
+        """Record that a gateway sent the aggregate of its domain."""
+        self.announcements[domain] = Announcement(
+            name=name, received_at=self.table.clock()
+        )
+
+    def announced_watcher(self, domain: str) -> str:
+        """Return the watcher by a domain's last aggregate, empty if that is old."""
+        announcement = self.announcements.get(domain)
+        if announcement is None:
+            return ""
+        age_s = self.table.clock() - announcement.received_at
+        return announcement.name if age_s < ANNOUNCEMENT_EXPIRY_S else ""
+
+    def contacts(self, domain: str) -> list[Peer]:
+        """Return the gateways to send a message to that is meant for a watcher.
+
+        Without a known watcher of another domain in a large fleet, return a few
+        gateways, others at each call, the likeliest first.
+        """
+        name = self.watcher_of(domain)
+        if name:
+            peer = self.table.peers.get(name)
+            return [peer] if peer is not None else []
+        if not self.table.is_large_fleet():
+            return []
+        ranked = sorted(
+            (p for p in self.table.peers.values() if p.failure_domain == domain),
+            key=lambda peer: rank(domain, peer.name),
+            reverse=True,
+        )
+        start = self.attempts.get(domain, 0)
+        self.attempts[domain] = (start + LIKELY_WATCHER_COUNT) % max(1, len(ranked))
+        return [*ranked[start:], *ranked[:start]][:LIKELY_WATCHER_COUNT]
+
+
+def rank(domain: str, name: str) -> int:
+    """Return the rank of a name in the rendezvous hashing for a domain."""
+    return xxhash.xxh64_intdigest(f"{domain}/{name}".encode())
--- a/src/baobabturn/platform/engine.py
+++ b/src/baobabturn/platform/engine.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import aiohttp
 
+from baobabturn.core.httpclient import read_limited
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.platforminterface import CacheCopy
 from baobabturn.gateway.transport import Transport
@@ -15,6 +17,7 @@
 MOVE_PATH = "/baobabturn/kv-move"
 HANDLE_PATH = "/baobabturn/kv-handle/"
 DISCARD_TIMEOUT_S = 1.0
+MAX_RESPONSE_BYTES = 1_048_576
 FAILURE_CODES = {
     404: Code.GENERATION_GONE,
     409: Code.ENDPOINT_REFUSED,
@@ -83,8 +86,8 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                values = await response.json(content_type=None)
-                return response.status, values
+                data = await read_limited(response, MAX_RESPONSE_BYTES)
+                return response.status, json.loads(data or b"null")
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             reason = f"{address}{path}: {type(error).__name__} {str(error)[:60]}"
             return Failure(Code.OUTCOME_UNKNOWN, reason)
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from baobabturn.core.httpclient import read_limited
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.gateway.transport import Transport
 from baobabturn.store.interface import (
@@ -21,6 +22,8 @@
 OBJECTS_PATH = "/baobabturn/objects/"
 MS_PER_S = 1000
 CALL_TIMEOUT_S = 1.0
+# A page of a list has about 1 MB; a watch may return more.
+MAX_RESPONSE_BYTES = 8_388_608
 # A watch times out this long after the wait that it asked the store for.
 WATCH_TIMEOUT_MARGIN_S = 0.5
 FAILURE_CODES = {
@@ -64,7 +67,7 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                data = await response.read()
+                data = await read_limited(response, MAX_RESPONSE_BYTES)
                 status = response.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             reason = f"connect: {type(error).__name__}"
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -213,10 +213,10 @@
     ) -> bool:
         """Return whether a request fits an endpoint's batch, prefill and KV memory.
 
-        A request always fits an endpoint without reservations.
+        A request always fits an endpoint without other requests.
         """
         settings = self.settings
-        if not endpoint.reservations:
+        if not endpoint.in_flight:
             return True
         batch_limit = (
             endpoint.concurrency or endpoint.batch_limit or settings.batch_limit
@@ -225,9 +225,11 @@
             return False
         if not self.fits_prefill_limit(endpoint, waiting, uncached_tokens):
             return False
-        memory_tokens = endpoint.memory_tokens
+        remote_tokens = endpoint.remote_tokens
         if not endpoint.growth.fits(
-            waiting.growth_terms, memory_tokens, settings.overflow_deviations
+            waiting.growth_terms,
+            endpoint.memory_tokens - remote_tokens,
+            settings.overflow_deviations,
         ):
             return False
         if waiting.short:
@@ -237,7 +239,7 @@
             return False
         return endpoint.long_growth.fits(
             waiting.growth_terms,
-            memory_tokens * long_share,
+            endpoint.memory_tokens * long_share - remote_tokens,
             settings.overflow_deviations,
         )
 
@@ -264,7 +266,8 @@
         the endpoint's distance.
         """
         memory_tokens = max(1, endpoint.memory_tokens)
-        memory_cost = endpoint.growth.peak_mean_tokens() / memory_tokens
+        expected_tokens = endpoint.growth.peak_mean_tokens() + endpoint.remote_tokens
+        memory_cost = expected_tokens / memory_tokens
         prefill_cost = (
             uncached_tokens + endpoint.prefill_tokens
         ) / self.settings.affinity_tokens
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -71,6 +71,9 @@
     reservations use.  ``long_count`` and ``long_growth`` cover only reservations of
     long answers.  ``batch_limit`` is the adapted limit on its reservations, 0 before
     the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
+    ``remote_tokens`` and ``remote_requests`` are the load by requests that are known
+    here only in aggregate: the KV memory that they need at their peak, and their
+    number.
     """
 
     name: str
@@ -88,6 +91,8 @@
     long_prefill_tokens: int = 0
     batch_limit: float = 0.0
     distance_cost: float = 0.0
+    remote_tokens: int = 0
+    remote_requests: int = 0
     cached_blocks: CachedBlocks = attrs.Factory(
         lambda: CachedBlocks(
             max_blocks=MAX_CACHED_BLOCKS, max_age_s=CACHED_BLOCK_MAX_AGE_S
@@ -103,13 +108,13 @@
 
     @property
     def free_tokens(self) -> int:
-        """Return the KV memory that the reservations don't use now, in tokens."""
-        return self.memory_tokens - self.used_tokens
+        """Return the KV memory that no request uses now, in tokens."""
+        return self.memory_tokens - self.used_tokens - self.remote_tokens
 
     @property
     def in_flight(self) -> int:
-        """Return the number of reservations."""
-        return len(self.reservations)
+        """Return the number of requests."""
+        return len(self.reservations) + self.remote_requests
 
     def count_prefill(self, reservation: Reservation, sign: int) -> None:
         """Add a reservation's tokens to prefill; remove them with ``sign`` -1."""
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -198,6 +198,7 @@
     retry_ratio: float = number(0, 10)
     retry_window_s: float = number(0.1, 3600)
     retry_slack: float = number(0, 1_000_000)
+    body_memory_bytes: int = number(65_536, 4_294_967_296)
     address_lifetime_s: float = number(0.1, 3600)
     heartbeat_s: float = number(0.02, 60)
     silent_s: float = number(0.1, 600)
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -371,7 +371,8 @@
 
     ``callers`` is where callers reach it, ``serving`` says whether they may be
     sent there.  With ``full`` the holdings are all that it holds.  ``contact_ms``
-    is the time since the platform's store last answered it.
+    is the time since the platform's store last answered it.  ``next_ms`` is the
+    interval until its next heartbeat to the receiver, 0 in other messages.
     """
 
     node: str = ""
@@ -384,6 +385,47 @@
     holdings: list[Holdings] = attrs.Factory(list)
     ended: list[Release] = attrs.Factory(list)
     contact_ms: int = 0
+    next_ms: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class PeerSilent:
+    """Reports that a gateway sent no heartbeat to ``node``, one of its monitors."""
+
+    node: str = ""
+    gateway: str = ""
+    incarnation: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class EngineLoad:
+    """The load of some gateways' requests on an engine.
+
+    ``tokens`` is the KV memory that they are expected to use at their peak.
+    """
+
+    pool: str = ""
+    endpoint: str = ""
+    tokens: int = 0
+    requests: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class DomainLoad:
+    """The gateways of a failure domain and their load on engines, in aggregate.
+
+    ``stamp`` is the time of the hybrid logical clock at which ``node`` wrote it.
+    ``serving`` counts the gateways that callers may be sent to, ``callers`` are the
+    addresses of some of them.  ``forwarded`` is set on copies within a domain.
+    """
+
+    node: str = ""
+    failure_domain: str = ""
+    stamp: int = 0
+    serving: int = 0
+    callers: list[str] = attrs.Factory(list)
+    engines: list[EngineLoad] = attrs.Factory(list)
+    forwarded: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -472,4 +514,6 @@
     StoreNews,
     StoreAsk,
     StoreVouch,
+    PeerSilent,
+    DomainLoad,
 )
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -41,6 +41,8 @@
     storeNews @32 :StoreNews;
     storeAsk @33 :StoreAsk;
     storeVouch @34 :StoreVouch;
+    peerSilent @35 :PeerSilent;
+    domainLoad @36 :DomainLoad;
   }
 }
 
@@ -306,6 +308,32 @@
   holdings @7 :List(Holdings);
   ended @8 :List(Release);
   contactMs @9 :UInt32;    # time since the platform's store answered, in ms
+  nextMs @10 :UInt32;      # until its next heartbeat to the receiver, 0 in other messages
+}
+
+# Reports a gateway that `node`, one of its monitors, hears nothing of.
+struct PeerSilent {
+  node @0 :Text;
+  gateway @1 :Text;
+  incarnation @2 :UInt64;  # of the silent gateway
+}
+
+# The gateways of a failure domain and their load on engines, in aggregate.
+struct DomainLoad {
+  node @0 :Text;           # the gateway that wrote it
+  failureDomain @1 :Text;
+  stamp @2 :UInt64;        # time of the hybrid clock
+  serving @3 :UInt32;      # number of gateways that callers may be sent to
+  callers @4 :List(Text);  # addresses of some of them
+  engines @5 :List(EngineLoad);
+  forwarded @6 :Bool;      # whether this is a copy sent on within a domain
+}
+
+struct EngineLoad {
+  pool @0 :Text;
+  endpoint @1 :Text;
+  tokens @2 :UInt64;       # expected peak of the KV memory used
+  requests @3 :UInt32;
 }
 
 # Changes of one kind of the platform's objects, as a watcher saw them.
