Gateway: one watcher of the store for all failure domains; cheaper starts

Now one of the watchers, the root, watches; the others ask it and forward its updates. A root that the store doesn't answer asks the others, who watch at once. Watchers are elected at most ten times a second: their choice took half of the processor time of a gateway at rest among 30.

--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -102,7 +102,6 @@
             record=self.record,
             reservations=self.reservations,
             serving=lambda: True,
-            store_contact_age_s=lambda: 0.0,
         )
         self.peers.table.clock = self.fleet.clock
         self.peers.table.restart_silence()
--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -25,6 +25,19 @@
     And the operator takes the key away
     Then requests with that key soon get 401 at the others
 
+  Scenario: One watcher of all failure domains watches for the others
+    Given a site with 1 plain endpoints and 3 gateways in domains of their own
+    Then after 3 seconds one gateway alone calls the store
+    When the operator takes the key away
+    Then requests with that key soon get 401 at every gateway
+
+  Scenario: The watcher that watched for all failure domains ends
+    Given a site with 1 plain endpoints and 3 gateways in domains of their own
+    Then after 3 seconds one gateway alone calls the store
+    When that gateway is gone
+    And the operator takes the key away
+    Then requests with that key soon get 401 at the others
+
   Scenario: A watcher without the store hears of changes from another domain
     Given a site with 1 plain endpoints and 2 gateways in domains of their own
     When the first gateway's link to the store falls silent after 3 seconds
--- a/src/baobabturn/commands/main.py
+++ b/src/baobabturn/commands/main.py
@@ -20,7 +20,7 @@
     timeline,
 )
 from baobabturn.commands.common import CommandError, end
-from baobabturn.core.program import run_app
+from baobabturn.core.commandline import run_app
 
 EXIT_INTERRUPTED = 130
 STDIN = "/dev/stdin"
--- a/src/baobabturn/core/program.py
+++ b/src/baobabturn/core/program.py
@@ -9,10 +9,6 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from typing import Annotated
-
-import cyclopts
-from cyclopts import Parameter
 
 from baobabturn import __version__
 from baobabturn.core.background import Background
@@ -120,48 +116,37 @@
     print(f"baobabturn: {' '.join(text.split())}", file=sys.stderr)
 
 
-def run_app(app: cyclopts.App, arguments: list[str] | None = None) -> int:
-    """Run a command line and return its exit code; print a usage error as one line."""
-    try:
-        return app(arguments, print_error=False, exit_on_error=False) or 0
-    except cyclopts.CycloptsError as error:
-        complain(str(error))
-        return EXIT_USAGE
+def start(role: str, main: Main) -> None:
+    """Parse the command line of a program and run it; exit with its code.
 
+    Without arguments there is nothing to parse, and the library that does it isn't
+    loaded: where many processes start at once, that delays them all.
+    """
+    if len(sys.argv) == 1:
+        sys.exit(run_role(role, main))
+    from baobabturn.core.commandline import program_app, run_app
 
-def start(role: str, main: Main) -> None:
-    """Parse the command line of a program and run it; exit with its code."""
-    app = cyclopts.App(name=f"baobabturn-{role}", version=__version__)
+    sys.exit(run_app(program_app(role, main)))
 
-    @app.default
-    def run(
-        *,
-        settings: str | None = None,
-        set: Annotated[list[str] | None, Parameter(negative="")] = None,
-    ) -> int:
-        """Run the program until it is signalled.
-
-        Parameters
-        ----------
-        settings:
-            A settings file, JSON with comments, laid over the packaged defaults;
-            the variable BAOBABTURN_SETTINGS names it where this doesn't.
-        set:
-            One field as section.field=value, laid over the file; may be repeated.
-        """
-        path = settings or os.environ.get(SETTINGS_VARIABLE, "")
-        loaded = load(path or None, set)
-        if isinstance(loaded, Failure):
-            complain(loaded.reason)
-            return EXIT_USAGE
-        setup_logging(loaded.settings.log.level)
-        program = Program(
-            role=role, settings=loaded.settings, settings_path=path, flags=set
-        )
-        failure = asyncio.run(run_program(program, main))
-        if failure is not None:
-            complain(failure.reason)
-            return EXIT_USAGE
-        return 0
 
-    sys.exit(run_app(app))
+def run_role(
+    role: str, main: Main, settings: str | None = None, flags: list[str] | None = None
+) -> int:
+    """Run a program until it is signalled; return its exit code.
+
+    ``settings`` names the settings file, ``flags`` are laid over it.
+    """
+    path = settings or os.environ.get(SETTINGS_VARIABLE, "")
+    loaded = load(path or None, flags)
+    if isinstance(loaded, Failure):
+        complain(loaded.reason)
+        return EXIT_USAGE
+    setup_logging(loaded.settings.log.level)
+    program = Program(
+        role=role, settings=loaded.settings, settings_path=path, flags=flags
+    )
+    failure = asyncio.run(run_program(program, main))
+    if failure is not None:
+        complain(failure.reason)
+        return EXIT_USAGE
+    return 0
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -93,7 +93,6 @@
             record=record,
             reservations=self.pools,
             serving=self.serving,
-            store_contact_age_s=self.contact.age_s,
         )
         self.watchers = Watchers(table=self.peers.table)
         self.domain_loads = DomainLoads(
@@ -151,7 +150,7 @@
         )
         self.report_poller = ReportPoller(
             program=program,
-            fleet_contact_age_s=self.peers.fleet_contact_age_s,
+            knowledge_age_s=lambda: self.store_updates.knowledge_age_s(),
             endpoints=self.endpoints,
             pools=self.pools,
             cache_copier=cache_copier,
--- a/src/baobabturn/gateway/peer.py
+++ b/src/baobabturn/gateway/peer.py
@@ -31,12 +31,11 @@
     """Another gateway; times are monotonic seconds, or ``NEVER``.
 
     ``known_since`` is when this gateway learned of it, ``heard_at`` when its last
-    message came, ``store_contact_at`` when the platform's store last answered it.
-    ``heartbeat_interval_s`` is the interval that it announced for its heartbeats to
-    this gateway, 0 before the first of them.  ``expected_since`` is when this gateway
-    last became one of its monitors.  ``silent`` says that it was found to be
-    silent, by this gateway or another one, at ``silent_since``.  ``introduced`` says
-    that this gateway has sent it its own state.
+    message came.  ``heartbeat_interval_s`` is the interval that it announced for its
+    heartbeats to this gateway, 0 before the first of them.  ``expected_since`` is when
+    this gateway last became one of its monitors.  ``silent`` says that it was found
+    to be silent, by this gateway or another one, at ``silent_since``.  ``introduced``
+    says that this gateway has sent it its own state.
     """
 
     name: str
@@ -50,7 +49,6 @@
     serving: bool = False
     silent: bool = False
     silent_since: float = NEVER
-    store_contact_at: float = NEVER
     heartbeat_interval_s: float = 0.0
     expected_since: float = NEVER
     introduced: bool = False
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -42,8 +42,6 @@
 # Heartbeat intervals vary by this share, so that gateways don't all send at once.
 HEARTBEAT_JITTER_RATIO = 0.1
 MS_PER_S = 1000
-# Longer ages are sent as this one.
-MAX_CONTACT_AGE_MS = 3_600_000
 
 
 log = logging.getLogger("baobabturn.gateway.peers")
@@ -75,14 +73,12 @@
         record: GatewayRecord,
         reservations: ReservationTable,
         serving: Callable[[], bool],
-        store_contact_age_s: Callable[[], float],
     ):
         self.program = program
         self.record = record
         self.table = PeerTable(record=record, settings=program.settings.gateway)
         self.reservations = reservations
         self.serving = serving
-        self.store_contact_age_s = store_contact_age_s
         self.signer = DatagramSigner(secret=program.settings.inner.secret)
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
@@ -228,7 +224,6 @@
         peer.callers = state.callers
         peer.failure_domain = state.failure_domain
         peer.serving = state.serving
-        peer.store_contact_at = peer.heard_at - state.contact_ms / MS_PER_S
         if state.next_ms:
             peer.heartbeat_interval_s = state.next_ms / MS_PER_S
 
@@ -261,12 +256,6 @@
             }
             self.reservations.retain_peer_reservations(peer.name, names)
 
-    def fleet_contact_age_s(self) -> float:
-        """Return the seconds since the store answered this gateway or a live peer."""
-        now = time.monotonic()
-        own = self.store_contact_age_s()
-        return min([own, *(now - peer.store_contact_at for peer in self.table.alive())])
-
     def gateway_count(self) -> int:
         """Return how many gateways are known, including this one."""
         return 1 + len(self.table.peers)
@@ -317,9 +306,6 @@
             incarnation=self.program.identity.incarnation,
             sequence=self.sequence,
             serving=self.serving(),
-            contact_ms=min(
-                MAX_CONTACT_AGE_MS, int(self.store_contact_age_s() * MS_PER_S)
-            ),
             full=full,
             holdings=self.reservations.own_holdings() if full else [],
             next_ms=int(interval_s * MS_PER_S),
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -115,7 +115,11 @@
 
     def alive(self) -> list[Peer]:
         """Return the gateways that were heard and aren't silent."""
-        return [peer for peer in self.peers.values() if self.is_alive(peer)]
+        return [
+            peer
+            for peer in self.peers.values()
+            if not peer.silent and self.is_alive(peer)
+        ]
 
     def near_alive(self) -> list[Peer]:
         """Return the near gateways that are alive."""
@@ -137,7 +141,7 @@
         silent = [
             peer
             for peer in self.peers.values()
-            if peer.heard and not peer.silent and not self.is_alive(peer)
+            if not peer.silent and peer.heard and not self.is_alive(peer)
         ]
         for peer in silent:
             self.mark_silent(peer)
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -13,7 +13,7 @@
 
 # Pauses after the first reads.  Of two gateways, the one that wrote its record later
 # sees the other's record at its first read and contacts it; the second read makes up
-# for a lost answer.
+# for a lost answer.  In larger fleets others make up for it.
 FIRST_READ_PAUSES_S = (0.5,)
 READ_INTERVAL_S = 20.0
 # Larger fleets read the records less often.
@@ -61,9 +61,9 @@
 
     def read_interval_s(self, reads: int) -> float:
         """Return the seconds until the next read after a number of earlier ones."""
-        if reads < len(FIRST_READ_PAUSES_S):
-            return FIRST_READ_PAUSES_S[reads]
         fleet_size = self.peers.gateway_count()
+        if reads < len(FIRST_READ_PAUSES_S) and fleet_size <= READ_FLEET_SIZE:
+            return FIRST_READ_PAUSES_S[reads]
         return READ_INTERVAL_S * max(1.0, fleet_size / READ_FLEET_SIZE)
 
     async def write(self) -> Failure | None:
--- a/src/baobabturn/gateway/reportpoller.py
+++ b/src/baobabturn/gateway/reportpoller.py
@@ -13,29 +13,30 @@
 
 POLL_INTERVAL_S = 0.35
 REPORT_TIMEOUT_S = 0.3
-# Polling starts when the store has answered no gateway for this long; a store that
-# works answers some gateway of the fleet much more often.
-FLEET_CONTACT_AGE_LIMIT_S = 0.8
+# Polling starts when nothing has been known of the store for this long.  From a store
+# that works, something is known more recently: the wait of a watch and the times at
+# which gateways ask one another add up to less.
+KNOWLEDGE_AGE_LIMIT_S = 1.9
 
 
 class ReportPoller:
     """Polls the engines that run this gateway's generations for their reports.
 
-    A report costs a call, so engines are polled only while the store answers no
-    gateway and can't announce which endpoints are leaving.
+    A report costs a call, so engines are polled only while the store can't announce
+    which endpoints are leaving.
     """
 
     def __init__(
         self,
         *,
         program: Program,
-        fleet_contact_age_s: Callable[[], float],
+        knowledge_age_s: Callable[[], float],
         endpoints: Endpoints,
         pools: EnginePools,
         cache_copier: CacheCopier,
     ):
         self.program = program
-        self.fleet_contact_age_s = fleet_contact_age_s
+        self.knowledge_age_s = knowledge_age_s
         self.endpoints = endpoints
         self.pools = pools
         self.cache_copier = cache_copier
@@ -44,7 +45,7 @@
         """Poll for as long as the process runs."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self.fleet_contact_age_s() < FLEET_CONTACT_AGE_LIMIT_S:
+            if self.knowledge_age_s() < KNOWLEDGE_AGE_LIMIT_S:
                 continue
             names = {
                 reservation.endpoint for reservation in self.pools.reservations.values()
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -1,9 +1,10 @@
 """Shares what a few gateways read from the platform's store with all others.
 
-In each failure domain one gateway, the watcher, watches the store and sends changes
-to the others of its domain at once.  Twice a second each of the others asks this
-watcher, and the watcher of one other domain, which versions it has; in a large fleet
-it asks the other one only if a confirmation is late.  A watcher that is asked sends
+Each failure domain has a watcher, and one of the watchers is the root.  The root
+watches the store and sends changes at once to its domain and to the other watchers,
+which forward them.  Twice a second each gateway asks its watcher which versions that
+has, the watchers ask the root, and all of them the watcher of one other domain; in a
+large fleet this one only if a confirmation is late.  A watcher that is asked sends
 the updates which the asking gateway missed, and a confirmation.  That
 states an age for each version: nothing newer existed that long before the question.
 
@@ -39,6 +40,9 @@
 # For this long after its start a gateway waits to hear the others of its domain before
 # it watches the store, whose objects it has just listed.
 START_DELAY_S = 0.5
+# After a question of the root, which the store doesn't answer then, a watcher watches
+# the store itself for this long.
+ROOT_OUTAGE_S = 2.0
 # Without a confirmation for this long a gateway watches the store itself.
 CONFIRMATION_TIMEOUT_S = 1.3
 # Larger updates don't fit into a datagram; receivers list the store instead.
@@ -74,6 +78,7 @@
         self.contact = contact
         self.mirrors = {mirror.kind: mirror for mirror in mirrors}
         self.confirmed_at = 0.0
+        self.root_asked_at = 0.0
         self.kept: dict[str, deque[StoreNews]] = {}
         for mirror in mirrors:
             mirror.is_active = self.should_watch
@@ -90,22 +95,25 @@
         now = boot_time_s()
         if now - max(self.confirmed_at, self.started_at) > CONFIRMATION_TIMEOUT_S:
             return True
+        if now - self.root_asked_at < ROOT_OUTAGE_S and self.watchers.is_watcher():
+            return True
         is_starting = now - self.started_at < START_DELAY_S
         if is_starting and not self.peers.table.all_heard_in_domain():
             return False
-        return self.watchers.is_watcher()
+        return self.watchers.is_root()
 
     def watchers_to_ask(self) -> list[Peer]:
-        """Return the watchers of this domain and of one other.
+        """Return the watcher of this domain, or the root, and that of one other domain.
 
         Return those of two others if the store doesn't answer this gateway.
         """
         own = self.peers.record.failure_domain
-        watchers = self.watchers.contacts(own)
+        asked = self.watchers.root_domain() if self.watchers.is_watcher() else own
+        watchers = self.watchers.contacts(asked)
         if self.peers.table.is_large_fleet() and not self.is_confirmation_late():
             return watchers
         count = CUT_OFF_FAR_WATCHER_COUNT if self.is_cut_off() else FAR_WATCHER_COUNT
-        domains = self.peers.table.far_domains()
+        domains = set(self.peers.table.far_domains()) - {asked}
         for domain in sorted(domains, key=lambda domain: rank(own, domain)):
             contacts = self.watchers.contacts(domain) if count else []
             watchers += contacts
@@ -113,23 +121,33 @@
         return watchers
 
     def is_confirmation_late(self) -> bool:
-        """Return whether the last question to the own watcher got no confirmation."""
+        """Return whether the last questions got no confirmation."""
         return boot_time_s() - self.confirmed_at > 2 * ASK_INTERVAL_S
 
     def is_cut_off(self) -> bool:
-        """Return whether the store doesn't answer this gateway's own calls."""
+        """Return whether the store doesn't answer the calls of this gateway.
+
+        A gateway that leaves the calls to others isn't cut off.
+        """
         if self.contact.failing_since:
             return True
+        if not self.should_watch():
+            return False
         waits = [mirror.wait_s for mirror in self.mirrors.values()]
         return self.contact.age_s() > min(waits) + ASK_INTERVAL_S
 
     async def run(self) -> None:
-        """Ask watchers at intervals, except as a watcher that the store answers."""
+        """Ask watchers at intervals, except as the root that the store answers."""
         while True:
             await asyncio.sleep(ASK_INTERVAL_S)
-            if not self.watchers.is_watcher() or self.is_cut_off():
+            if not self.watchers.is_root() or self.is_cut_off():
                 self.ask()
 
+    def knowledge_age_s(self) -> float:
+        """Return the seconds since the store was last known to have nothing newer."""
+        newest = max(mirror.confirmed_at for mirror in self.mirrors.values())
+        return boot_time_s() - newest
+
     def ask(self) -> None:
         """Ask watchers for a confirmation and for the updates missed here."""
         known = [
@@ -141,7 +159,7 @@
         self.peers.send_message(ask, self.watchers_to_ask())
 
     def publish(self, mirror: Mirror, before: int, result: Changes) -> None:
-        """Send the changes of a watch to the other gateways of this domain.
+        """Send the changes of a watch to the gateways that rely on this one.
 
         Changes too large for a datagram are replaced by an update without changes
         whose ``before`` is its own version, which makes the others list the store.
@@ -160,10 +178,21 @@
             update.changes = []
             update.before = update.version
         self.keep_update(update)
+        self.peers.send_message(update, self.domain_peers())
+        if self.watchers.is_root():
+            for domain in self.peers.table.far_domains():
+                self.peers.send_message(update, self.watchers.contacts(domain))
+
+    def domain_peers(self) -> list[Peer]:
+        """Return the live gateways of the own failure domain."""
         domain = self.peers.record.failure_domain
         alive = self.peers.table.alive()
-        near = [peer for peer in alive if peer.failure_domain == domain]
-        self.peers.send_message(update, near)
+        return [peer for peer in alive if peer.failure_domain == domain]
+
+    def forward(self, update: StoreNews) -> None:
+        """Send an update of the root on to the gateways of this domain."""
+        copy = attrs.evolve(update, node=self.peers.record.name)
+        self.peers.send_message(copy, self.domain_peers())
 
     def is_after_outage(self) -> bool:
         """Return whether an outage of the store has just ended."""
@@ -187,7 +216,10 @@
         return newer if complete else []
 
     def handle_update(self, update: StoreNews, peer: Peer) -> None:
-        """Apply a watcher's update; list the store if an earlier one was missed."""
+        """Apply a watcher's update; list the store if an earlier one was missed.
+
+        A watcher forwards the updates that come from another domain.
+        """
         mirror = self.mirrors.get(update.kind)
         if mirror is None:
             return
@@ -195,6 +227,11 @@
             self.contact.outage_ended_at = boot_time_s()
         if update.version <= mirror.last_change_version:
             return
+        if (
+            peer.failure_domain != self.peers.record.failure_domain
+            and self.watchers.is_watcher()
+        ):
+            self.forward(update)
         changes = [decode_change(change) for change in update.changes]
         if mirror.apply_update(update.before, update.version, changes):
             self.keep_update(update)
@@ -202,7 +239,12 @@
             mirror.invalidate()
 
     def handle_ask(self, ask: StoreAsk, peer: Peer) -> None:
-        """Send missed updates and a confirmation, if this gateway watches the store."""
+        """Send missed updates and a confirmation, if this gateway is a watcher.
+
+        The root asks only when the store doesn't answer it.
+        """
+        if peer.name == self.watchers.root():
+            self.root_asked_at = boot_time_s()
         if not (self.watchers.is_watcher() or self.should_watch()):
             return
         for known in ask.known:
--- a/src/baobabturn/gateway/watchers.py
+++ b/src/baobabturn/gateway/watchers.py
@@ -1,21 +1,29 @@
-"""Elects the gateway of each failure domain that watches the platform's store.
-
-All gateways choose the same one, by rendezvous hashing over those that are alive.
-In a large fleet a gateway hears only those of its own failure domain.  It knows the
-watcher of another domain by the aggregate that this one sends, and before the first
-of them tries the likely ones.
+"""Elects the gateways that watch the platform's store and share what they read.
+
+Each failure domain has a watcher, and one of the watchers is the root: it alone
+watches the store as long as it can, and the other watchers ask it.  All gateways
+choose the same ones, by rendezvous hashing over those that are alive.  In a large
+fleet a gateway hears only those of its own failure domain.  It knows the watcher of
+another domain by the aggregate that this one sends, and before the first of them
+tries the likely ones.
 """
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 import xxhash
 
-from baobabturn.gateway.peer import Peer
+from baobabturn.gateway.peer import NEVER, Peer
 from baobabturn.gateway.peertable import PeerTable
 
 # A watcher counts as known for this long after its last aggregate.
 ANNOUNCEMENT_EXPIRY_S = 4.0
+# An election holds for this long.
+ELECTION_INTERVAL_S = 0.1
+# Stands for the fleet in the rendezvous hashing that elects the root.
+ROOT_KEY = "root"
 # Among how many gateways a watcher that isn't known is looked for at a time.
 LIKELY_WATCHER_COUNT = 3
 
@@ -33,26 +41,58 @@
 
     def __init__(self, *, table: PeerTable):
         self.table = table
+        self.elected: dict[str, str] = {}
+        self.elected_at = NEVER
         self.announcements: dict[str, Announcement] = {}
         self.attempts: dict[str, int] = {}
 
     def watcher_of(self, domain: str) -> str:
         """Return the name of a domain's watcher, empty if it isn't known."""
+        return self.election().get(domain, "")
+
+    def election(self) -> dict[str, str]:
+        """Return the watcher of each failure domain whose watcher is known."""
+        if self.table.clock() - self.elected_at >= ELECTION_INTERVAL_S:
+            self.elected = self.elect()
+            self.elected_at = self.table.clock()
+        return self.elected
+
+    def elect(self) -> dict[str, str]:
+        """Elect the watchers among the gateways that live.
+
+        In a large fleet, those of other domains are taken from their aggregates.
+        """
         record = self.table.record
-        if self.table.is_large_fleet() and domain != record.failure_domain:
-            return self.announced_watcher(domain)
-        names = [
-            peer.name for peer in self.table.alive() if peer.failure_domain == domain
-        ]
-        if record.failure_domain == domain:
-            names.append(record.name)
-        return max(names, key=lambda name: rank(domain, name), default="")
+        elected = {record.failure_domain: record.name}
+        for peer in self.table.near_alive():
+            domain = peer.failure_domain
+            best = elected.get(domain)
+            if best is None or rank(domain, peer.name) > rank(domain, best):
+                elected[domain] = peer.name
+        if self.table.is_large_fleet():
+            for domain in self.announcements:
+                name = self.announced_watcher(domain)
+                if name:
+                    elected.setdefault(domain, name)
+        return elected
 
     def is_watcher(self) -> bool:
         """Return whether this gateway is the watcher of its failure domain."""
         record = self.table.record
         return self.watcher_of(record.failure_domain) == record.name
 
+    def root_domain(self) -> str:
+        """Return the failure domain whose watcher is the root."""
+        return max(self.election(), key=lambda domain: rank(ROOT_KEY, domain))
+
+    def is_root(self) -> bool:
+        """Return whether this gateway is the root."""
+        return self.root() == self.table.record.name
+
+    def root(self) -> str:
+        """Return the name of the root."""
+        return self.watcher_of(self.root_domain())
+
     def record_announcement(self, domain: str, name: str) -> None:
         """Record that a gateway sent the aggregate of its domain."""
         self.announcements[domain] = Announcement(
@@ -89,6 +129,7 @@
         return [*ranked[start:], *ranked[:start]][:LIKELY_WATCHER_COUNT]
 
 
+@functools.lru_cache(maxsize=4096)
 def rank(domain: str, name: str) -> int:
     """Return the rank of a name in the rendezvous hashing for a domain."""
     return xxhash.xxh64_intdigest(f"{domain}/{name}".encode())
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -370,8 +370,7 @@
     """A gateway's sign of life, and the places at engines that it holds.
 
     ``callers`` is where callers reach it, ``serving`` says whether they may be
-    sent there.  With ``full`` the holdings are all that it holds.  ``contact_ms``
-    is the time since the platform's store last answered it.  ``next_ms`` is the
+    sent there.  With ``full`` the holdings are all that it holds.  ``next_ms`` is the
     interval until its next heartbeat to the receiver, 0 in other messages.
     """
 
@@ -384,7 +383,6 @@
     full: bool = False
     holdings: list[Holdings] = attrs.Factory(list)
     ended: list[Release] = attrs.Factory(list)
-    contact_ms: int = 0
     next_ms: int = 0
 
 
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -307,7 +307,7 @@
   full @6 :Bool;           # whether `holdings` are all that it holds
   holdings @7 :List(Holdings);
   ended @8 :List(Release);
-  contactMs @9 :UInt32;    # time since the platform's store answered, in ms
+  contactMs @9 :UInt32;    # not used any more
   nextMs @10 :UInt32;      # until its next heartbeat to the receiver, 0 in other messages
 }
 
