--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""The bench: load, policies side by side, and the slopes behind the capacity page."""
+"""The bench: load, and policies side by side."""
--- a/features/platformclient.feature
+++ b/features/platformclient.feature
@@ -16,6 +16,11 @@
     When the answer to 1 write is lost
     Then a write succeeds within 0.5 s of it
 
+  Scenario: A second copy of an answer, late, isn't taken for the next one
+    Given a client of a platform that sends each answer again 0.05 s later
+    When it reads 20 objects one after another with 0.06 s between them
+    Then each answer was the object that was asked for
+
   Scenario: A call waits for its turn in the budget
     Given a client of a platform of its own that may make 5 calls at once and 50 a second
     When it makes 30 calls at once
--- a/features/steps/platformclient.py
+++ b/features/steps/platformclient.py
@@ -1,6 +1,7 @@
 """Steps of the platform's client: outages, budgets, and what follows them."""
 
 import asyncio
+import json
 import time
 
 from behave import given, then, when
@@ -53,6 +54,62 @@
     context.add_cleanup(lambda: run(context, context.client.close()))
 
 
+class RepeatingServer:
+    """Answers each read with the object's name, and again a moment later."""
+
+    def __init__(self, *, repeat_after_s):
+        self.repeat_after_s = repeat_after_s
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        loop = asyncio.get_running_loop()
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                name = head.split(b" ")[1].rpartition(b"/")[2].decode()
+                body = json.dumps({"name": name, "version": 1, "value": {}}).encode()
+                answer = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                answer += b"Content-Length: %d\r\n\r\n" % len(body) + body
+                writer.write(answer)
+                loop.call_later(self.repeat_after_s, writer.write, answer)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+@given("a client of a platform that sends each answer again {seconds:g} s later")
+def repeating_platform(context, seconds):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+
+    async def begin():
+        server = RepeatingServer(repeat_after_s=seconds)
+        context.server = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        host, port = context.server.sockets[0].getsockname()[:2]
+        flags = [f"platform.url=http://{host}:{port}"]
+        return HttpStore(settings=settings_for(0, 1, 0, flags).platform, seed=3)
+
+    context.client = run(context, begin())
+    context.add_cleanup(context.server.close)
+    context.add_cleanup(lambda: run(context, context.client.close()))
+
+
+@when("it reads {count:d} objects one after another with {seconds:g} s between them")
+def reads_objects(context, count, seconds):
+    async def play():
+        found = []
+        for number in range(count):
+            found.append(await context.client.get(KIND, f"n{number}"))
+            await asyncio.sleep(seconds)
+        return found
+
+    context.found = run(context, play())
+
+
+@then("each answer was the object that was asked for")
+def own_answers(context):
+    names = [getattr(found, "name", str(found)) for found in context.found]
+    assert names == [f"n{number}" for number in range(len(names))], names
+
+
 @when("the client's platform is down and {count:d} calls have failed")
 def down(context, count):
     context.fake.faults["down"] = True
--- a/src/baobabturn/controller/main.py
+++ b/src/baobabturn/controller/main.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-import aiohttp
-
 from baobabturn.config.declared import Endpoint
 from baobabturn.config.state import ConfigState
 from baobabturn.controller.configgate import ConfigGate
@@ -20,6 +18,7 @@
 from baobabturn.controller.polling import Poller
 from baobabturn.controller.views import ViewPublisher
 from baobabturn.core.events import Event
+from baobabturn.core.httpclient import unpooled_session
 from baobabturn.core.program import Program, start
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
@@ -51,7 +50,7 @@
         settings = program.settings
         self.state = ConfigState(pool_size=settings.scheduler.pool_size)
         self.store = HttpStore(settings=settings.platform, events=program.events)
-        self.session = aiohttp.ClientSession()
+        self.session = unpooled_session()
         self.engine = OpenAIEngine(session=self.session)
         self.membership = Membership(
             program=program,
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -141,7 +141,10 @@
     Event.GATEWAY_SEEN: (
         "Another gateway sends heartbeats; `address` is its address for callers."
     ),
-    Event.GATEWAY_SILENT: "Another gateway has been silent for `gateway.silent_s`.",
+    Event.GATEWAY_SILENT: (
+        "Another gateway has been silent for `gateway.silent_s`; `reported_by` names"
+        " the one that noticed, if it wasn't this one."
+    ),
     Event.PROCESS_LATE: (
         "The event loop ran a due callback `late_ms` late; the process used"
         " `used_ms` of processor time meanwhile and was stopped for the rest."
--- a/src/baobabturn/core/httpclient.py
+++ b/src/baobabturn/core/httpclient.py
@@ -1,4 +1,4 @@
-"""Shared by all HTTP clients: requests are sent once, responses read within a limit.
+"""Shared by all HTTP clients: sessions that send each request once, and limits.
 
 aiohttp by itself retries a request with an idempotent method (``PUT``, ``DELETE``
 or ``GET``) if the connection drops before the response.  This could run a request
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from aiohttp import (
     ClientConnectorError,
     ClientError,
@@ -15,12 +17,27 @@
     ClientOSError,
     ClientRequest,
     ClientResponse,
+    ClientSession,
     ServerDisconnectedError,
+    TCPConnector,
 )
 
 READ_CHUNK_BYTES = 65_536
 
 
+def unpooled_session(**options: Any) -> ClientSession:
+    """Return a session that opens a connection for each request.
+
+    On a connection that is kept, a late second copy of one response could be taken for
+    the response to the next request.
+    """
+    return ClientSession(
+        connector=TCPConnector(limit=0, force_close=True),
+        middlewares=[send_once],
+        **options,
+    )
+
+
 class ResponseTooLarge(ClientError):
     """A response's body is larger than its reader accepts."""
 
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -10,7 +10,7 @@
 from baobabturn.config.state import ConfigState
 from baobabturn.core.clock import MS_PER_S, wall_ms
 from baobabturn.core.events import Event
-from baobabturn.core.httpclient import send_once
+from baobabturn.core.httpclient import unpooled_session
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaiengine import OpenAIEngine
@@ -38,11 +38,7 @@
 
 
 class Node:
-    """The shared state of one entry process.
-
-    ``unpooled_session`` opens a connection per request, for requests that must not
-    be sent twice.
-    """
+    """The shared state of one entry process."""
 
     def __init__(self, *, program: Program):
         self.program = program
@@ -61,16 +57,7 @@
             limit_bytes=self.settings.entry.body_memory_bytes,
             wait_s=self.settings.entry.body_wait_s,
         )
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            middlewares=[send_once],
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=self.settings.entry.connect_timeout_s
-            ),
-        )
-        self.unpooled_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            middlewares=[send_once],
+        self.session = unpooled_session(
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self.settings.entry.connect_timeout_s
             ),
@@ -220,6 +207,5 @@
         """Close all links and connections."""
         await self.controller.stop()
         await self.session.close()
-        await self.unpooled_session.close()
         await self.claims.close()
         await self.store.close()
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -250,13 +250,8 @@
     async def exchange(
         self, request: ServiceRequest, endpoint: Endpoint, remaining_s: float
     ) -> Result | Failure:
-        """Send a request to an endpoint and read the response.
-
-        A request that may run only once gets a connection of its own: on a stale
-        kept-alive connection the client library could send it twice.
-        """
-        repeatable = request.operation.repeatable
-        session = self.node.session if repeatable else self.node.unpooled_session
+        """Send a request to an endpoint and read the response."""
+        session = self.node.session
         timeout_s = min(request.operation.timeout_s, remaining_s)
         try:
             async with session.request(
--- a/src/baobabturn/store/httpstore.py
+++ b/src/baobabturn/store/httpstore.py
@@ -15,7 +15,7 @@
 
 from baobabturn.core.background import Background
 from baobabturn.core.events import EventLog
-from baobabturn.core.httpclient import send_once
+from baobabturn.core.httpclient import unpooled_session
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.settings.model import Platform
 from baobabturn.store.budget import CallBudget
@@ -115,7 +115,7 @@
         if self.session is None:
             token = self.settings.token
             auth = {"Authorization": f"Bearer {token}"} if token else {}
-            self.session = aiohttp.ClientSession(headers=auth, middlewares=[send_once])
+            self.session = unpooled_session(headers=auth)
         total_timeout_s = timeout_s or self.settings.call_timeout_s
         try:
             async with self.session.request(
