Gateway: a watcher that the store turns away doesn't confirm what it can't know

Change: without recent knowledge such a watcher sends no confirmation, so the others watch after 1.3 s. The new scenario failed before.

--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -25,6 +25,13 @@
     And the operator takes the key away
     Then requests with that key soon get 401 at the others
 
+  Scenario: The store turns the gateway away that watches for the others
+    Given a site with 1 plain endpoints and 3 gateways
+    Then after 3 seconds one gateway alone calls the store
+    When the store turns that gateway away
+    And the operator takes the key away
+    Then requests with that key get 401 at the others within 2 seconds
+
   Scenario: One watcher of all failure domains watches for the others
     Given a site with 1 plain endpoints and 3 gateways in domains of their own
     Then after 3 seconds one gateway alone calls the store
--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -137,6 +137,22 @@
     run(context, eventually(check, "401 everywhere", 5.0))
 
 
+@when("the store turns that gateway away")
+def turned_away(context):
+    number = context.case.gateways.index(context.watcher)
+    context.others = [n for n in range(len(context.case.gateways)) if n != number]
+    run(context, context.case.links[number].stop())
+
+
+@then("requests with that key get 401 at the others within {seconds:g} seconds")
+def others_refuse(context, seconds):
+    async def check():
+        found = [await status_of(context, gateway=n) for n in context.others]
+        return set(found) == {401}
+
+    run(context, eventually(check, "401 at the others", seconds))
+
+
 RECORDS = "baobabturn-gateways"
 
 
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -255,6 +255,9 @@
                     returning=self.is_after_outage(),
                 )
                 self.peers.send_message(copy, [peer])
+        if self.is_cut_off() and self.knowledge_age_s() > ASK_INTERVAL_S:
+            # Without a confirmation the asking gateway soon watches the store itself.
+            return
         now = boot_time_s()
         items = [
             StoreState(
