Gateway: a gateway that leaves the calls to others isn't cut off by an old failure

Cause, found on reading the diff: a call that failed marked a gateway as cut off until its next answer; one that was confirmed again made no further call. As a watcher it then sent no confirmations, so its domain watched the store itself. The new scenario without network failed before; another plays an outage in two failure domains.

--- a/features/gatewayfleet.feature
+++ b/features/gatewayfleet.feature
@@ -106,6 +106,13 @@
     When the fleet runs for 12 seconds
     Then every gateway has a fresh aggregate of each other failure domain
 
+  Scenario: A gateway whose calls to the store failed leaves them to the root again
+    Given a fleet of 9 gateways in 3 failure domains
+    When the fleet runs for 2 seconds
+    And the calls of a gateway that isn't the root have failed
+    And it is confirmed again by the others
+    Then it isn't cut off from the store
+
   Scenario: Callers are spread over all failure domains
     Given a fleet of 145 gateways in 5 failure domains
     When the fleet runs for 4 seconds
--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -32,6 +32,11 @@
     And the operator takes the key away
     Then requests with that key get 401 at the others within 2 seconds
 
+  Scenario: An outage of the store leaves nobody watching for himself
+    Given a site with 1 plain endpoints and 4 gateways in 2 failure domains
+    When the store answers nobody for 4 seconds
+    Then after 5 seconds one gateway alone calls the store
+
   Scenario: One watcher of all failure domains watches for the others
     Given a site with 1 plain endpoints and 3 gateways in domains of their own
     Then after 3 seconds one gateway alone calls the store
--- a/features/steps/gatewayfleet.py
+++ b/features/steps/gatewayfleet.py
@@ -7,9 +7,12 @@
 from baobabturn.config.declared import Endpoint
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
+from baobabturn.core.results import Code, Failure
+from baobabturn.gateway.mirror import StoreContact, boot_time_s
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.peertable import MAX_EXACT_FLEET_SIZE
 from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.gateway.watchers import rank
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
@@ -240,6 +243,27 @@
             gateway.alive = False
 
 
+@when("the calls of a gateway that isn't the root have failed")
+def calls_failed(context):
+    gateways = context.fleet.gateways
+    gateway = next(each for each in gateways if not each.watchers.is_root())
+    contact = StoreContact(events=gateway.peers.program.events)
+    context.updates = StoreUpdates(
+        peers=gateway.peers, watchers=gateway.watchers, contact=contact, mirrors=[]
+    )
+    contact.record_failure(Failure(Code.PLATFORM_UNREACHABLE, "status 503"), "things")
+
+
+@when("it is confirmed again by the others")
+def confirmed_again(context):
+    context.updates.confirmed_at = boot_time_s()
+
+
+@then("it isn't cut off from the store")
+def not_cut_off(context):
+    assert not context.updates.is_cut_off()
+
+
 @then("every gateway has a fresh aggregate of each other failure domain")
 def fresh_loads(context):
     domains = {each.domain for each in context.fleet.gateways}
--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -137,6 +137,24 @@
     run(context, eventually(check, "401 everywhere", 5.0))
 
 
+@given(
+    "a site with {count:d} plain endpoints and {gateways:d} gateways in {domains:d}"
+    " failure domains"
+)
+def site_in_domains(context, count, gateways, domains):
+    start(context, plain=count, gateways=gateways, domains=domains)
+
+
+@when("the store answers nobody for {seconds:g} seconds")
+def store_outage(context, seconds):
+    store = context.case.store
+    run(context, asyncio.sleep(1.5))
+    store.failing_status = 503
+    store.reset_connections()
+    run(context, asyncio.sleep(seconds))
+    store.failing_status = 0
+
+
 @when("the store turns that gateway away")
 def turned_away(context):
     number = context.case.gateways.index(context.watcher)
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -129,10 +129,10 @@
 
         A gateway that leaves the calls to others isn't cut off.
         """
-        if self.contact.failing_since:
-            return True
         if not self.should_watch():
             return False
+        if self.contact.failing_since:
+            return True
         waits = [mirror.wait_s for mirror in self.mirrors.values()]
         return self.contact.age_s() > min(waits) + ASK_INTERVAL_S
 
