Reading the change: one record of aggregates, smaller modules, free ports for tests

- Watchers keep the aggregates that came, in place of two records of the same.
- The messages of gateways, a stream's times and what streams share have modules of their own; streaming and relayedstream no longer import each other. fakes/rawhttp.py and features/gatewayrecovery.feature are split off; no check changed.
- Names: staleness_s for knowledge_age_s, run_with_restarts for run_again.

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from fakes.rawhttp import chunk_bytes, read_request
+
 BLOCK_BYTES = 65_536
 BLOCK_PAUSE_S = 0.002
 DRIP_PAUSE_S = 0.2
@@ -24,11 +26,6 @@
     return data * (BLOCK_BYTES // len(data))
 
 
-def chunk(data: bytes) -> bytes:
-    """Return data as one chunk of a chunked body."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 # What comes first and what then follows again and again, by the place.
 PLACES: dict[str, Callable[[str], tuple[bytes, bytes]]] = {
     "a status line": lambda request: (b"HTTP/1.1 200 ", repeated(b"O")),
@@ -49,7 +46,7 @@
     ),
     "a body": lambda request: (
         OK + identity(request) + CHUNKED,
-        chunk(repeated(b"b")),
+        chunk_bytes(repeated(b"b")),
     ),
     "a body without a length": lambda request: (
         OK + identity(request) + b"\r\n",
@@ -85,10 +82,12 @@
 
     async def serve(self, reader, writer) -> None:
         """Read one request, then send until the caller closes."""
-        head = await reader.readuntil(b"\r\n\r\n")
+        request = await read_request(reader)
+        if request is None:
+            return
         loop = asyncio.get_running_loop()
         began = loop.time()
-        first, block = PLACES[self.place](request_id(head))
+        first, block = PLACES[self.place](request.attempt_id)
         try:
             writer.write(first)
             while not writer.is_closing():
@@ -101,12 +100,3 @@
         finally:
             self.closed_after_s.append(loop.time() - began)
             writer.close()
-
-
-def request_id(head: bytes) -> str:
-    """Return the request id in the head of a request."""
-    for line in head.decode("latin-1").split("\r\n"):
-        name, _, value = line.partition(":")
-        if name.lower() == "x-attempt-id":
-            return value.strip()
-    return ""
--- a/fakes/proxy.py
+++ b/fakes/proxy.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fakes.site import RawHttpServer
+from fakes.rawhttp import RawHttpServer
 
 READ_SIZE_BYTES = 65_536
 SOL_SOCKET, SO_LINGER = 1, 13
--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -14,7 +14,8 @@
 from baobabturn.gateway.platforminterface import GatewayRecord
 from baobabturn.gateway.watchers import Watchers
 from baobabturn.settings.load import load
-from baobabturn.wire.messages import EngineLoad, Holding, Holdings, Release
+from baobabturn.wire.gatewaymessages import EngineLoad
+from baobabturn.wire.messages import Holding, Holdings, Release
 
 SETTINGS = load(None, []).settings
 
--- a/features/gatewayfleet.feature
+++ b/features/gatewayfleet.feature
@@ -38,10 +38,10 @@
   Scenario: A killed process is back before its silence is noticed
     Given a fleet of 145 gateways in 5 failure domains
     When the fleet runs for 4 seconds
-    And the gateway 1 takes a place
+    And the gateway 1 makes a reservation
     And the gateway 1 is restarted
     And the fleet runs for 0.8 seconds
-    Then no gateway near it holds a place of it
+    Then no gateway near it holds a reservation of it
     And all others are taken for alive by those near them
 
   Scenario: A monitor that hears nothing of a sound gateway is refuted
@@ -76,22 +76,22 @@
   Scenario: Work is counted exactly near by and in aggregate far away
     Given a fleet of 145 gateways in 5 failure domains
     When the fleet runs for 4 seconds
-    And the gateway 1 takes a place
-    Then all gateways near it hold the place
+    And the gateway 1 makes a reservation
+    Then all gateways near it hold the reservation
     When the fleet runs for 2 seconds
     Then all other failure domains count 1 request at the engine
-    When the gateway 1 gives it back
-    Then no gateway near it holds a place of it
+    When the gateway 1 releases it
+    Then no gateway near it holds a reservation of it
     When the fleet runs for 2 seconds
     Then all other failure domains count 0 requests at the engine
 
-  Scenario: Place holders die with their work
+  Scenario: The holder of a reservation dies
     Given a fleet of 145 gateways in 5 failure domains
     When the fleet runs for 4 seconds
-    And the gateway 1 takes a place
+    And the gateway 1 makes a reservation
     And the gateway 1 dies
     And the fleet runs for 5 seconds
-    Then no gateway near it holds a place of it
+    Then no gateway near it holds a reservation of it
     And all other failure domains count 0 requests at the engine
 
   Scenario: The watchers of all failure domains die at once
--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -32,7 +32,7 @@
     And the operator takes the key away
     Then requests with that key get 401 at the others within 2 seconds
 
-  Scenario: An outage of the store leaves nobody watching for himself
+  Scenario: An outage of the store leaves no gateway watching for itself
     Given a site with 1 plain endpoints and 4 gateways in 2 failure domains
     When the store answers nobody for 4 seconds
     Then after 5 seconds one gateway alone calls the store
--- a/features/steps/fuzz.py
+++ b/features/steps/fuzz.py
@@ -11,8 +11,8 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.openaistream import OpenAIStream
 from baobabturn.wire import codec
+from baobabturn.wire.bodies import BODIES
 from baobabturn.wire.messages import (
-    BODIES,
     Admit,
     ConfigUpdate,
     Hello,
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from fakes.callers import read_reply, request_bytes, request_headers
-from fakes.site import RESPONSE_STAMP, response_bytes
+from fakes.rawhttp import response_bytes
+from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import API_KEY, WORKSPACE, configuration
 from features.sitecase import SiteCase, eventually
 
--- a/features/steps/gatewayfleet.py
+++ b/features/steps/gatewayfleet.py
@@ -16,7 +16,8 @@
 from baobabturn.gateway.watchers import rank
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
-from baobabturn.wire.messages import Admit, EngineLoad
+from baobabturn.wire.gatewaymessages import EngineLoad
+from baobabturn.wire.messages import Admit
 from features.fleetcase import SETTINGS, Fleet
 from features.steps.gateway import run
 
@@ -138,27 +139,27 @@
             assert other.sees(gateway), (other.name, gateway.name)
 
 
-@when("the gateway {number:d} takes a place")
+@when("the gateway {number:d} makes a reservation")
 def takes(context, number):
     context.subject = context.fleet.gateways[number]
     context.subject.take("r1", tokens=3000)
     context.fleet.deliver()
 
 
-@when("the gateway {number:d} gives it back")
+@when("the gateway {number:d} releases it")
 def gives_back(context, number):
     context.fleet.gateways[number].release("r1")
     context.fleet.deliver()
 
 
-@then("all gateways near it hold the place")
+@then("all gateways near it hold the reservation")
 def near_hold(context):
     subject = context.subject
     for gateway in near(context.fleet, subject):
         assert "r1" in gateway.reservations.by_peer[subject.name], gateway.name
 
 
-@then("no gateway near it holds a place of it")
+@then("no gateway near it holds a reservation of it")
 def near_hold_nothing(context):
     subject = context.subject
     for gateway in near(context.fleet, subject):
@@ -268,7 +269,7 @@
 def fresh_loads(context):
     domains = {each.domain for each in context.fleet.gateways}
     for gateway in context.fleet.running():
-        missing = domains - set(gateway.loads.received) - {gateway.domain}
+        missing = domains - set(gateway.watchers.received) - {gateway.domain}
         assert not missing, (gateway.name, missing)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from fakes.proxy import Direction, Proxy
-from fakes.site import RESPONSE_STAMP, Request, response_bytes
+from fakes.rawhttp import Request, response_bytes
+from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import ENGINE_SERVICE, PLAIN_SERVICE
 from soak.process import GatewayProcess
 from soak.site import SoakSite
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from fakes.site import RESPONSE_STAMP, Request
+from fakes.rawhttp import Request
+from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import API_KEY, WORKSPACE
 from soak.load import PATHS_AND_METHODS, REQUEST_DEADLINE_S, SentRequest
 from soak.process import KILL_DELAY_S, SHUTDOWN_GRACE_S
--- a/src/baobabturn/core/background.py
+++ b/src/baobabturn/core/background.py
@@ -33,9 +33,11 @@
 
     def supervise(self, work: Callable[[], Awaitable[Any]], name: str) -> None:
         """Run work that has no end; start it again after an error."""
-        self.start(self.run_again(work, name), name)
+        self.start(self.run_with_restarts(work, name), name)
 
-    async def run_again(self, work: Callable[[], Awaitable[Any]], name: str) -> None:
+    async def run_with_restarts(
+        self, work: Callable[[], Awaitable[Any]], name: str
+    ) -> None:
         """Run work, and run it again after each error, with backoff."""
         delay_s = MIN_RESTART_DELAY_S
         while True:
--- a/src/baobabturn/core/commandline.py
+++ b/src/baobabturn/core/commandline.py
@@ -1,4 +1,4 @@
-"""The command line of the programs, and how any of ours is run."""
+"""Parses and runs command lines; the one that all long-running programs have."""
 
 from __future__ import annotations
 
--- a/src/baobabturn/core/eventdrivenserver.py
+++ b/src/baobabturn/core/eventdrivenserver.py
@@ -28,7 +28,7 @@
             server.close()
 
     def end(self) -> None:
-        """Stop to serve, without waiting for open connections."""
+        """Stop serving, without waiting for open connections."""
         self.should_exit = True
         self.force_exit = True
         self.ended.set()
--- a/src/baobabturn/gateway/domainloads.py
+++ b/src/baobabturn/gateway/domainloads.py
@@ -17,8 +17,8 @@
 from baobabturn.gateway.peer import Peer
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.pools import EnginePools
-from baobabturn.gateway.watchers import ANNOUNCEMENT_EXPIRY_S, Watchers
-from baobabturn.wire.messages import DomainLoad
+from baobabturn.gateway.watchers import Watchers
+from baobabturn.wire.gatewaymessages import DomainLoad
 
 SEND_INTERVAL_S = 1.0
 SEND_JITTER_RATIO = 0.1
@@ -26,16 +26,8 @@
 MAX_CALLER_ADDRESSES = 16
 
 
-@attrs.frozen(kw_only=True)
-class ReceivedLoad:
-    """A domain's newest aggregate and the monotonic time at which it came."""
-
-    load: DomainLoad
-    received_at: float
-
-
 class DomainLoads:
-    """Sends the own domain's aggregate, if this gateway watches; keeps the others."""
+    """Sends the own domain's aggregate, if this gateway watches; applies the others."""
 
     def __init__(
         self, *, program: Program, peers: Peers, pools: EnginePools, watchers: Watchers
@@ -45,7 +37,6 @@
         self.table = peers.table
         self.pools = pools
         self.watchers = watchers
-        self.received: dict[str, ReceivedLoad] = {}
         peers.handlers[DomainLoad] = self.handle_load
 
     async def run(self) -> None:
@@ -91,15 +82,11 @@
 
     def handle_load(self, load: DomainLoad, author: Peer) -> None:
         """Apply another domain's aggregate and forward it within this domain."""
-        domain = load.failure_domain
-        if domain == self.table.record.failure_domain:
+        if load.failure_domain == self.table.record.failure_domain:
             return
-        known = self.received.get(domain)
-        if known is not None and load.stamp <= known.load.stamp:
+        if not self.watchers.record_load(load):
             return
-        self.received[domain] = ReceivedLoad(load=load, received_at=self.table.clock())
-        self.watchers.record_announcement(domain, load.node)
-        self.pools.apply_domain_load(domain, load.engines)
+        self.pools.apply_domain_load(load.failure_domain, load.engines)
         if not load.forwarded:
             self.forward(load)
 
@@ -117,12 +104,9 @@
 
     def expire(self) -> None:
         """Drop the aggregates of domains that have sent none for a while."""
-        now = self.table.clock()
-        for domain, received in list(self.received.items()):
-            if now - received.received_at >= ANNOUNCEMENT_EXPIRY_S:
-                del self.received[domain]
-                self.pools.apply_domain_load(domain, [])
+        for domain in self.watchers.drop_expired():
+            self.pools.apply_domain_load(domain, [])
 
     def far_loads(self) -> list[DomainLoad]:
         """Return the newest aggregate of each other domain."""
-        return [received.load for received in self.received.values()]
+        return [received.load for received in self.watchers.received.values()]
--- a/src/baobabturn/gateway/eventreader.py
+++ b/src/baobabturn/gateway/eventreader.py
@@ -13,7 +13,7 @@
 
 # An engine counts as stalled when it has sent no event for this multiple of the
 # route's goal for the first event, or of its goal for the gap between two events.
-# Callers' own patience ends at four and eight times these goals.
+# Callers give up sooner, after four and eight times these goals.
 STALL_ANSWER_GOALS = 6
 STALL_GAP_GOALS = 12
 MIN_STALL_TIMEOUT_S = 5.0
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -150,7 +150,7 @@
         )
         self.report_poller = ReportPoller(
             program=program,
-            knowledge_age_s=lambda: self.store_updates.knowledge_age_s(),
+            staleness_s=lambda: self.store_updates.staleness_s(),
             endpoints=self.endpoints,
             pools=self.pools,
             cache_copier=cache_copier,
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -23,27 +23,21 @@
 from baobabturn.gateway.platforminterface import GatewayRecord
 from baobabturn.membership.datagrams import DatagramSigner
 from baobabturn.wire.codec import Envelope, pack_small, unpack_small
-from baobabturn.wire.messages import (
-    GatewayState,
-    Holding,
-    Holdings,
-    PeerSilent,
-    Release,
-)
+from baobabturn.wire.gatewaymessages import GatewayState, PeerSilent
+from baobabturn.wire.messages import Holding, Holdings, Release
 
 # Changes within this time are sent in one message.
 CHANGE_BATCH_S = 0.002
 # A gateway that has been silent for this long holds no reservations.
 RESERVATION_EXPIRY_S = 1.5
 # A heartbeat this late shows that the process was paused.
-PAUSE_S = 0.5
+MIN_PAUSE_S = 0.5
 # After a cut a gateway introduces itself anew at most once in this time.
 REINTRODUCTION_INTERVAL_S = 1.0
 # Heartbeat intervals vary by this share, so that gateways don't all send at once.
 HEARTBEAT_JITTER_RATIO = 0.1
 MS_PER_S = 1000
 
-
 log = logging.getLogger("baobabturn.gateway.peers")
 
 
@@ -186,7 +180,7 @@
         peer = self.table.peers.get(name)
         if peer is None or not self.table.is_near(peer):
             return 0.0
-        return time.monotonic() - max(peer.heard_at, peer.known_since)
+        return self.table.clock() - max(peer.heard_at, peer.known_since)
 
     def handle_state(self, state: GatewayState, address: Address) -> None:
         """Handle a gateway's state, unless a newer one of it came before."""
@@ -349,7 +343,7 @@
             )
             due_at = time.monotonic() + pause_s
             await asyncio.sleep(pause_s)
-            if time.monotonic() - due_at > PAUSE_S:
+            if time.monotonic() - due_at > MIN_PAUSE_S:
                 self.resume_after_pause()
             self.check_silence()
 
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -35,7 +35,7 @@
 SILENT_HEARTBEAT_INTERVALS = 2.5
 # A report of silence is ignored if the gateway was heard within this share of
 # ``silent_s``: its monitors may have lost messages that came here.
-RECENT_RATIO = 0.6
+RECENTLY_HEARD_RATIO = 0.6
 
 
 class PeerTable:
@@ -168,7 +168,7 @@
         peer = self.peers.get(name)
         if peer is None or peer.silent or peer.incarnation != incarnation:
             return None
-        if self.clock() - peer.heard_at < RECENT_RATIO * self.settings.silent_s:
+        if self.clock() - peer.heard_at < RECENTLY_HEARD_RATIO * self.settings.silent_s:
             return None
         self.mark_silent(peer)
         return peer
@@ -182,9 +182,8 @@
 
         Silent ones are passed over, except where all near gateways get them.
         """
-        near = self.near()
-        if len(near) <= MAX_MESH_PEERS:
-            return near
+        if self.is_mesh():
+            return self.near()
         return self.neighbours_on_ring(forward=True)
 
     def neighbours_on_ring(self, *, forward: bool) -> list[Peer]:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -23,9 +23,9 @@
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import EndpointState
+from baobabturn.wire.gatewaymessages import EngineLoad
 from baobabturn.wire.messages import (
     Admit,
-    EngineLoad,
     Grant,
     Holding,
     Holdings,
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -13,7 +13,7 @@
 
 # Pauses after the first reads.  Of two gateways, the one that wrote its record later
 # sees the other's record at its first read and contacts it; the second read makes up
-# for a lost answer.  In larger fleets others make up for it.
+# for a lost answer.  In larger fleets the heartbeats of other gateways make up for it.
 FIRST_READ_PAUSES_S = (0.5,)
 READ_INTERVAL_S = 20.0
 # Larger fleets read the records less often.
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import aiohttp
 
@@ -26,13 +26,11 @@
 from baobabturn.gateway.pools import HeldReservation
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.sse import SseEvent
+from baobabturn.gateway.streamparts import StreamParts, tokens_per_event
+from baobabturn.gateway.streamtimes import StreamTimes
 from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
-if TYPE_CHECKING:
-    from baobabturn.gateway.streaming import Streams
-
 MS_PER_S = 1000
-US_PER_MS = 1000
 # A request may wait for a reservation for this share of its route's goal for the
 # first event, and for this long at most.
 QUEUE_TIMEOUT_GOAL_RATIO = 0.9
@@ -59,10 +57,10 @@
     which the generation continues, or to None if the migration failed.
     """
 
-    def __init__(self, *, streams: Streams, request: CallerRequest, send: Send):
-        self.streams = streams
-        self.pools = streams.pools
-        self.program = streams.program
+    def __init__(self, *, parts: StreamParts, request: CallerRequest, send: Send):
+        self.parts = parts
+        self.pools = parts.pools
+        self.program = parts.program
         self.request = request
         self.send = send
         self.reservation: HeldReservation | None = None
@@ -71,15 +69,15 @@
         self.continuation_future: ContinuationFuture | None = None
         self.excluded: list[str] = []
         self.last_event_id = b""
-        self.event_count = 0
         self.attempts_sent = 0
         self.head_sent = False
         self.ended = False
         self.progress_recorded_at = 0.0
-        self.last_event_at = 0.0
-        self.first_event_us = 0.0
-        self.longest_gap_us = 0.0
-        self.longest_gap_at = ""
+        self.times = StreamTimes(
+            metrics=parts.program.metrics,
+            route=request.route.name,
+            arrived_at=request.arrived_at,
+        )
 
     async def run(self) -> Failure | None:
         """Relay the whole stream; return why it failed, None if it is complete.
@@ -159,7 +157,7 @@
 
     def try_spend_retry(self) -> bool:
         """Return whether the retry budget allows another attempt; spend it if so."""
-        return self.streams.budget.try_spend(self.request.service.name)
+        return self.parts.budget.try_spend(self.request.service.name)
 
     def may_try_other_engine(self, failure: Failure) -> bool:
         """Return whether another engine may be tried after a failure."""
@@ -173,7 +171,7 @@
         self, reservation: HeldReservation, continuation: Continuation | None
     ) -> Failure | None:
         """Send the request to a reservation's engine; return why it wasn't accepted."""
-        endpoint = self.streams.endpoints.by_name.get(reservation.endpoint)
+        endpoint = self.parts.endpoints.by_name.get(reservation.endpoint)
         if endpoint is None:
             self.pools.release(reservation, REFUSED)
             return Failure(Code.NO_ENDPOINT, f"{reservation.endpoint} is unknown")
@@ -185,7 +183,7 @@
             after=self.last_event_id.decode("latin-1"),
             waited_ms=int((time.monotonic() - self.request.arrived_at) * MS_PER_S),
         )
-        response = await self.streams.endpoint_client.open(
+        response = await self.parts.endpoint_client.open(
             self.request,
             endpoint,
             timeout_s=self.request.remaining_s(),
@@ -231,9 +229,7 @@
                     self.pools.release(self.reservation, FAILED)
                 return failure
         self.head_sent = True
-        headers = (
-            end_to_end_headers(response.headers) + self.streams.connection_headers()
-        )
+        headers = end_to_end_headers(response.headers) + self.parts.connection_headers()
         await self.send(
             {
                 "type": "http.response.start",
@@ -270,7 +266,7 @@
         """Pass on a response that is not a stream."""
         try:
             async with asyncio.timeout(max(0.0, self.request.remaining_s())):
-                body = await self.streams.endpoint_client.read_body(
+                body = await self.parts.endpoint_client.read_body(
                     self.request, response
                 )
         except TimeoutError:
@@ -298,41 +294,26 @@
         return None
 
     def record_event(self, event: SseEvent) -> None:
-        """Record an event's times, and the generation's progress at intervals."""
-        now = time.monotonic()
-        request = self.request
+        """Record an event's time, and the generation's progress at intervals."""
+        times = self.times
         if event.event_id:
             self.last_event_id = event.event_id
-        if not self.event_count:
-            first_event_us = self.first_event_us = (
-                now - request.arrived_at
-            ) * 1_000_000
-            self.program.metrics.record(
-                "time_to_first_event_us", first_event_us, route=request.route.name
-            )
+        times.record_event(endpoint_name(self))
+        is_first = times.event_count == 1
+        if is_first:
             self.program.events.emit(
                 Event.FIRST_TOKEN,
-                request=request.request_id,
+                request=self.request.request_id,
                 endpoint=endpoint_name(self),
-                after_ms=int(first_event_us / US_PER_MS),
-            )
-        else:
-            gap_us = (now - self.last_event_at) * 1_000_000
-            if gap_us > self.longest_gap_us:
-                self.longest_gap_us = gap_us
-                self.longest_gap_at = f"{endpoint_name(self)}/{self.event_count}"
-            self.program.metrics.record(
-                "time_between_events_us", gap_us, route=request.route.name
+                after_ms=times.first_event_ms,
             )
-        self.event_count += 1
-        self.last_event_at = now
+        since_progress_s = times.last_event_at - self.progress_recorded_at
         if self.reservation is not None and (
-            self.event_count == 1
-            or now - self.progress_recorded_at >= PROGRESS_INTERVAL_S
+            is_first or since_progress_s >= PROGRESS_INTERVAL_S
         ):
-            self.progress_recorded_at = now
-            per_event = self.streams.tokens_per_event(request)
-            self.pools.record_progress(self.reservation, self.event_count * per_event)
+            self.progress_recorded_at = times.last_event_at
+            produced = times.event_count * tokens_per_event(self.request)
+            self.pools.record_progress(self.reservation, produced)
 
     async def continue_elsewhere(self, interruption: Failure) -> Failure | None:
         """Continue an interrupted stream at another engine; return why that failed."""
@@ -340,7 +321,7 @@
             Event.STREAM_CUT,
             request=self.request.request_id,
             endpoint=endpoint_name(self),
-            events=self.event_count,
+            events=self.times.event_count,
             reason=str(interruption),
             moving=self.continuation_future is not None,
         )
@@ -378,7 +359,7 @@
             last_event_id=self.last_event_id.decode("latin-1"),
             cache_handle=continuation.cache_handle,
         )
-        paused_s = time.monotonic() - self.last_event_at
+        paused_s = time.monotonic() - self.times.last_event_at
         # A continuation counts as the same attempt.
         self.attempts_sent -= 1
         failure = await self.open_at(reservation, continuation)
@@ -395,7 +376,7 @@
             Event.RUN_MOVED if failure is None else Event.MOVE_FAILED,
             request=self.request.request_id,
             endpoint=reservation.endpoint,
-            events=self.event_count,
+            events=self.times.event_count,
             paused_ms=int(paused_s * MS_PER_S),
             reason=failure.reason if failure is not None else "",
         )
--- a/src/baobabturn/gateway/reportpoller.py
+++ b/src/baobabturn/gateway/reportpoller.py
@@ -16,7 +16,7 @@
 # Polling starts when nothing has been known of the store for this long.  From a store
 # that works, something is known more recently: the wait of a watch and the times at
 # which gateways ask one another add up to less.
-KNOWLEDGE_AGE_LIMIT_S = 1.9
+STALENESS_LIMIT_S = 1.9
 
 
 class ReportPoller:
@@ -30,13 +30,13 @@
         self,
         *,
         program: Program,
-        knowledge_age_s: Callable[[], float],
+        staleness_s: Callable[[], float],
         endpoints: Endpoints,
         pools: EnginePools,
         cache_copier: CacheCopier,
     ):
         self.program = program
-        self.knowledge_age_s = knowledge_age_s
+        self.staleness_s = staleness_s
         self.endpoints = endpoints
         self.pools = pools
         self.cache_copier = cache_copier
@@ -45,7 +45,7 @@
         """Poll for as long as the process runs."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self.knowledge_age_s() < KNOWLEDGE_AGE_LIMIT_S:
+            if self.staleness_s() < STALENESS_LIMIT_S:
                 continue
             names = {
                 reservation.endpoint for reservation in self.pools.reservations.values()
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -26,7 +26,7 @@
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.watchers import Watchers, rank
 from baobabturn.store.interface import Change, Changes
-from baobabturn.wire.messages import (
+from baobabturn.wire.gatewaymessages import (
     StoreAsk,
     StoreChange,
     StoreNews,
@@ -143,7 +143,7 @@
             if not self.watchers.is_root() or self.is_cut_off():
                 self.ask()
 
-    def knowledge_age_s(self) -> float:
+    def staleness_s(self) -> float:
         """Return the seconds since the store was last known to have nothing newer."""
         newest = max(mirror.confirmed_at for mirror in self.mirrors.values())
         return boot_time_s() - newest
@@ -255,7 +255,7 @@
                     returning=self.is_after_outage(),
                 )
                 self.peers.send_message(copy, [peer])
-        if self.is_cut_off() and self.knowledge_age_s() > ASK_INTERVAL_S:
+        if self.is_cut_off() and self.staleness_s() > ASK_INTERVAL_S:
             # Without a confirmation the asking gateway soon watches the store itself.
             return
         now = boot_time_s()
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -11,8 +11,9 @@
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.pools import EnginePools
-from baobabturn.gateway.relayedstream import US_PER_MS, RelayedStream, Send
+from baobabturn.gateway.relayedstream import RelayedStream, Send
 from baobabturn.gateway.request import CallerRequest, Headers
+from baobabturn.gateway.streamparts import StreamParts
 
 
 class Streams:
@@ -29,11 +30,14 @@
         connection_headers: Callable[[], Headers],
     ):
         self.program = program
-        self.pools = pools
-        self.endpoints = endpoints
-        self.endpoint_client = endpoint_client
-        self.budget = budget
-        self.connection_headers = connection_headers
+        self.parts = StreamParts(
+            program=program,
+            pools=pools,
+            endpoints=endpoints,
+            endpoint_client=endpoint_client,
+            budget=budget,
+            connection_headers=connection_headers,
+        )
         self.active: set[RelayedStream] = set()
 
     async def forward(self, request: CallerRequest, send: Send) -> Failure | None:
@@ -41,24 +45,25 @@
 
         A failure has ``tokens`` above 0 if the response's head has been sent.
         """
-        stream = RelayedStream(streams=self, request=request, send=send)
+        stream = RelayedStream(parts=self.parts, request=request, send=send)
         self.active.add(stream)
         try:
             failure = await stream.run()
         finally:
             self.active.discard(stream)
+        times = stream.times
         if failure is None:
             self.program.events.emit(
                 Event.STREAM_FINISHED,
                 request=request.request_id,
-                events=stream.event_count,
-                first_ms=int(stream.first_event_us / US_PER_MS),
-                longest_gap_ms=int(stream.longest_gap_us / US_PER_MS),
-                gap_at=stream.longest_gap_at,
+                events=times.event_count,
+                first_ms=times.first_event_ms,
+                longest_gap_ms=times.longest_gap_ms,
+                gap_at=times.longest_gap_at,
             )
         if failure is not None and stream.head_sent:
             return Failure(
-                failure.code, failure.reason, tokens=max(1, stream.event_count)
+                failure.code, failure.reason, tokens=max(1, times.event_count)
             )
         return failure
 
@@ -69,8 +74,3 @@
             for stream in self.active
             if stream.endpoint is endpoint and not stream.ended
         ]
-
-    def tokens_per_event(self, request: CallerRequest) -> int:
-        """Return how many tokens an event of a request's stream holds."""
-        engine = request.service.engine
-        return engine.tokens_per_event if engine is not None else 1
--- a/src/baobabturn/gateway/transport.py
+++ b/src/baobabturn/gateway/transport.py
@@ -36,12 +36,10 @@
 
 HEAD_END = b"\r\n\r\n"
 MAX_HEAD_BYTES = 65_536
-CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,12}) *\r\n", re.IGNORECASE)
-
-
 # Bytes outside the body that a response may have for each byte of it, besides its
 # head: a chunk of one byte has five more for its size.
 MAX_FRAMING_RATIO = 16
+CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,12}) *\r\n", re.IGNORECASE)
 
 
 class SingleResponseHandler(ResponseHandler):
--- a/src/baobabturn/gateway/watchers.py
+++ b/src/baobabturn/gateway/watchers.py
@@ -17,9 +17,10 @@
 
 from baobabturn.gateway.peer import NEVER, Peer
 from baobabturn.gateway.peertable import PeerTable
+from baobabturn.wire.gatewaymessages import DomainLoad
 
-# A watcher counts as known for this long after its last aggregate.
-ANNOUNCEMENT_EXPIRY_S = 4.0
+# An aggregate, and the watcher that wrote it, count for this long.
+LOAD_EXPIRY_S = 4.0
 # An election holds for this long.
 ELECTION_INTERVAL_S = 0.1
 # Stands for the fleet in the rendezvous hashing that elects the root.
@@ -29,21 +30,24 @@
 
 
 @attrs.frozen(kw_only=True)
-class Announcement:
-    """A watcher that sent its domain's aggregate, and when it came."""
+class ReceivedLoad:
+    """A domain's newest aggregate, and the monotonic time at which it came."""
 
-    name: str
+    load: DomainLoad
     received_at: float
 
 
 class Watchers:
-    """Names the watcher of each failure domain."""
+    """Names the watcher of each failure domain.
+
+    ``received`` holds the newest aggregate of each other domain.
+    """
 
     def __init__(self, *, table: PeerTable):
         self.table = table
         self.elected: dict[str, str] = {}
         self.elected_at = NEVER
-        self.announcements: dict[str, Announcement] = {}
+        self.received: dict[str, ReceivedLoad] = {}
         self.attempts: dict[str, int] = {}
 
     def watcher_of(self, domain: str) -> str:
@@ -70,10 +74,9 @@
             if best is None or rank(domain, peer.name) > rank(domain, best):
                 elected[domain] = peer.name
         if self.table.is_large_fleet():
-            for domain in self.announcements:
-                name = self.announced_watcher(domain)
-                if name:
-                    elected.setdefault(domain, name)
+            for domain, received in self.received.items():
+                if self.is_recent(received):
+                    elected.setdefault(domain, received.load.node)
         return elected
 
     def is_watcher(self) -> bool:
@@ -93,19 +96,30 @@
         """Return the name of the root."""
         return self.watcher_of(self.root_domain())
 
-    def record_announcement(self, domain: str, name: str) -> None:
-        """Record that a gateway sent the aggregate of its domain."""
-        self.announcements[domain] = Announcement(
-            name=name, received_at=self.table.clock()
+    def record_load(self, load: DomainLoad) -> bool:
+        """Keep a domain's aggregate; return whether it is newer than the one before."""
+        known = self.received.get(load.failure_domain)
+        if known is not None and load.stamp <= known.load.stamp:
+            return False
+        self.received[load.failure_domain] = ReceivedLoad(
+            load=load, received_at=self.table.clock()
         )
-
-    def announced_watcher(self, domain: str) -> str:
-        """Return the watcher by a domain's last aggregate, empty if that is old."""
-        announcement = self.announcements.get(domain)
-        if announcement is None:
-            return ""
-        age_s = self.table.clock() - announcement.received_at
-        return announcement.name if age_s < ANNOUNCEMENT_EXPIRY_S else ""
+        return True
+
+    def is_recent(self, received: ReceivedLoad) -> bool:
+        """Return whether an aggregate is recent enough to be acted on."""
+        return self.table.clock() - received.received_at < LOAD_EXPIRY_S
+
+    def drop_expired(self) -> list[str]:
+        """Drop the aggregates that aren't recent; return their failure domains."""
+        expired = [
+            domain
+            for domain, received in self.received.items()
+            if not self.is_recent(received)
+        ]
+        for domain in expired:
+            del self.received[domain]
+        return expired
 
     def contacts(self, domain: str) -> list[Peer]:
         """Return the gateways to send a message to that is meant for a watcher.
--- a/src/baobabturn/wire/codec.py
+++ b/src/baobabturn/wire/codec.py
@@ -11,7 +11,7 @@
 import capnp
 
 from baobabturn.core.results import Code, Failure
-from baobabturn.wire.messages import BODIES
+from baobabturn.wire.bodies import BODIES
 
 VERSION = 1
 TRAVERSAL_WORDS = 8 * 1024 * 1024
--- /dev/null
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -0,0 +1,123 @@
+"""The messages that gateways exchange, one class for each schema struct."""
+
+from __future__ import annotations
+
+import attrs
+
+from baobabturn.wire.messages import Holdings, Release
+
+
+@attrs.define(kw_only=True, slots=True)
+class GatewayState:
+    """A gateway's sign of life, and the places at engines that it holds.
+
+    ``callers`` is where callers reach it, ``serving`` says whether they may be
+    sent there.  With ``full`` the holdings are all that it holds.  ``next_ms`` is the
+    interval until its next heartbeat to the receiver, 0 in other messages.
+    """
+
+    node: str = ""
+    failure_domain: str = ""
+    callers: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    serving: bool = False
+    full: bool = False
+    holdings: list[Holdings] = attrs.Factory(list)
+    ended: list[Release] = attrs.Factory(list)
+    next_ms: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class PeerSilent:
+    """Reports that a gateway sent no heartbeat to ``node``, one of its monitors."""
+
+    node: str = ""
+    gateway: str = ""
+    incarnation: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class EngineLoad:
+    """The load of some gateways' requests on an engine.
+
+    ``tokens`` is the KV memory that they are expected to use at their peak.
+    """
+
+    pool: str = ""
+    endpoint: str = ""
+    tokens: int = 0
+    requests: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class DomainLoad:
+    """The gateways of a failure domain and their load on engines, in aggregate.
+
+    ``stamp`` is the time of the hybrid logical clock at which ``node`` wrote it.
+    ``serving`` counts the gateways that callers may be sent to, ``callers`` are the
+    addresses of some of them.  ``forwarded`` is set on copies within a domain.
+    """
+
+    node: str = ""
+    failure_domain: str = ""
+    stamp: int = 0
+    serving: int = 0
+    callers: list[str] = attrs.Factory(list)
+    engines: list[EngineLoad] = attrs.Factory(list)
+    forwarded: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class StoreChange:
+    """One change of an object; ``value`` is compressed JSON, empty for a removal."""
+
+    name: str = ""
+    version: int = 0
+    value: bytes = b""
+
+
+@attrs.define(kw_only=True, slots=True)
+class StoreNews:
+    """Changes of one kind of the platform's objects, as a watcher saw them.
+
+    ``before`` is the version of the change before these, ``version`` that of the
+    last of them; ``returning`` says that the store has just come back.
+    """
+
+    node: str = ""
+    kind: str = ""
+    before: int = 0
+    version: int = 0
+    changes: list[StoreChange] = attrs.Factory(list)
+    returning: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class StoreState:
+    """Up to which change a kind is known, and how old that knowledge may be."""
+
+    kind: str = ""
+    version: int = 0
+    age_ms: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class StoreAsk:
+    """Asks a watcher what it knows; ``stamp`` is a time of the asker's clock.
+
+    ``known`` says up to which change the asker knows each kind.
+    """
+
+    node: str = ""
+    stamp: int = 0
+    known: list[StoreState] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class StoreVouch:
+    """What a watcher knows, with the stamp that it was asked with."""
+
+    node: str = ""
+    stamp: int = 0
+    items: list[StoreState] = attrs.Factory(list)
