Gateway: logs name the parts of a prompt, and endpoints that crashed

Cause: when a stream broke off, the logs didn't say whether its endpoint had ended, how long it had been writing, or what was in the prompt, so they couldn't tell engines that a request ends from engines that end under load. Change: request-received names the parts, stream-cut the time since the response's head; after a break one connection to the endpoint is tried, and if it is refused, endpoint-crashed is logged with the parts and counted in crashes_seen.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -64,6 +64,7 @@
     POOL_RELEASED = "pool-released"
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_SUSPECT = "endpoint-suspect"
+    ENDPOINT_CRASHED = "endpoint-crashed"
     ENDPOINT_RESTORED = "endpoint-restored"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
@@ -101,7 +102,9 @@
     Event.CONFIG_ASKED: "A controller has asked platform and peers, and may serve.",
     Event.MEMBER_LEAVING: "A host is draining or stopping.",
     Event.MEMBER_REFUTED: "This host refuted a report that it is suspect or dead.",
-    Event.REQUEST_RECEIVED: "An entry received a caller's request.",
+    Event.REQUEST_RECEIVED: (
+        "An entry received a caller's request; `parts` are those of its prompt."
+    ),
     Event.REQUEST_QUEUED: "A request waits in a pool's queue.",
     Event.REQUEST_GRANTED: "A request got a reservation at an endpoint.",
     Event.REQUEST_REFUSED: (
@@ -131,6 +134,10 @@
     Event.ENDPOINT_SUSPECT: (
         "An endpoint gets fewer new requests because it is slow or silent."
     ),
+    Event.ENDPOINT_CRASHED: (
+        "A response broke off `began_ms` after its head, and its endpoint refuses"
+        " connections; `parts` are those of the request's prompt."
+    ),
     Event.ENDPOINT_RESTORED: "An endpoint gets its full share of new requests again.",
     Event.PLATFORM_DOWN: "Calls to the platform fail.",
     Event.PLATFORM_UP: "Calls to the platform succeed again.",
@@ -176,7 +183,10 @@
     Event.STREAM_FINISHED: (
         "A stream is complete; `gap_at` is the engine and event of its longest pause."
     ),
-    Event.STREAM_CUT: "A stream from an endpoint ended before its last event.",
+    Event.STREAM_CUT: (
+        "A stream from an endpoint ended before its last event, `began_ms` after its"
+        " head."
+    ),
 }
 
 
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -19,6 +19,7 @@
 HELP = {
     "answer_us": "Time from a request's arrival to the end of its response, by route.",
     "attempt_us": "Duration of an attempt at an endpoint of a plain service.",
+    "crashes_seen": "Responses that broke off because their endpoint crashed.",
     "datagrams_refused": "Datagrams refused for a wrong signature or content.",
     "datagrams_undelivered": "Datagrams that could not be delivered.",
     "time_to_first_event_us": "Time from a request's arrival to its first event.",
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -13,6 +13,7 @@
 from baobabturn.core.serving import wait_for_disconnect
 from baobabturn.entry.bodies import BodyReader, body_length
 from baobabturn.entry.responses import error_body, send_bytes, send_json
+from baobabturn.gateway.crashwatch import part_ids
 from baobabturn.gateway.endpointclient import CompleteResponse
 from baobabturn.gateway.httpheaders import (
     CONNECTION_CLOSE,
@@ -199,6 +200,7 @@
             service=request.service.name,
             revision=node.table.version if node.table else 0,
             left_ms=int(request.remaining_s() * MS_PER_S),
+            parts=part_ids(request),
         )
         refusal = self.stopping_refusal(request)
         if refusal is not None:
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -14,6 +14,7 @@
 from baobabturn.core.results import Failure
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.directory import Directory
 from baobabturn.gateway.domainloads import DomainLoads
 from baobabturn.gateway.endpointclient import EndpointClient
@@ -133,12 +134,14 @@
             endpoint_client=endpoint_client,
             budget=self.budget,
         )
+        self.crash_watch = CrashWatch(program=program)
         self.streams = Streams(
             program=program,
             pools=self.pools,
             endpoints=self.endpoints,
             endpoint_client=endpoint_client,
             budget=self.budget,
+            crash_watch=self.crash_watch,
             connection_headers=self.connection_headers,
         )
         self.migrator = Migrator(
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -52,7 +52,8 @@
 class RelayedStream:
     """Relays one generation to one caller, wherever it runs.
 
-    ``last_event_id`` is the id of the last event sent to the caller.  A migration
+    ``last_event_id`` is the id of the last event sent to the caller, ``began_at`` the
+    monotonic time at which the response of the newest attempt began.  A migration
     sets ``continuation_future`` to the reservation and the copied KV cache with
     which the generation continues, or to None if the migration failed.
     """
@@ -70,6 +71,7 @@
         self.excluded: list[str] = []
         self.last_event_id = b""
         self.attempts_sent = 0
+        self.began_at = 0.0
         self.head_sent = False
         self.ended = False
         self.progress_recorded_at = 0.0
@@ -196,6 +198,7 @@
             self.record_refusal(reservation, response)
             return response
         self.response = response
+        self.began_at = time.monotonic()
         self.attempts_sent += 1
         return await self.send_head(response)
 
@@ -322,9 +325,14 @@
             request=self.request.request_id,
             endpoint=endpoint_name(self),
             events=self.times.event_count,
+            began_ms=int((time.monotonic() - self.began_at) * MS_PER_S),
             reason=str(interruption),
             moving=self.continuation_future is not None,
         )
+        if self.endpoint is not None and self.continuation_future is None:
+            self.parts.crash_watch.record_broken(
+                self.request, self.endpoint, self.began_at
+            )
         if self.response is not None:
             self.response.close()
         if interruption.code in (Code.DEADLINE_PARTIAL, Code.DEADLINE_UNKNOWN):
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -8,6 +8,7 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.pools import EnginePools
@@ -27,6 +28,7 @@
         endpoints: Endpoints,
         endpoint_client: EndpointClient,
         budget: FleetRetryBudget,
+        crash_watch: CrashWatch,
         connection_headers: Callable[[], Headers],
     ):
         self.program = program
@@ -36,6 +38,7 @@
             endpoints=endpoints,
             endpoint_client=endpoint_client,
             budget=budget,
+            crash_watch=crash_watch,
             connection_headers=connection_headers,
         )
         self.active: set[RelayedStream] = set()
--- a/src/baobabturn/gateway/streamparts.py
+++ b/src/baobabturn/gateway/streamparts.py
@@ -8,6 +8,7 @@
 
 from baobabturn.core.program import Program
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.pools import EnginePools
@@ -23,6 +24,7 @@
     endpoints: Endpoints
     endpoint_client: EndpointClient
     budget: FleetRetryBudget
+    crash_watch: CrashWatch
     connection_headers: Callable[[], Headers]
 
 
