--- a/fakes/rawhttp.py
+++ b/fakes/rawhttp.py
@@ -67,8 +67,11 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.handle_connection, "127.0.0.1", 0)
+        """Listen on a free port, or after a stop on the one that it had."""
+        port = int(self.address.rpartition(":")[2]) if self.address else 0
+        self.server = await asyncio.start_server(
+            self.handle_connection, "127.0.0.1", port
+        )
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
