Gateway: parts of prompts that crash engines are kept from them

What callers saw: streams of all kinds broke off again and again, as prompts with one part ended each engine that began to answer them, for as long as they came. Cause: a request that failed was judged alone and by its own gateway. Nothing put together that the prompts under which engines crash have a part in common, so each of them was sent, and sent again, as if nothing had happened: no memory of a crash outlived its request, and none was shared. Change: a ledger of crashes (quarantine/ledger.py, no network) counts for each part the crashes of engines that had just begun to answer it, and no answer since. Three crashes quarantine a part that was never answered, five one that was; of several the one with the fewest answers, and the crashes that it explains count against no other. Gateways exchange what they know at once (gateway/partnews.py); a quarantine is also written to the store, for the case that all start anew. Every send asks the ledger right before, streams not yet answered are aborted, a suspect isn't tried again. Quarantines end and are followed by probation; all memory is bounded.

--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -10,9 +12,11 @@
 from baobabturn.core.program import Program
 from baobabturn.gateway.directory import Directory
 from baobabturn.gateway.domainloads import SEND_INTERVAL_S, DomainLoads
+from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.platforminterface import GatewayRecord
 from baobabturn.gateway.watchers import Watchers
+from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.settings.load import load
 from baobabturn.wire.gatewaymessages import EngineLoad
 from baobabturn.wire.messages import Holding, Holdings, Release
@@ -115,6 +119,14 @@
             watchers=self.watchers,
         )
         self.directory = Directory(peers=self.peers, domain_loads=self.loads)
+        self.ledger = CrashLedger(clock=self.fleet.clock)
+        self.part_news = PartNewsExchange(
+            peers=self.peers,
+            watchers=self.watchers,
+            ledger=self.ledger,
+            schedule=self.fleet.schedule,
+        )
+        self.loads.send_listeners.append(self.part_news.send_active_parts)
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram."""
@@ -157,6 +169,9 @@
         self.datagrams: collections.deque[Any] = collections.deque()
         self.starts = 0
         self.loads_due_at = self.clock.now
+        self.loss_ratio = 0.0
+        self.random = random.Random(size)
+        self.scheduled: list[tuple[float, Callable[[], None]]] = []
         self.gateways = [
             FleetGateway(number=number, domain=f"z{number % domains}", fleet=self)
             for number in range(size)
@@ -178,10 +193,24 @@
         """Deliver all datagrams, and those that they bring about."""
         while self.datagrams:
             sender, address, data = self.datagrams.popleft()
+            if self.random.random() < self.loss_ratio:
+                continue
             receiver = self.by_address.get(address)
             if receiver is not None:
                 receiver.receive(sender, data)
 
+    def schedule(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call a function once time has passed."""
+        self.scheduled.append((self.clock.now + delay_s, callback))
+
+    def call_scheduled(self) -> None:
+        """Call the functions that are due."""
+        due = [each for each in self.scheduled if each[0] <= self.clock.now]
+        self.scheduled = [each for each in self.scheduled if each[0] > self.clock.now]
+        for _, callback in due:
+            callback()
+        self.deliver()
+
     def pass_time(self, seconds: float) -> None:
         """Let time pass, a heartbeat of each gateway at each step."""
         end = self.clock.now + seconds
@@ -193,6 +222,7 @@
             for gateway in self.running():
                 gateway.peers.check_silence()
             self.deliver()
+            self.call_scheduled()
             self.exchange_loads()
 
     def exchange_loads(self) -> None:
--- a/features/gatewayfleet.feature
+++ b/features/gatewayfleet.feature
@@ -135,3 +135,46 @@
     When the far ones are gone and the second fills up
     And a long request comes
     Then it goes to the first engine
+
+  # Guards against prompts that crash one engine after the other at different gateways.
+  Scenario Outline: Crashes that many gateways see one by one are put together (<size>)
+    Given a fleet of <size> gateways in <domains> failure domains
+    When the fleet runs for 4 seconds
+    And a tenth of all datagrams gets lost
+    And 5 gateways see an engine crash under one part, 0.6 seconds apart
+    And the fleet runs for 2.4 seconds
+    Then all gateways refuse that part and no other
+
+    Examples:
+      | size | domains |
+      | 2    | 2       |
+      | 9    | 4       |
+      | 65   | 3       |
+      | 195  | 3       |
+      | 350  | 5       |
+
+  # Guards against a gateway that sends a quarantined prompt after its restart.
+  Scenario Outline: A gateway that starts anew, or was cut off, hears of the part (<size>)
+    Given a fleet of <size> gateways in 3 failure domains
+    When the fleet runs for 4 seconds
+    And the gateway 2 hears nobody
+    And 5 gateways see an engine crash under one part, 0.6 seconds apart
+    And the fleet runs for 2.4 seconds
+    And the gateway 2 hears all others again
+    And the gateway 1 is restarted
+    And the fleet runs for 2.4 seconds
+    Then all gateways refuse that part and no other
+
+    Examples:
+      | size |
+      | 9    |
+      | 195  |
+
+  Scenario: An answer at one gateway clears a part at all
+    Given a fleet of 195 gateways in 3 failure domains
+    When the fleet runs for 4 seconds
+    And 5 gateways see an engine crash under one part, 0.6 seconds apart
+    And the fleet runs for 2.4 seconds
+    And a gateway sees an answer to a prompt with that part
+    And the fleet runs for 2.4 seconds
+    Then no gateway refuses that part
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -66,6 +66,8 @@
     ENDPOINT_SUSPECT = "endpoint-suspect"
     ENDPOINT_CRASHED = "endpoint-crashed"
     ENDPOINT_RESTORED = "endpoint-restored"
+    PART_QUARANTINED = "part-quarantined"
+    PART_CLEARED = "part-cleared"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
     LINK_OPENED = "link-opened"
@@ -136,7 +138,15 @@
     ),
     Event.ENDPOINT_CRASHED: (
         "A response broke off `began_ms` after its head, and its endpoint refuses"
-        " connections; `parts` are those of the request's prompt."
+        " connections; `parts` are those of the request's prompt, `suspect` says"
+        " whether they may have caused it."
+    ),
+    Event.PART_QUARANTINED: (
+        "A part of prompts crashed engines; prompts with it are refused for `for_s`."
+        " `term` counts its quarantines, `answers` its prompts answered before."
+    ),
+    Event.PART_CLEARED: (
+        "An answer to a prompt with a quarantined part shows that the part is sound."
     ),
     Event.ENDPOINT_RESTORED: "An endpoint gets its full share of new requests again.",
     Event.PLATFORM_DOWN: "Calls to the platform fail.",
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -46,6 +46,7 @@
     "pools_owned": "Pools that the scheduler owns.",
     "process_cpu_seconds": "Processor time of the process, user and system.",
     "process_resident_bytes": "Resident memory of the process.",
+    "quarantines": "Quarantines of parts of prompts that crash engines.",
     "queue_time_us": "Time from a request's arrival to its reservation, by kind.",
     "reports_read": "Engine reports read directly while the store did not respond.",
     "requests_waiting": "Requests in the queues of the owned pools.",
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -1,4 +1,9 @@
-"""Finds out whether an endpoint has crashed when a response of it breaks off."""
+"""Keeps prompts from engines that they would crash.
+
+Reports to the ledger of crashes which answers broke off with their engine and which
+were written, and refuses requests with a quarantined part.  Everything that sends a
+request to an endpoint asks here right before.
+"""
 
 from __future__ import annotations
 
@@ -6,45 +11,98 @@
 import logging
 import time
 
+from baobabturn.core.clock import stamp_ms
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
+from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peer import parse_address
+from baobabturn.gateway.quarantinestore import QuarantineStore
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.quarantine.ledger import CrashLedger, PartRecord
 
 # A host that is up accepts or refuses a connection within this time.
 PROBE_TIMEOUT_S = 1.0
+# A crash that this request may have caused is known so soon as a rule.
+VERDICT_WAIT_S = 0.1
+# An answer that was under way for longer when its engine crashed is no suspect, unless
+# it had no event yet.
+SUSPECT_AGE_S = 1.0
+# An answer that has been under way for so long shows that its prompt is sound.
+SOUND_AGE_S = 2.0
 MS_PER_S = 1000
 
 log = logging.getLogger("baobabturn.gateway.crashwatch")
 
 
 class CrashWatch:
-    """Checks the endpoints of responses that broke off, and logs those that crashed.
+    """Watches for prompts that crash engines, and refuses them.
 
     A process that has ended refuses new connections, while one whose connections
     were cut on the way takes them.  So one connection tells a crash from a cut.
     """
 
-    def __init__(self, *, program: Program):
+    def __init__(
+        self,
+        *,
+        program: Program,
+        ledger: CrashLedger,
+        exchange: PartNewsExchange,
+        store: QuarantineStore,
+    ):
         self.program = program
+        self.ledger = ledger
+        self.exchange = exchange
+        self.store = store
+        ledger.quarantine_listeners.append(self.log_quarantine)
+
+    def refusal(self, request: CallerRequest) -> Failure | None:
+        """Return why a request may not be sent to any endpoint, None if it may."""
+        remaining_s = self.ledger.remaining_s(suspect_parts(request))
+        if not remaining_s:
+            return None
+        return Failure(
+            Code.PROMPT_QUARANTINED,
+            f"a part of the prompt crashed engines; refused for {remaining_s:.0f} s",
+            retry_after_s=remaining_s,
+        )
 
-    def record_broken(
-        self, request: CallerRequest, endpoint: Endpoint, began_at: float
+    def may_crash_engines(self, request: CallerRequest) -> bool:
+        """Return whether a request that failed shouldn't be sent to another engine."""
+        return self.ledger.are_suspect(suspect_parts(request))
+
+    async def record_broken(
+        self,
+        request: CallerRequest,
+        endpoint: Endpoint,
+        *,
+        began_at: float,
+        event_count: int,
     ) -> None:
-        """Check an endpoint whose response broke off.
+        """Record that a response broke off; find out whether its endpoint crashed.
 
-        ``began_at`` is the monotonic time at which the response's head arrived.
+        ``began_at`` is the monotonic time at which the response's head arrived.  Wait
+        a little for the outcome, so that it counts for the request's next attempt.
         """
-        self.program.background.start(
-            self.check(request, endpoint, time.monotonic() - began_at),
+        if not suspect_parts(request):
+            return
+        began_s = time.monotonic() - began_at
+        is_suspect = not event_count or began_s <= SUSPECT_AGE_S
+        check = self.program.background.start(
+            self.check(request, endpoint, began_s, is_suspect),
             f"crash-check-{request.request_id}",
         )
+        await asyncio.wait({check}, timeout=VERDICT_WAIT_S)
 
     async def check(
-        self, request: CallerRequest, endpoint: Endpoint, began_s: float
+        self,
+        request: CallerRequest,
+        endpoint: Endpoint,
+        began_s: float,
+        is_suspect: bool,
     ) -> None:
-        """Log the endpoint's crash, if it has crashed."""
+        """Record the crash of an endpoint, if it has crashed."""
         if not await refuses_connections(endpoint.record.address):
             return
         self.program.metrics.count("crashes_seen")
@@ -54,8 +112,58 @@
             endpoint=endpoint.name,
             began_ms=int(began_s * MS_PER_S),
             parts=part_ids(request),
+            suspect=is_suspect,
+        )
+        if is_suspect:
+            self.record_crash(request, endpoint)
+
+    def record_crash(self, request: CallerRequest, endpoint: Endpoint) -> None:
+        """Tell all gateways that a request may have crashed an endpoint."""
+        parts = suspect_parts(request)
+        changed = self.ledger.record_crash(
+            endpoint.name, parts, stamp_ms=stamp_ms(self.program.clock.now())
+        )
+        self.exchange.publish(changed)
+        for record in self.ledger.quarantined(parts):
+            self.store.save(record)
+
+    def record_answer(self, request: CallerRequest, *, began_at: float) -> None:
+        """Record that a request's answer was written, whole or for long enough."""
+        changed = self.ledger.record_answer(suspect_parts(request), began_at=began_at)
+        self.exchange.publish(changed)
+        for part in changed:
+            if self.ledger.records[part].lifted:
+                self.log_lifted(part)
+                self.store.remove(part)
+
+    def log_quarantine(self, record: PartRecord) -> None:
+        """Log that a quarantine has begun, here or at another gateway."""
+        self.program.metrics.count("quarantines")
+        self.program.events.emit(
+            Event.PART_QUARANTINED,
+            part=record.part,
+            crashes=",".join(crash.endpoint for crash in record.crashes),
+            answers=record.answers,
+            term=record.term,
+            for_s=int(self.ledger.remaining_s([record.part])),
         )
 
+    def log_lifted(self, part: str) -> None:
+        """Log that an answer has ended a quarantine or probation."""
+        self.program.events.emit(Event.PART_CLEARED, part=part)
+
+
+def suspect_parts(request: CallerRequest) -> list[str]:
+    """Return the ids of the parts of a prompt that other prompts may share.
+
+    That is all but the last one, which belongs to this prompt or its session alone.
+    """
+    size = request.generation_size
+    if size is None:
+        return []
+    parts = [part for part, _ in size.prompt_parts]
+    return parts[:-1] or parts
+
 
 def part_ids(request: CallerRequest) -> str:
     """Return the ids of a request's prompt parts for a log line."""
@@ -72,7 +180,7 @@
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError) as error:
-        log.info("event=probe-failed address=%s error=%s", address, error)
+        log.info("event=probe-failed address=%s error=%r", address, error)
         return False
     writer.close()
     return False
--- a/src/baobabturn/gateway/domainloads.py
+++ b/src/baobabturn/gateway/domainloads.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -37,6 +38,7 @@
         self.table = peers.table
         self.pools = pools
         self.watchers = watchers
+        self.send_listeners: list[Callable[[], None]] = []
         peers.handlers[DomainLoad] = self.handle_load
 
     async def run(self) -> None:
@@ -55,6 +57,8 @@
         load = self.own_load()
         for domain in self.table.far_domains():
             self.peers.send_message(load, self.watchers.contacts(domain))
+        for listener in self.send_listeners:
+            listener()
 
     def own_load(self) -> DomainLoad:
         """Return the aggregate of the own domain."""
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import aiohttp
 import attrs
@@ -13,6 +14,7 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
+from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.platforminterface import (
     Continuation,
@@ -29,11 +31,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class OpenResponse:
-    """An endpoint's response whose body has not been read yet."""
+    """An endpoint's response whose body has not been read yet.
+
+    ``began_at`` is the monotonic time at which its head arrived.
+    """
 
     response: aiohttp.ClientResponse
     headers: Headers
     response_metadata: ResponseMetadata
+    began_at: float = attrs.Factory(time.monotonic)
 
     @property
     def status(self) -> int:
@@ -63,10 +69,12 @@
         transport: Transport,
         header_translator: HeaderTranslator,
         body_memory: BodyMemory,
+        crash_watch: CrashWatch,
     ):
         self.transport = transport
         self.header_translator = header_translator
         self.body_memory = body_memory
+        self.crash_watch = crash_watch
 
     async def open(
         self,
@@ -144,12 +152,17 @@
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, f"no response in {timeout_s:.3g} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if isinstance(open_response, OpenResponse):
+                await self.crash_watch.record_broken(
+                    request, endpoint, began_at=open_response.began_at, event_count=0
+                )
             return failure_from_exception(error)
         finally:
             if isinstance(open_response, OpenResponse):
                 open_response.close()
         if isinstance(body, Failure):
             return body
+        self.crash_watch.record_answer(request, began_at=open_response.began_at)
         return CompleteResponse(
             status=open_response.status, headers=open_response.headers, body=body
         )
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -22,6 +22,7 @@
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
 from baobabturn.gateway.migration import Migrator
 from baobabturn.gateway.mirror import Mirror, StoreContact
+from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peer import NEVER, parse_address
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.plain import PlainForwarder
@@ -32,6 +33,7 @@
     ObjectCodec,
 )
 from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.quarantinestore import QuarantineStore
 from baobabturn.gateway.registry import Registry
 from baobabturn.gateway.reportpoller import ReportPoller
 from baobabturn.gateway.request import Headers
@@ -41,6 +43,7 @@
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.transport import Transport
 from baobabturn.gateway.watchers import Watchers
+from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.settings.model import Gateway
 from baobabturn.store.interface import Change, ObjectStore
 
@@ -123,18 +126,20 @@
             limit_bytes=settings.body_memory_bytes,
             wait_s=program.settings.entry.body_wait_s,
         )
+        self.crash_watch = self.make_crash_watch(store)
         endpoint_client = EndpointClient(
             transport=transport,
             header_translator=header_translator,
             body_memory=self.body_memory,
+            crash_watch=self.crash_watch,
         )
         self.plain = PlainForwarder(
             program=program,
             endpoints=self.endpoints,
             endpoint_client=endpoint_client,
             budget=self.budget,
+            crash_watch=self.crash_watch,
         )
-        self.crash_watch = CrashWatch(program=program)
         self.streams = Streams(
             program=program,
             pools=self.pools,
@@ -185,6 +190,26 @@
             mirrors=self.mirrors,
         )
 
+    def make_crash_watch(self, store: ObjectStore) -> CrashWatch:
+        """Return the parts that keep crashing prompts from engines."""
+        ledger = CrashLedger()
+        exchange = PartNewsExchange(
+            peers=self.peers, watchers=self.watchers, ledger=ledger
+        )
+        self.domain_loads.send_listeners.append(exchange.send_active_parts)
+        self.quarantine_store = QuarantineStore(
+            program=self.program,
+            store=store,
+            object_codec=self.object_codec,
+            ledger=ledger,
+        )
+        return CrashWatch(
+            program=self.program,
+            ledger=ledger,
+            exchange=exchange,
+            store=self.quarantine_store,
+        )
+
     async def start(self) -> None:
         """Open the socket for peers and start the background tasks."""
         background = self.program.background
@@ -195,6 +220,7 @@
             background.supervise(mirror.run, f"mirror-{mirror.kind}")
         background.supervise(self.store_updates.run, "store-updates")
         background.supervise(self.registry.run, "registry")
+        background.supervise(self.quarantine_store.run, "quarantine-store")
         background.supervise(self.peers.run_heartbeats, "heartbeat")
         background.supervise(self.domain_loads.run, "domain-loads")
         background.supervise(self.pools.detect_stragglers, "stragglers")
@@ -243,6 +269,7 @@
             not self.stopping_since
             and self.table is not None
             and self.endpoints.list_received
+            and self.quarantine_store.first_read_ended
             and self.config_staleness.allows_keys()
         )
 
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -81,6 +81,8 @@
         self.flush_scheduled = False
         self.last_monitors: list[Peer] = []
         self.reintroduced_at = NEVER
+        self.introduction_listeners: list[Callable[[list[Peer]], None]] = []
+        self.return_listeners: list[Callable[[], None]] = []
         self.handlers: dict[type, Callable[[Any, Peer], None]] = {
             PeerSilent: self.handle_silence_report
         }
@@ -149,6 +151,8 @@
         self.send_message(self.make_state(full=True, interval_s=ROUND_S), peers)
         for peer in peers:
             peer.introduced = True
+        for listener in self.introduction_listeners:
+            listener(peers)
 
     def reintroduce(self) -> None:
         """Send the near gateways this one's state after a cut has ended.
@@ -160,11 +164,18 @@
         if now - self.reintroduced_at >= REINTRODUCTION_INTERVAL_S:
             self.reintroduced_at = now
             self.introduce(self.table.near())
+            self.notify_return()
 
     def resume_after_pause(self) -> None:
         """Count silence anew, and tell the near gateways that this one is back."""
         self.table.restart_silence()
         self.introduce(self.table.near())
+        self.notify_return()
+
+    def notify_return(self) -> None:
+        """Tell the listeners that this gateway may have missed messages."""
+        for listener in self.return_listeners:
+            listener()
 
     def retain_gateways(self, names: set[str]) -> None:
         """Remove the silent gateways that are not among those named."""
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -10,6 +10,7 @@
 from baobabturn.entry.endpointranking import EndpointRanking
 from baobabturn.entry.outcome import AttemptState, attempt_state, may_retry
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointclient import CompleteResponse, EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.request import CallerRequest
@@ -32,11 +33,13 @@
         endpoints: Endpoints,
         endpoint_client: EndpointClient,
         budget: FleetRetryBudget,
+        crash_watch: CrashWatch,
     ):
         self.program = program
         self.endpoints = endpoints
         self.endpoint_client = endpoint_client
         self.budget = budget
+        self.crash_watch = crash_watch
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -50,6 +53,9 @@
                 break
             if request.remaining_s() < MIN_REMAINING_S:
                 break
+            refusal = self.crash_watch.refusal(request)
+            if refusal is not None:
+                return best or refusal
             if attempts_sent and not self.budget.try_spend(request.service.name):
                 break
             tried_endpoints.add(endpoint.name)
@@ -96,6 +102,8 @@
             if attempt_state(result) in (AttemptState.UNSENT, AttemptState.REFUSED):
                 return True
             allowed = may_retry(result, request.route.repeatable)
+            if self.crash_watch.may_crash_engines(request):
+                return False
             return allowed and attempts_sent < request.route.attempt_limit
         if result.status not in SERVER_ERRORS:
             return False
--- a/src/baobabturn/gateway/platforminterface.py
+++ b/src/baobabturn/gateway/platforminterface.py
@@ -45,6 +45,19 @@
     failure_domain: str
 
 
+@attrs.frozen(kw_only=True)
+class QuarantineRecord:
+    """A part of prompts that crashes engines, as it is kept in the platform's store.
+
+    ``term`` counts the quarantines of the part; the newest ends at ``ends_at``, in
+    seconds since the epoch.
+    """
+
+    part: str
+    term: int
+    ends_at: float
+
+
 @attrs.frozen(kw_only=True)
 class Continuation:
     """How another engine continues a generation after the last event sent.
@@ -121,6 +134,7 @@
     config_name: str
     endpoint_kind: str
     gateway_kind: str
+    quarantine_kind: str
 
     def decode_table(self, value: Any) -> RouteTable | Failure:
         """Return the configuration in an object."""
@@ -134,6 +148,12 @@
     def encode_gateway(self, record: GatewayRecord) -> Any:
         """Return the value to store for a gateway."""
 
+    def decode_quarantine(self, name: str, value: Any) -> QuarantineRecord | Failure:
+        """Return the quarantined part in an object."""
+
+    def encode_quarantine(self, record: QuarantineRecord) -> Any:
+        """Return the value to store for a quarantined part."""
+
 
 class CacheCopier(Protocol):
     """Copies running generations' KV caches, and reads engines' reports."""
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -9,7 +9,8 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.platforminterface import GatewayRecord, ObjectCodec
-from baobabturn.store.interface import ABSENT, ANY_VERSION, ObjectStore, StoredObject
+from baobabturn.store.interface import ObjectStore, StoredObject
+from baobabturn.store.upsert import upsert
 
 # Pauses after the first reads.  Of two gateways, the one that wrote its record later
 # sees the other's record at its first read and contacts it; the second read makes up
@@ -70,9 +71,7 @@
         """Write this gateway's record; the write is idempotent."""
         kind, name = self.object_codec.gateway_kind, self.record.name
         value = self.object_codec.encode_gateway(self.record)
-        written = await self.store.put(kind, name, value, ABSENT)
-        if isinstance(written, Failure) and written.code is Code.VERSION_CONFLICT:
-            written = await self.store.put(kind, name, value, ANY_VERSION)
+        written = await upsert(self.store, kind, name, value)
         return written if isinstance(written, Failure) else None
 
     async def read(self) -> Failure | None:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -17,6 +17,7 @@
     failure_from_exception,
     may_retry,
 )
+from baobabturn.gateway.crashwatch import SOUND_AGE_S
 from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.eventreader import EventReader, stall_timeout_s
@@ -52,8 +53,9 @@
 class RelayedStream:
     """Relays one generation to one caller, wherever it runs.
 
-    ``last_event_id`` is the id of the last event sent to the caller, ``began_at`` the
-    monotonic time at which the response of the newest attempt began.  A migration
+    ``last_event_id`` is the id of the last event sent to the caller, ``sent`` says
+    whether an engine may have got the request, ``answer_recorded`` that the newest
+    attempt has shown the prompt to be sound.  A migration
     sets ``continuation_future`` to the reservation and the copied KV cache with
     which the generation continues, or to None if the migration failed.
     """
@@ -69,9 +71,11 @@
         self.response: OpenResponse | None = None
         self.continuation_future: ContinuationFuture | None = None
         self.excluded: list[str] = []
+        self.abort_scope = asyncio.timeout(None)
         self.last_event_id = b""
         self.attempts_sent = 0
-        self.began_at = 0.0
+        self.answer_recorded = False
+        self.sent = False
         self.head_sent = False
         self.ended = False
         self.progress_recorded_at = 0.0
@@ -112,6 +116,13 @@
         if self.reservation is not None:
             self.pools.release(self.reservation, outcome)
 
+    def abort_failure(self) -> Failure:
+        """Return the failure of a stream that was aborted for its prompt."""
+        refusal = self.parts.crash_watch.refusal(self.request)
+        if refusal is not None and not self.sent:
+            return refusal
+        return Failure(Code.OUTCOME_UNKNOWN, "its prompt crashes engines")
+
     def drop_continuation(self) -> None:
         """Release the reservation of a migration that this stream no longer follows."""
         future, self.continuation_future = self.continuation_future, None
@@ -127,6 +138,9 @@
         for attempt in range(MAX_ENGINES_TRIED):
             remaining_s = self.request.remaining_s()
             queue_timeout_s = min(self.queue_timeout_s(), remaining_s - MIN_REMAINING_S)
+            refusal = self.parts.crash_watch.refusal(self.request)
+            if refusal is not None:
+                return failure or refusal
             if queue_timeout_s <= 0:
                 return failure or Failure(Code.DEADLINE_NOT_RUN, "no time was left")
             if self.attempts_sent and not self.try_spend_retry():
@@ -165,6 +179,8 @@
         """Return whether another engine may be tried after a failure."""
         if attempt_state(failure) in (AttemptState.UNSENT, AttemptState.REFUSED):
             return True
+        if self.parts.crash_watch.may_crash_engines(self.request):
+            return False
         repeatable = self.request.route.repeatable
         attempts_left = self.attempts_sent < self.request.route.attempt_limit
         return attempts_left and may_retry(failure, repeatable)
@@ -177,7 +193,12 @@
         if endpoint is None:
             self.pools.release(reservation, REFUSED)
             return Failure(Code.NO_ENDPOINT, f"{reservation.endpoint} is unknown")
+        refusal = self.parts.crash_watch.refusal(self.request)
+        if refusal is not None:
+            self.pools.release(reservation, ABANDONED)
+            return refusal
         self.reservation, self.endpoint = reservation, endpoint
+        self.sent = True
         self.program.events.emit(
             Event.ATTEMPT_SENT,
             request=self.request.request_id,
@@ -198,7 +219,7 @@
             self.record_refusal(reservation, response)
             return response
         self.response = response
-        self.began_at = time.monotonic()
+        self.answer_recorded = False
         self.attempts_sent += 1
         return await self.send_head(response)
 
@@ -262,9 +283,18 @@
             # The time that a slow caller takes isn't counted.
             if not all(event.is_comment for event in events):
                 reader.restart_stall_timer()
+        self.record_answer(self.response)
         self.finish(FINISHED)
         return None
 
+    def record_answer(self, response: OpenResponse) -> None:
+        """Record once for each attempt that an engine has answered the prompt."""
+        if not self.answer_recorded:
+            self.answer_recorded = True
+            self.parts.crash_watch.record_answer(
+                self.request, began_at=response.began_at
+            )
+
     async def relay_body(self, response: OpenResponse) -> Failure | None:
         """Pass on a response that is not a stream."""
         try:
@@ -317,6 +347,9 @@
             self.progress_recorded_at = times.last_event_at
             produced = times.event_count * tokens_per_event(self.request)
             self.pools.record_progress(self.reservation, produced)
+        response = self.response
+        if response and times.last_event_at - response.began_at >= SOUND_AGE_S:
+            self.record_answer(response)
 
     async def continue_elsewhere(self, interruption: Failure) -> Failure | None:
         """Continue an interrupted stream at another engine; return why that failed."""
@@ -325,16 +358,13 @@
             request=self.request.request_id,
             endpoint=endpoint_name(self),
             events=self.times.event_count,
-            began_ms=int((time.monotonic() - self.began_at) * MS_PER_S),
+            began_ms=self.began_ms(),
             reason=str(interruption),
             moving=self.continuation_future is not None,
         )
-        if self.endpoint is not None and self.continuation_future is None:
-            self.parts.crash_watch.record_broken(
-                self.request, self.endpoint, self.began_at
-            )
         if self.response is not None:
             self.response.close()
+        await self.record_broken()
         if interruption.code in (Code.DEADLINE_PARTIAL, Code.DEADLINE_UNKNOWN):
             return interruption
         migration_result = await self.await_migration()
@@ -344,6 +374,23 @@
             self.pools.release(self.reservation, FAILED)
         return await self.continue_by_rerun(interruption)
 
+    def began_ms(self) -> int:
+        """Return for how long the newest attempt's response has been under way."""
+        if self.response is None:
+            return 0
+        return int((time.monotonic() - self.response.began_at) * MS_PER_S)
+
+    async def record_broken(self) -> None:
+        """Find out whether the engine has crashed, unless a migration stopped it."""
+        if self.endpoint is None or self.response is None or self.continuation_future:
+            return
+        await self.parts.crash_watch.record_broken(
+            self.request,
+            self.endpoint,
+            began_at=self.response.began_at,
+            event_count=self.times.event_count,
+        )
+
     async def await_migration(self) -> tuple[HeldReservation, Continuation] | None:
         """Return what a migration provides to continue, None if there is none."""
         future = self.continuation_future
@@ -395,6 +442,8 @@
         route = self.request.route
         if not route.continuable or self.attempts_sent >= route.attempt_limit:
             return interruption
+        if self.parts.crash_watch.may_crash_engines(self.request):
+            return interruption
         if self.request.remaining_s() < MIN_REMAINING_S or not self.try_spend_retry():
             return interruption
         self.excluded.append(endpoint_name(self))
@@ -407,7 +456,13 @@
         if isinstance(reservation, Failure):
             return interruption
         continuation = Continuation(last_event_id=self.last_event_id.decode("latin-1"))
-        return await self.open_at(reservation, continuation)
+        failure = await self.open_at(reservation, continuation)
+        return interruption if is_quarantined(failure) else failure
+
+
+def is_quarantined(failure: Failure | None) -> bool:
+    """Return whether a prompt was refused because it crashes engines."""
+    return failure is not None and failure.code is Code.PROMPT_QUARANTINED
 
 
 def endpoint_name(stream: RelayedStream) -> str:
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.gateway.budget import FleetRetryBudget
-from baobabturn.gateway.crashwatch import CrashWatch
+from baobabturn.gateway.crashwatch import CrashWatch, suspect_parts
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.relayedstream import RelayedStream, Send
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.streamparts import StreamParts
+from baobabturn.quarantine.ledger import PartRecord
 
 
 class Streams:
@@ -42,6 +44,7 @@
             connection_headers=connection_headers,
         )
         self.active: set[RelayedStream] = set()
+        crash_watch.ledger.quarantine_listeners.append(self.abort_unanswered)
 
     async def forward(self, request: CallerRequest, send: Send) -> Failure | None:
         """Relay one stream; return why it failed, None if it was complete.
@@ -51,7 +54,12 @@
         stream = RelayedStream(parts=self.parts, request=request, send=send)
         self.active.add(stream)
         try:
-            failure = await stream.run()
+            async with stream.abort_scope:
+                failure = await stream.run()
+        except TimeoutError:
+            if not stream.abort_scope.expired():
+                raise
+            failure = stream.abort_failure()
         finally:
             self.active.discard(stream)
         times = stream.times
@@ -70,6 +78,20 @@
             )
         return failure
 
+    def abort_unanswered(self, part: PartRecord) -> None:
+        """Abort the streams whose prompt has a part that has just been quarantined.
+
+        Those that have had an event go on: their engine stands their prompt.
+        """
+        now = asyncio.get_running_loop().time()
+        for stream in self.active:
+            is_unanswered = not stream.times.event_count
+            is_aborted = stream.abort_scope.when() is not None
+            if is_aborted or not is_unanswered:
+                continue
+            if part.part in suspect_parts(stream.request):
+                stream.abort_scope.reschedule(now)
+
     def active_at(self, endpoint: Endpoint) -> list[RelayedStream]:
         """Return the active streams whose generation is at an endpoint."""
         return [
--- a/src/baobabturn/platform/documents.py
+++ b/src/baobabturn/platform/documents.py
@@ -6,7 +6,11 @@
 from typing import Any
 
 from baobabturn.core.results import Code, Failure
-from baobabturn.gateway.platforminterface import EndpointRecord, GatewayRecord
+from baobabturn.gateway.platforminterface import (
+    EndpointRecord,
+    GatewayRecord,
+    QuarantineRecord,
+)
 from baobabturn.gateway.routes import (
     CallerLimits,
     EngineTraits,
@@ -55,12 +59,13 @@
 
 
 class PlatformObjectCodec:
-    """Decodes the platform's kinds of objects and the kind that gateways add."""
+    """Decodes the platform's kinds of objects and the kinds that gateways add."""
 
     config_kind = "config"
     config_name = "main"
     endpoint_kind = "servers"
     gateway_kind = "baobabturn-gateways"
+    quarantine_kind = "baobabturn-quarantine"
 
     def decode_table(self, value: Any) -> RouteTable | Failure:
         """Return the configuration from an object's value."""
@@ -90,6 +95,21 @@
             "failure_domain": record.failure_domain,
         }
 
+    def decode_quarantine(self, name: str, value: Any) -> QuarantineRecord | Failure:
+        """Return the quarantined part from an object's value."""
+        return decode(
+            lambda: QuarantineRecord(
+                part=required_text(value["part"]),
+                term=required_int(value["term"]),
+                ends_at=float(value["ends_at"]),
+            ),
+            f"quarantine {name}",
+        )
+
+    def encode_quarantine(self, record: QuarantineRecord) -> Any:
+        """Return a quarantined part as an object's value."""
+        return {"part": record.part, "term": record.term, "ends_at": record.ends_at}
+
 
 def decode_endpoint_value(name: str, value: Any) -> EndpointRecord:
     """Return an endpoint; raise one of ``DECODE_ERRORS`` for an unusable value."""
--- /dev/null
+++ b/src/baobabturn/quarantine/ledger.py
@@ -0,0 +1,365 @@
+"""Decides which parts of prompts crash engines and have to be kept from them.
+
+The parts of a prompt whose answer had just begun when its engine crashed are suspects
+in that crash.  A part is quarantined once it is a suspect in several crashes and no
+prompt with it was answered after any of them.  Of several such parts the one with the
+fewest answers comes first, since sound prompts share the others; the crashes that it
+explains count against no other part any more.
+
+A quarantine ends by itself.  After it the part is on probation: one more crash brings
+a quarantine twice as long, one answer clears it.  All that is remembered expires and
+is bounded in number.
+
+Example::
+
+    ledger = CrashLedger()
+    ledger.record_crash("engine-1", ["shared", "draft"], stamp_ms=1000)
+    ledger.record_answer(["shared"], began_at=ledger.clock())
+    ledger.remaining_s(["shared", "draft"])  # 0.0: one crash is no proof
+"""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from baobabturn.quarantine.evidence import Crash, PartEvidence
+
+# The crashes that bring a quarantine: of a part that was never answered, of one that
+# was, and of one on probation.
+NEW_PART_CRASHES, KNOWN_PART_CRASHES, PROBATION_CRASHES = 3, 5, 1
+# With so many crashes a request isn't sent to another engine after a failure.
+SUSPECT_CRASHES = 2
+MIN_QUARANTINE_S = 300.0
+MAX_QUARANTINE_S = 3600.0
+# A part without a quarantine is forgotten so long after its last crash, one on
+# probation later.
+SUSPICION_EXPIRY_S = 600.0
+PROBATION_EXPIRY_S = 7200.0
+MAX_RECORDS = 512
+MAX_CRASHES_PER_PART = 16
+# How many answered parts are remembered.
+MAX_ANSWERED_PARTS = 2048
+MS_PER_S = 1000
+
+
+@attrs.define(kw_only=True, eq=False)
+class PartRecord:
+    """The evidence on one part; times are monotonic seconds.
+
+    ``seen_at`` holds when each crash became known here, in the order of ``crashes``.
+    """
+
+    part: str
+    depth: int = 0
+    answers: int = 0
+    crashes: list[Crash] = attrs.Factory(list)
+    seen_at: list[float] = attrs.Factory(list)
+    forgiven: list[Crash] = attrs.Factory(list)
+    term: int = 0
+    lifted: bool = False
+    quarantined_until: float = 0.0
+    changed_at: float = 0.0
+
+    def is_quarantined(self, now: float) -> bool:
+        """Return whether prompts with the part are refused now."""
+        return now < self.quarantined_until
+
+    def on_probation(self, now: float) -> bool:
+        """Return whether the last quarantine ended without an answer since."""
+        return bool(self.term) and not self.lifted and not self.is_quarantined(now)
+
+    def add_crash(self, crash: Crash, now: float) -> bool:
+        """Add a crash; return whether it was neither known nor forgiven."""
+        if any(crash.is_same(known) for known in (*self.crashes, *self.forgiven)):
+            return False
+        self.crashes = [*self.crashes, crash][-MAX_CRASHES_PER_PART:]
+        self.seen_at = [*self.seen_at, now][-MAX_CRASHES_PER_PART:]
+        self.changed_at = now
+        return True
+
+    def forgive(self, forgiven: list[Crash]) -> bool:
+        """Move crashes to the forgiven ones; return whether any is new there."""
+        new = [
+            crash
+            for crash in forgiven
+            if not any(crash.is_same(known) for known in self.forgiven)
+        ]
+        if not new:
+            return False
+        self.forgiven = [*self.forgiven, *new][-MAX_CRASHES_PER_PART:]
+        kept = [
+            (crash, seen_at)
+            for crash, seen_at in zip(self.crashes, self.seen_at, strict=True)
+            if not any(crash.is_same(known) for known in self.forgiven)
+        ]
+        self.crashes = [crash for crash, _ in kept]
+        self.seen_at = [seen_at for _, seen_at in kept]
+        return True
+
+
+class CrashLedger:
+    """The parts that are suspects in crashes or quarantined, by their ids.
+
+    ``quarantine_listeners`` are called with each part that is quarantined here.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.records: dict[str, PartRecord] = {}
+        self.answered: OrderedDict[str, int] = OrderedDict()
+        self.quarantine_listeners: list[Callable[[PartRecord], None]] = []
+
+    def record_crash(
+        self, endpoint: str, parts: Iterable[str], *, stamp_ms: int
+    ) -> list[str]:
+        """Record a crash and its suspects; return the parts of which more is known.
+
+        ``stamp_ms`` is the time of the hybrid clock.
+        """
+        self.expire()
+        now = self.clock()
+        crash = Crash(endpoint=endpoint, stamp_ms=stamp_ms)
+        changed = []
+        for depth, part in enumerate(parts):
+            record = self.record_of(part, now)
+            record.depth = max(record.depth, depth)
+            record.answers = max(record.answers, self.answered.get(part, 0))
+            if record.add_crash(crash, now):
+                changed.append(part)
+        self.decide(now)
+        return changed
+
+    def record_answer(self, parts: Iterable[str], *, began_at: float) -> list[str]:
+        """Record an answer that began at a monotonic time; return the parts it clears.
+
+        A crash that became known before the answer began is forgiven.
+        """
+        changed = []
+        for part in parts:
+            self.count_answer(part)
+            record = self.records.get(part)
+            if record is not None and self.clear(record, began_at):
+                changed.append(part)
+        return changed
+
+    def count_answer(self, part: str) -> None:
+        """Count an answered prompt with a part."""
+        self.answered[part] = self.answered.get(part, 0) + 1
+        self.answered.move_to_end(part)
+        if len(self.answered) > MAX_ANSWERED_PARTS:
+            self.answered.popitem(last=False)
+
+    def clear(self, record: PartRecord, began_at: float) -> bool:
+        """Forgive the crashes before an answer; return whether that changes much."""
+        record.answers = max(record.answers, self.answered[record.part])
+        earlier = [
+            crash
+            for crash, seen_at in zip(record.crashes, record.seen_at, strict=True)
+            if seen_at < began_at
+        ]
+        changed = record.forgive(earlier)
+        if record.term and not record.lifted and not record.crashes:
+            self.lift(record)
+            changed = True
+        return changed
+
+    def lift(self, record: PartRecord) -> None:
+        """End a quarantine or probation."""
+        record.lifted = True
+        record.quarantined_until = 0.0
+
+    def merge(self, items: Iterable[PartEvidence]) -> list[str]:
+        """Add what another host knows; return the parts of which more is known here."""
+        self.expire()
+        now = self.clock()
+        changed = [item.part for item in items if self.merge_item(item, now)]
+        self.decide(now)
+        return changed
+
+    def merge_item(self, item: PartEvidence, now: float) -> bool:
+        """Add what another host knows of one part; return whether it was news."""
+        record = self.record_of(item.part, now)
+        record.depth = max(record.depth, item.depth)
+        record.answers = max(record.answers, item.answers)
+        changed = record.forgive(item.forgiven)
+        for crash in item.crashes:
+            changed = record.add_crash(crash, now) or changed
+        return self.merge_quarantine(record, item, now) or changed
+
+    def merge_quarantine(
+        self, record: PartRecord, item: PartEvidence, now: float
+    ) -> bool:
+        """Adopt another host's newer quarantine, or the end of one."""
+        if (item.term, item.lifted) <= (record.term, record.lifted):
+            return False
+        was_quarantined = record.is_quarantined(now)
+        record.term, record.lifted = item.term, item.lifted
+        remaining_s = min(item.remaining_ms / MS_PER_S, MAX_QUARANTINE_S)
+        record.quarantined_until = now + remaining_s
+        record.changed_at = now
+        if record.is_quarantined(now) and not was_quarantined:
+            self.notify(record)
+        return True
+
+    def decide(self, now: float) -> None:
+        """Quarantine parts until no other one has too many unexplained crashes."""
+        while True:
+            suspects = [
+                record
+                for record in self.records.values()
+                if self.has_too_many_crashes(record, now)
+            ]
+            if not suspects:
+                return
+            self.quarantine(max(suspects, key=self.suspicion), now)
+
+    def has_too_many_crashes(self, record: PartRecord, now: float) -> bool:
+        """Return whether a part has to be quarantined."""
+        if record.is_quarantined(now):
+            return False
+        limit = KNOWN_PART_CRASHES if record.answers else NEW_PART_CRASHES
+        if record.on_probation(now):
+            limit = PROBATION_CRASHES
+        if len(record.crashes) < limit:
+            return False
+        return len(self.unexplained_crashes(record, now)) >= limit
+
+    def unexplained_crashes(self, record: PartRecord, now: float) -> list[Crash]:
+        """Return the crashes of a part that no quarantined one is a suspect in."""
+        explained = [
+            crash
+            for other in self.records.values()
+            if other is not record and other.is_quarantined(now)
+            for crash in other.crashes
+        ]
+        return [
+            crash
+            for crash in record.crashes
+            if not any(crash.is_same(known) for known in explained)
+        ]
+
+    def suspicion(self, record: PartRecord) -> tuple[int, int, int]:
+        """Return how suspect a part is; the highest one is quarantined first.
+
+        Of two parts with equal evidence the deeper one is shared by fewer prompts.
+        """
+        return (-record.answers, len(record.crashes), record.depth)
+
+    def quarantine(self, record: PartRecord, now: float) -> None:
+        """Begin the next quarantine of a part."""
+        record.term += 1
+        record.lifted = False
+        record.quarantined_until = now + quarantine_s(record.term)
+        record.changed_at = now
+        self.notify(record)
+
+    def notify(self, record: PartRecord) -> None:
+        """Tell the listeners that a quarantine has begun."""
+        for listener in self.quarantine_listeners:
+            listener(record)
+
+    def remaining_s(self, parts: Iterable[str]) -> float:
+        """Return how long prompts with these parts are refused, 0 if they aren't."""
+        now = self.clock()
+        ends = [record.quarantined_until for record in self.quarantined(parts)]
+        return max(ends, default=now) - now
+
+    def quarantined(self, parts: Iterable[str]) -> list[PartRecord]:
+        """Return the records of those of some parts that are quarantined."""
+        now = self.clock()
+        return [
+            record
+            for part in parts
+            if (record := self.records.get(part)) is not None
+            and record.is_quarantined(now)
+        ]
+
+    def are_suspect(self, parts: Iterable[str]) -> bool:
+        """Return whether any of these parts may well crash engines."""
+        now = self.clock()
+        for part in parts:
+            record = self.records.get(part)
+            if record is None or len(record.crashes) < SUSPECT_CRASHES:
+                continue
+            if len(self.unexplained_crashes(record, now)) >= SUSPECT_CRASHES:
+                return True
+        return False
+
+    def evidence(self, parts: Iterable[str]) -> list[PartEvidence]:
+        """Return what is known of some parts, to tell other hosts."""
+        now = self.clock()
+        return [
+            to_evidence(self.records[part], now)
+            for part in parts
+            if part in self.records
+        ]
+
+    def active_parts(self) -> list[str]:
+        """Return the parts that other hosts should know of, the newest first."""
+        self.expire()
+        active = [each for each in self.records.values() if each.crashes or each.term]
+        active.sort(key=lambda record: record.changed_at, reverse=True)
+        return [record.part for record in active]
+
+    def record_of(self, part: str, now: float) -> PartRecord:
+        """Return the record of a part, a new one if there is none."""
+        record = self.records.get(part)
+        if record is None:
+            self.make_room(now)
+            record = self.records[part] = PartRecord(part=part, changed_at=now)
+        return record
+
+    def make_room(self, now: float) -> None:
+        """Forget the expired records, and the least important one if all are in use."""
+        if len(self.records) < MAX_RECORDS:
+            return
+        self.expire()
+        if len(self.records) >= MAX_RECORDS:
+            least = min(
+                self.records.values(),
+                key=lambda each: (each.is_quarantined(now), each.changed_at),
+            )
+            del self.records[least.part]
+
+    def expire(self) -> None:
+        """Forget the parts whose evidence is too old."""
+        now = self.clock()
+        for part, record in list(self.records.items()):
+            if now >= expiry(record, now):
+                del self.records[part]
+            elif record.on_probation(now) and record.quarantined_until:
+                # The crashes before a quarantine don't count after it.
+                record.crashes, record.seen_at = [], []
+                record.quarantined_until = 0.0
+
+
+def expiry(record: PartRecord, now: float) -> float:
+    """Return the monotonic time at which a record is forgotten."""
+    if record.is_quarantined(now):
+        return record.quarantined_until + PROBATION_EXPIRY_S
+    kept_s = PROBATION_EXPIRY_S if record.on_probation(now) else SUSPICION_EXPIRY_S
+    return record.changed_at + kept_s
+
+
+def quarantine_s(term: int) -> float:
+    """Return the duration of a part's quarantine, counted from 1."""
+    return min(MIN_QUARANTINE_S * 2 ** (term - 1), MAX_QUARANTINE_S)
+
+
+def to_evidence(record: PartRecord, now: float) -> PartEvidence:
+    """Return a record in the form in which hosts exchange it."""
+    remaining_s = max(0.0, record.quarantined_until - now)
+    return PartEvidence(
+        part=record.part,
+        crashes=list(record.crashes),
+        forgiven=list(record.forgiven),
+        answers=record.answers,
+        depth=record.depth,
+        term=record.term,
+        lifted=record.lifted,
+        remaining_ms=int(remaining_s * MS_PER_S),
+    )
--- a/src/baobabturn/wire/bodies.py
+++ b/src/baobabturn/wire/bodies.py
@@ -5,6 +5,7 @@
 from baobabturn.wire.gatewaymessages import (
     DomainLoad,
     GatewayState,
+    PartNews,
     PeerSilent,
     StoreAsk,
     StoreNews,
@@ -72,4 +73,5 @@
     StoreVouch,
     PeerSilent,
     DomainLoad,
+    PartNews,
 )
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from baobabturn.quarantine.evidence import PartEvidence
 from baobabturn.wire.messages import Holdings, Release
 
 
@@ -121,3 +122,17 @@
     node: str = ""
     stamp: int = 0
     items: list[StoreState] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class PartNews:
+    """What a gateway knows of parts of prompts that may crash engines.
+
+    ``forwarded`` is set on copies within a domain; ``wanted`` asks the receiver for
+    what it knows.
+    """
+
+    node: str = ""
+    items: list[PartEvidence] = attrs.Factory(list)
+    forwarded: bool = False
+    wanted: bool = False
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -43,6 +43,7 @@
     storeVouch @34 :StoreVouch;
     peerSilent @35 :PeerSilent;
     domainLoad @36 :DomainLoad;
+    partNews @37 :PartNews;
   }
 }
 
@@ -371,3 +372,27 @@
   version @1 :UInt64;      # version of the last change known
   ageMs @2 :UInt32;        # time since nothing newer existed for certain
 }
+
+# What a gateway knows of parts of prompts that may crash engines.
+struct PartNews {
+  node @0 :Text;
+  items @1 :List(PartEvidence);
+  forwarded @2 :Bool;      # whether this is a copy sent on within a domain
+  wanted @3 :Bool;         # whether `node` asks for what the receiver knows
+}
+
+struct PartEvidence {
+  part @0 :Text;
+  crashes @1 :List(Crash);
+  forgiven @2 :List(Crash);
+  answers @3 :UInt32;      # answered prompts with the part
+  depth @4 :UInt16;        # place of the part in the prompt
+  term @5 :UInt32;         # number of quarantines of the part
+  lifted @6 :Bool;         # whether the newest of them was ended by an answer
+  remainingMs @7 :UInt32;  # until the newest of them ends
+}
+
+struct Crash {
+  endpoint @0 :Text;
+  stampMs @1 :UInt64;      # time of the hybrid clock
+}
