Tests: prompts that crash engines at the entries, failing on this code

Change: a stand-in engine whose process ends at a mark in the prompt; scenarios with three hosts and six engines, streamed and whole, and after a restart.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -11,6 +11,7 @@
 import asyncio
 import itertools
 import json
+import os
 import random
 import time
 
@@ -31,13 +32,17 @@
 KEEP_ENDED_S = 30.0
 NO_LIMIT = 1_000_000
 RUN_NUMBERS = 1_000_000_000
+# From a response's head to the end of a process that its prompt crashes.
+CRASH_DELAY_S = 0.05
 
 
 @attrs.define
 class Faults:
     """Faults of an engine, set by name over ``POST /control``.
 
-    -1 stands for no index or, for the last two, for the engine profile's value.
+    -1 stands for no index or, for ``report_lag_s`` and ``cache_event_loss``, for the
+    engine profile's value.  The process ends as it begins to answer a prompt that
+    contains ``crash_on``.
     """
 
     slow_factor: float = 1.0
@@ -57,6 +62,7 @@
     padding_bytes: int = 0
     report_lag_s: float = -1.0
     cache_event_loss: float = -1.0
+    crash_on: str = ""
 
 
 class FakeEngine:
@@ -184,10 +190,20 @@
         self.generations[generation.name] = generation
         self.started[generation.tag] = self.started.get(generation.tag, 0) + 1
         self.batcher.submit(generation)
+        if self.faults.crash_on and self.faults.crash_on in str(body.get("prompt")):
+            await self.crash(request)
         if body.get("stream"):
             return await self.stream(request, generation, 0)
         return await self.whole(generation)
 
+    async def crash(self, request: web.Request) -> None:
+        """End the process after the head of a response."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        await response.write(b": begins\n\n")
+        await asyncio.sleep(CRASH_DELAY_S)
+        os._exit(1)
+
     async def whole(self, generation: Generation) -> web.Response:
         """Answer with the complete text once the generation has ended."""
         while not generation.finish:
--- /dev/null
+++ b/features/entrycrashes.feature
@@ -0,0 +1,23 @@
+Feature: Prompts that crash engines don't end them all
+  Prompts with one part in common end each engine that begins to answer them.  The
+  engines are not back before the scenario ends.
+
+  # Guards against prompts that crash one engine after the other until none is left.
+  Scenario Outline: <kind> prompts that crash engines are refused, and sound ones served
+    Given a "herd" fleet of 3 hosts, 6 engines and 1 workers that a prompt crashes
+    When 12 <kind> prompts that crash engines come at all entries
+    Then at least 2 engines still run
+    And sound prompts with the same beginning are answered at all entries
+    And a prompt that crashes engines is refused at all entries
+
+    Examples:
+      | kind     |
+      | streamed |
+      | whole    |
+
+  # Guards against an entry that starts again and sends what the others refuse.
+  Scenario: A process that starts again refuses them too
+    Given a "herd" fleet of 3 hosts, 6 engines and 1 workers that a prompt crashes
+    When 12 streamed prompts that crash engines come at all entries
+    And the <program> of a host starts again, for each of "entry, scheduler"
+    Then a prompt that crashes engines is refused at all entries
