Entries: prompts that crash engines are refused before they end them all

What callers saw: prompts with one part in common ended each engine that began to answer them, also at the entries of the first interface, until none was left. Cause: the same as at the gateway: each failed attempt was judged alone, by its entry. Change: each entry has a ledger of crashes over the hashes of a prompt's leading blocks, and asks it before every admission, so for new attempts, restarts, hedges and the caller's own return, with or without a scheduler. The scheduler of a pool passes on what an entry knows to all entries, and tells it to one that starts. A refusal after an attempt that may have run is not sent as one that didn't run.

--- a/src/baobabturn/entry/generationreader.py
+++ b/src/baobabturn/entry/generationreader.py
@@ -13,6 +13,9 @@
 import time
 from typing import Any
 
+import yarl
+
+from baobabturn.core.probe import has_ended
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.engine import Chunk, ChunkStream
 from baobabturn.entry.node import Node
@@ -43,7 +46,7 @@
     last chunk, without the time in which ``read`` was not called.
     ``lost_connections`` are counted since the last chunk, ``first_lost_at`` is
     the time of the first of them.  ``reconnected`` says whether the last reconnect
-    succeeded.
+    succeeded.  ``began_at`` is when the response began, 0 before.
     """
 
     def __init__(
@@ -67,6 +70,8 @@
         self.first_lost_at = 0.0
         self.reconnected = False
         self.finished = False
+        self.began_at = 0.0
+        self.crash_probe: asyncio.Task[bool] | None = None
 
     def start(self, chat: bool, body: dict[str, Any]) -> None:
         """Start the generation in a task that ``read`` awaits."""
@@ -126,6 +131,7 @@
             if isinstance(new_stream, Failure):
                 return new_stream
             self.stream = new_stream
+            self.began_at = self.began_at or time.monotonic()
         return await self.stream.read()
 
     def new_chunks(self, chunks: list[Chunk]) -> list[Chunk] | Failure:
@@ -152,6 +158,7 @@
         self.lost_connections += 1
         if self.lost_connections == 1:
             self.first_lost_at = time.monotonic()
+            self.probe_engine()
         if self.should_give_up(failure):
             return failure
         await asyncio.sleep(backoff_s(self.lost_connections))
@@ -164,6 +171,18 @@
             return failure
         return None
 
+    def probe_engine(self) -> None:
+        """Find out whether the engine ended as it began to answer, in a task."""
+        if self.began_at and not self.next_index and self.crash_probe is None:
+            address = yarl.URL(self.url)
+            self.crash_probe = asyncio.create_task(
+                has_ended(str(address.host), int(address.port or 0))
+            )
+
+    async def has_engine_crashed(self) -> bool:
+        """Return whether the engine ended as it began to answer."""
+        return self.crash_probe is not None and await self.crash_probe
+
     def should_give_up(self, failure: Failure) -> bool:
         """Return whether a lost connection is not opened again.
 
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -80,6 +80,7 @@
                     outcome = REFUSED if is_unavailable(item) else FAILED
                 elif reader.finished:
                     outcome = FINISHED
+                    self.record_answer(reader)
                 yield item
                 if isinstance(item, Failure):
                     return
@@ -87,6 +88,9 @@
             reader.close()
             self.end_attempt(outcome)
 
+    def record_answer(self, reader: GenerationReader) -> None:
+        """Record that the prompt has been answered, if it is known here."""
+
     def record_progress(self, chunks: list[Chunk], waited_s: float) -> None:
         """Record and report chunks that arrived together after a wait in seconds.
 
@@ -164,6 +168,21 @@
         self.hedges = ""
         self.hedge_advised = asyncio.Event()
 
+    def record_answer(self, reader: GenerationReader) -> None:
+        """Record that the prompt has been answered."""
+        watch = self.node.prompt_watch
+        parts = self.generation_request.parts
+        watch.publish(self.pool, watch.record_answer(parts, reader.began_at))
+
+    async def record_crash(self, reader: GenerationReader) -> None:
+        """Record that the engine ended as it began to answer, if it did."""
+        if self.location is None or not await reader.has_engine_crashed():
+            return
+        watch = self.node.prompt_watch
+        parts = self.generation_request.parts
+        watch.record_crash(self.request_id, parts, self.location.endpoint)
+        watch.publish(self.pool, parts)
+
     async def chunks(self) -> Items:
         """Yield the generation's chunks, each token once and in order.
 
@@ -171,12 +190,15 @@
         Another engine may be tried before the first token, and after it only if
         the caller accepts a restart.
         """
+        failure: Failure | None = None
         for attempt in range(1, self.node.settings.entry.attempt_limit + 1):
             grant = await self.admit(attempt)
             if isinstance(grant, Failure):
-                yield with_run_state(grant, self.produced)
+                # An attempt before may have run, which the refusal of this one denies.
+                earlier = failure if is_quarantined(grant) else None
+                yield earlier or with_run_state(grant, self.produced)
                 return
-            failure: Failure | None = None
+            failure = None
             reader = self.start_generation(grant)
             if isinstance(reader, Failure):
                 failure = reader
@@ -191,6 +213,8 @@
                         yield item
                 finally:
                     await items.aclose()
+                if failure is not None:
+                    await self.record_crash(reader)
             if failure is None:
                 return
             failure = with_run_state(failure, self.produced)
@@ -212,6 +236,8 @@
         self.excluded.append(self.location.endpoint)
         if time.monotonic() >= self.deadline or not self.untried_pools():
             return False
+        if self.node.prompt_watch.may_crash_engines(self.generation_request.parts):
+            return False
         allowed = may_retry(failure, repeatable=True)
         if not allowed and not (self.restart and may_restart(failure)):
             return False
@@ -241,8 +267,14 @@
         return attrs.evolve(failure, retry_after_s=RETRY_AFTER_S)
 
     async def admit(self, attempt: int) -> Grant | Failure:
-        """Return a grant for an attempt, or why there is none."""
+        """Return a grant for an attempt, or why there is none.
+
+        The prompt may have been found to crash engines while the request waited.
+        """
         node, generation_request = self.node, self.generation_request
+        refusal = node.prompt_watch.refusal(generation_request.parts)
+        if refusal is not None:
+            return refusal
         pool = node.schedulers.pick_pool(self.untried_pools())
         if pool is None:
             return Failure(
@@ -276,6 +308,10 @@
             return grant
         self.pool = pool.name
         self.record_reservation(generation, grant)
+        refusal = node.prompt_watch.refusal(generation_request.parts)
+        if refusal is not None:
+            self.end_attempt(REFUSED)
+            return refusal
         if attempt == 1:
             node.retry_budget.record_request(grant.endpoint)
         return grant
@@ -336,6 +372,11 @@
         return reader
 
 
+def is_quarantined(failure: Failure) -> bool:
+    """Return whether a prompt was refused because it crashes engines."""
+    return failure.code is Code.PROMPT_QUARANTINED
+
+
 class ResumedRun(Delivery):
     """A running generation that a caller resumes at this entry."""
 
--- a/src/baobabturn/entry/node.py
+++ b/src/baobabturn/entry/node.py
@@ -52,6 +52,7 @@
         self.drain_state = DrainState(settings=self.settings)
         self.open_requests = 0
         self.schedulers = Schedulers(program=program, state=self.state)
+        self.prompt_watch = self.schedulers.prompt_watch
         self.retry_budget = RetryBudget(share=self.settings.entry.retry_share)
         self.body_memory = BodyMemory(
             limit_bytes=self.settings.entry.body_memory_bytes,
--- /dev/null
+++ b/src/baobabturn/entry/promptwatch.py
@@ -0,0 +1,95 @@
+"""Keeps prompts from engines that they would crash, at an entry.
+
+The parts of a prompt are the hashes of its leading blocks.  An entry tells the
+scheduler of a pool which crash it has seen under which parts; the scheduler tells all
+entries.  Every generation, a restart and a hedge too, asks here before it is admitted,
+whether a scheduler is reached or not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from baobabturn.core.clock import stamp_ms
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.core.results import Failure
+from baobabturn.quarantine.ledger import CrashLedger, PartRecord
+from baobabturn.quarantine.refusal import quarantine_failure
+from baobabturn.wire.gatewaymessages import PartNews
+from baobabturn.wire.link import Link
+
+# Each prompt has up to 64 blocks.
+MAX_RECORDS, MAX_ANSWERED_PARTS = 4096, 16_384
+
+Send = Callable[[str, PartNews], None]
+
+
+class PromptWatch:
+    """Watches for prompts that crash engines, and refuses them.
+
+    ``send`` sends news to the scheduler of a pool.
+    """
+
+    def __init__(self, *, program: Program, send: Send):
+        self.program = program
+        self.send = send
+        self.ledger = CrashLedger(
+            max_records=MAX_RECORDS, max_answered_parts=MAX_ANSWERED_PARTS
+        )
+        self.ledger.quarantine_listeners.append(self.log_quarantine)
+
+    def refusal(self, parts: list[str]) -> Failure | None:
+        """Return why a prompt isn't admitted, None if it may be."""
+        remaining_s = self.ledger.remaining_s(parts)
+        return quarantine_failure(remaining_s) if remaining_s else None
+
+    def may_crash_engines(self, parts: list[str]) -> bool:
+        """Return whether a prompt that failed shouldn't be sent to another engine."""
+        return self.ledger.are_suspect(parts)
+
+    def record_crash(self, request_id: str, parts: list[str], endpoint: str) -> None:
+        """Record the crash of an engine that had just begun to answer a prompt."""
+        self.program.metrics.count("crashes_seen")
+        self.program.events.emit(
+            Event.ENDPOINT_CRASHED, request=request_id, endpoint=endpoint
+        )
+        stamp = stamp_ms(self.program.clock.now())
+        self.ledger.record_crash(endpoint, parts, stamp_ms=stamp)
+
+    def record_answer(self, parts: list[str], began_at: float) -> list[str]:
+        """Record a prompt that was answered; return the parts that this clears."""
+        return self.ledger.record_answer(parts, began_at=began_at)
+
+    def publish(self, pool: str, parts: list[str]) -> None:
+        """Send what is known of some parts to the scheduler of a pool."""
+        if parts:
+            self.send(pool, self.news(parts))
+
+    def news(self, parts: list[str], *, wanted: bool = False) -> PartNews:
+        """Return what is known of some parts."""
+        return PartNews(
+            node=self.program.identity.node,
+            items=self.ledger.evidence(parts),
+            wanted=wanted,
+        )
+
+    def introduction(self) -> PartNews:
+        """Return all that counts, for a scheduler that may know nothing."""
+        return self.news(self.ledger.active_parts(), wanted=True)
+
+    def handle_news(self, link: Link, news: PartNews) -> None:
+        """Add what other entries know."""
+        self.ledger.merge(news.items)
+
+    def log_quarantine(self, record: PartRecord) -> None:
+        """Log that a quarantine has begun, here or at another entry."""
+        self.program.metrics.count("quarantines")
+        self.program.events.emit(
+            Event.PART_QUARANTINED,
+            part=record.part,
+            crashes=",".join(crash.endpoint for crash in record.crashes),
+            answers=record.answers,
+            term=record.term,
+            for_s=int(self.ledger.remaining_s([record.part])),
+        )
--- a/src/baobabturn/entry/requests.py
+++ b/src/baobabturn/entry/requests.py
@@ -46,6 +46,11 @@
     restart: bool
     prefixes: list[int]
 
+    @property
+    def parts(self) -> list[str]:
+        """Return the ids of the prompt's leading blocks, which others may share."""
+        return [f"{block:x}" for block in self.prefixes]
+
 
 def parse_deadline(headers: Headers, default_s: float) -> float | Failure:
     """Return a request's deadline in monotonic seconds."""
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -11,9 +11,11 @@
 from baobabturn.config.state import ConfigState, Pool
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.entry.promptwatch import PromptWatch
 from baobabturn.membership.owners import owner
 from baobabturn.scheduler.learnedreplicas import LearnedReplicas
 from baobabturn.wire.client import LinkClient
+from baobabturn.wire.gatewaymessages import PartNews
 from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     Admit,
@@ -61,6 +63,7 @@
         self.links_changed = asyncio.Event()
         self.hedge_callbacks: dict[str, Callable[[], None]] = {}
         self.learned_replicas = LearnedReplicas()
+        self.prompt_watch = PromptWatch(program=program, send=self.send_part_news)
 
     def handle_learned(self, link: Link, body: Learned) -> None:
         """Keep a replica of a scheduler's learned state for the pool's next owner."""
@@ -113,7 +116,11 @@
             identity=self.program.identity,
             inner=self.program.settings.inner,
             clock=self.program.clock,
-            handlers={Hedge: self.handle_hedge, Learned: self.handle_learned},
+            handlers={
+                Hedge: self.handle_hedge,
+                Learned: self.handle_learned,
+                PartNews: self.prompt_watch.handle_news,
+            },
             opened=lambda link: self.handle_link_open(address),
         )
         client.start()
@@ -124,9 +131,19 @@
         for name, owner_address in self.owner_addresses.items():
             if owner_address == address:
                 self.send_reservations(name)
+        self.links[address].send(self.prompt_watch.introduction())
         self.links_changed.set()
         self.links_changed = asyncio.Event()
 
+    def send_part_news(self, pool: str, news: PartNews) -> None:
+        """Send news of parts of prompts to a pool's scheduler, or to any other."""
+        client = self.link(pool)
+        if client is not None and client.send(news):
+            return
+        for other in self.links.values():
+            if other.send(news):
+                return
+
     def send_reservations(self, pool: str) -> None:
         """Send a pool's scheduler all reservations that this entry has in it.
 
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -8,22 +8,21 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 
 from baobabturn.core.clock import stamp_ms
 from baobabturn.core.events import Event
+from baobabturn.core.probe import has_ended
 from baobabturn.core.program import Program
-from baobabturn.core.results import Code, Failure
+from baobabturn.core.results import Failure
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.quarantinestore import QuarantineStore
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.quarantine.ledger import CrashLedger, PartRecord
+from baobabturn.quarantine.refusal import quarantine_failure
 
-# A host that is up accepts or refuses a connection within this time.
-PROBE_TIMEOUT_S = 1.0
 # A crash that this request may have caused is known so soon as a rule.
 VERDICT_WAIT_S = 0.1
 # An answer that was under way for longer when its engine crashed is no suspect, unless
@@ -33,8 +32,6 @@
 SOUND_AGE_S = 2.0
 MS_PER_S = 1000
 
-log = logging.getLogger("baobabturn.gateway.crashwatch")
-
 
 class CrashWatch:
     """Watches for prompts that crash engines, and refuses them.
@@ -60,13 +57,7 @@
     def refusal(self, request: CallerRequest) -> Failure | None:
         """Return why a request may not be sent to any endpoint, None if it may."""
         remaining_s = self.ledger.remaining_s(suspect_parts(request))
-        if not remaining_s:
-            return None
-        return Failure(
-            Code.PROMPT_QUARANTINED,
-            f"a part of the prompt crashed engines; refused for {remaining_s:.0f} s",
-            retry_after_s=remaining_s,
-        )
+        return quarantine_failure(remaining_s) if remaining_s else None
 
     def may_crash_engines(self, request: CallerRequest) -> bool:
         """Return whether a request that failed shouldn't be sent to another engine."""
@@ -103,7 +94,7 @@
         is_suspect: bool,
     ) -> None:
         """Record the crash of an endpoint, if it has crashed."""
-        if not await refuses_connections(endpoint.record.address):
+        if not await has_ended(*parse_address(endpoint.record.address)):
             return
         self.program.metrics.count("crashes_seen")
         self.program.events.emit(
@@ -169,18 +160,3 @@
     """Return the ids of a request's prompt parts for a log line."""
     size = request.generation_size
     return ",".join(part for part, _ in size.prompt_parts) if size is not None else ""
-
-
-async def refuses_connections(address: str) -> bool:
-    """Return whether nothing listens at an ``address:port`` of a host that is up."""
-    host, port = parse_address(address)
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError) as error:
-        log.info("event=probe-failed address=%s error=%r", address, error)
-        return False
-    writer.close()
-    return False
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -104,11 +104,19 @@
 class CrashLedger:
     """The parts that are suspects in crashes or quarantined, by their ids.
 
-    ``quarantine_listeners`` are called with each part that is quarantined here.
+    ``quarantine_listeners`` are called with each part whose quarantine begins.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        max_records: int = MAX_RECORDS,
+        max_answered_parts: int = MAX_ANSWERED_PARTS,
+    ):
         self.clock = clock
+        self.max_records = max_records
+        self.max_answered_parts = max_answered_parts
         self.records: dict[str, PartRecord] = {}
         self.answered: OrderedDict[str, int] = OrderedDict()
         self.quarantine_listeners: list[Callable[[PartRecord], None]] = []
@@ -150,7 +158,7 @@
         """Count an answered prompt with a part."""
         self.answered[part] = self.answered.get(part, 0) + 1
         self.answered.move_to_end(part)
-        if len(self.answered) > MAX_ANSWERED_PARTS:
+        if len(self.answered) > self.max_answered_parts:
             self.answered.popitem(last=False)
 
     def clear(self, record: PartRecord, began_at: float) -> bool:
@@ -315,10 +323,10 @@
 
     def make_room(self, now: float) -> None:
         """Forget the expired records, and the least important one if all are in use."""
-        if len(self.records) < MAX_RECORDS:
+        if len(self.records) < self.max_records:
             return
         self.expire()
-        if len(self.records) >= MAX_RECORDS:
+        if len(self.records) >= self.max_records:
             least = min(
                 self.records.values(),
                 key=lambda each: (each.is_quarantined(now), each.changed_at),
--- /dev/null
+++ b/src/baobabturn/quarantine/refusal.py
@@ -0,0 +1,14 @@
+"""The failure with which a request is refused whose prompt crashes engines."""
+
+from __future__ import annotations
+
+from baobabturn.core.results import Code, Failure
+
+
+def quarantine_failure(remaining_s: float) -> Failure:
+    """Return the failure for a prompt that is refused for some seconds more."""
+    return Failure(
+        Code.PROMPT_QUARANTINED,
+        f"a part of the prompt crashed engines; refused for {remaining_s:.0f} s",
+        retry_after_s=remaining_s,
+    )
--- a/src/baobabturn/scheduler/main.py
+++ b/src/baobabturn/scheduler/main.py
@@ -13,10 +13,16 @@
 from baobabturn.membership.owners import ALIVE, DEAD, LEAVING, SUSPECT, owner
 from baobabturn.membership.view import merge_view
 from baobabturn.scheduler.describe import describe
-from baobabturn.scheduler.learnedreplicas import LearnedReplicas, replica_links
+from baobabturn.scheduler.learnedreplicas import (
+    ENTRY,
+    LearnedReplicas,
+    replica_links,
+)
+from baobabturn.scheduler.partrelay import PartRelay
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.wire.client import LinkClient
+from baobabturn.wire.gatewaymessages import PartNews
 from baobabturn.wire.link import Link
 from baobabturn.wire.messages import (
     Ack,
@@ -65,6 +71,7 @@
         self.pool_by_reservation: dict[str, PoolScheduler] = {}
         self.learned_replicas = LearnedReplicas()
         self.replicated_at = 0.0
+        self.part_relay = PartRelay(program=program, links=self.entry_links)
         self.holdings_by_pool: dict[str, dict[Link, list[Holding]]] = {}
         self.server = LinkServer(
             identity=program.identity,
@@ -78,6 +85,7 @@
                 WhoHolds: self.handle_who_holds,
                 StatsRequest: self.handle_stats,
                 Learned: self.handle_learned,
+                PartNews: self.part_relay.handle_news,
             },
             closed=self.handle_link_closed,
         )
@@ -98,6 +106,14 @@
             opened=self.subscribe,
         )
 
+    def entry_links(self) -> list[Link]:
+        """Return the links to entries."""
+        return [
+            link
+            for link in self.server.links
+            if link.peer is not None and link.peer.role == ENTRY
+        ]
+
     async def run(self) -> Failure | None:
         """Serve until the process is asked to stop."""
         settings = self.program.settings
