Gateway: a stream without a length ends whole only if its engine lives

Cause: the end of such a connection was taken for the end of the stream, also when its engine had crashed, or had sent no event at all. Ends inside an event and resets were told from it before. Change: such a stream with no event, or whose engine refuses connections afterwards and wasn't leaving, has been broken off; it goes on elsewhere where that is allowed.

--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -27,6 +27,7 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Up to this size a body isn't counted towards the memory for bodies.
 UNCOUNTED_BYTES = 65_536
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -46,6 +47,15 @@
         """Return the response's status."""
         return self.response.status
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the response's own bytes show where it ends.
+
+        Otherwise it ends with its connection, whether or not it is complete.
+        """
+        names = {key for key, _ in self.headers}
+        return not names.isdisjoint(FRAMING_HEADERS)
+
     def close(self) -> None:
         """Close the connection, which cancels the request at most endpoints."""
         self.response.close()
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from baobabturn.core.events import Event
+from baobabturn.core.probe import has_ended
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.outcome import (
     AttemptState,
@@ -22,6 +23,7 @@
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.eventreader import EventReader, stall_timeout_s
 from baobabturn.gateway.httpheaders import end_to_end_headers
+from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.plain import more_significant
 from baobabturn.gateway.platforminterface import Continuation
 from baobabturn.gateway.pools import HeldReservation
@@ -283,10 +285,29 @@
             # The time that a slow caller takes isn't counted.
             if not all(event.is_comment for event in events):
                 reader.restart_stall_timer()
+        failure = await self.unframed_end(self.response)
+        if failure is not None:
+            return failure
         self.record_answer(self.response)
         self.finish(FINISHED)
         return None
 
+    async def unframed_end(self, response: OpenResponse) -> Failure | None:
+        """Return why a stream that ended with its connection is incomplete, if it is.
+
+        The connections of a process that crashes are closed as after a whole response.
+        One that is leaving may end after its last response.
+        """
+        if response.framed or self.endpoint is None:
+            return None
+        if not self.times.event_count:
+            return Failure(Code.GENERATION_CUT, "the response had no event")
+        if self.endpoint.leaving:
+            return None
+        if await has_ended(*parse_address(self.endpoint.record.address)):
+            return Failure(Code.GENERATION_CUT, "the engine ended with its response")
+        return None
+
     def record_answer(self, response: OpenResponse) -> None:
         """Record once for each attempt that an engine has answered the prompt."""
         if not self.answer_recorded:
