Gateway: logs tell which endpoints name a limit, and the number of an attempt

Change: the adapter decodes the limit; endpoint-limited and endpoint-unlimited are logged when it changes, attempt-sent has the attempt's number. Nothing acts on it yet.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -66,6 +66,8 @@
     ENDPOINT_SUSPECT = "endpoint-suspect"
     ENDPOINT_CRASHED = "endpoint-crashed"
     ENDPOINT_RESTORED = "endpoint-restored"
+    ENDPOINT_LIMITED = "endpoint-limited"
+    ENDPOINT_UNLIMITED = "endpoint-unlimited"
     PART_QUARANTINED = "part-quarantined"
     PART_CLEARED = "part-cleared"
     PLATFORM_DOWN = "platform-down"
@@ -141,6 +143,11 @@
         " connections; `parts` are those of the request's prompt, `suspect` says"
         " whether they may have caused it."
     ),
+    Event.ENDPOINT_LIMITED: (
+        "An endpoint names in its answers how many requests a second it takes,"
+        " `per_s`, from all gateways together."
+    ),
+    Event.ENDPOINT_UNLIMITED: "An endpoint doesn't name a limit any more.",
     Event.PART_QUARANTINED: (
         "A part of prompts crashed engines; prompts with it are refused for `for_s`."
         " `term` counts its quarantines, `answers` its prompts answered before."
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -21,6 +21,7 @@
     HeaderTranslator,
     ResponseMetadata,
 )
+from baobabturn.gateway.ratelimits import RateLimits
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.transport import Transport
 
@@ -80,11 +81,13 @@
         header_translator: HeaderTranslator,
         body_memory: BodyMemory,
         crash_watch: CrashWatch,
+        rate_limits: RateLimits,
     ):
         self.transport = transport
         self.header_translator = header_translator
         self.body_memory = body_memory
         self.crash_watch = crash_watch
+        self.rate_limits = rate_limits
 
     async def open(
         self,
@@ -126,10 +129,13 @@
             return Failure(Code.DEADLINE_UNKNOWN, f"no response in {timeout_s:.3g} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return failure_from_exception(error)
-        return self.check_head(request, response)
+        return self.check_head(request, endpoint, response)
 
     def check_head(
-        self, request: CallerRequest, response: aiohttp.ClientResponse
+        self,
+        request: CallerRequest,
+        endpoint: Endpoint,
+        response: aiohttp.ClientResponse,
     ) -> OpenResponse | Failure:
         """Return the open response, or the failure that its head implies."""
         headers = [(key.lower(), value) for key, value in response.raw_headers]
@@ -140,6 +146,9 @@
         if failure is not None:
             response.close()
             return failure
+        self.rate_limits.record_answer(
+            endpoint.name, response_metadata.rate_limit_per_s
+        )
         return OpenResponse(
             response=response, headers=headers, response_metadata=response_metadata
         )
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -34,6 +34,7 @@
 )
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.quarantinestore import QuarantineStore
+from baobabturn.gateway.ratelimits import RateLimits
 from baobabturn.gateway.registry import Registry
 from baobabturn.gateway.reportpoller import ReportPoller
 from baobabturn.gateway.request import Headers
@@ -127,11 +128,14 @@
             wait_s=program.settings.entry.body_wait_s,
         )
         self.crash_watch = self.make_crash_watch(store)
+        self.rate_limits = RateLimits(events=program.events)
+        self.endpoints.leaving_listeners.append(self.rate_limits.forget)
         endpoint_client = EndpointClient(
             transport=transport,
             header_translator=header_translator,
             body_memory=self.body_memory,
             crash_watch=self.crash_watch,
+            rate_limits=self.rate_limits,
         )
         self.plain = PlainForwarder(
             program=program,
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -59,7 +59,7 @@
             if attempts_sent and not self.budget.try_spend(request.service.name):
                 break
             tried_endpoints.add(endpoint.name)
-            result = await self.attempt(request, endpoint)
+            result = await self.attempt(request, endpoint, len(tried_endpoints))
             attempts_sent += was_sent(result)
             best = result if best is None else more_significant(best, result)
             if not self.may_try_other_endpoint(request, result, attempts_sent):
@@ -110,13 +110,19 @@
         return request.route.repeatable and attempts_sent < request.route.attempt_limit
 
     async def attempt(
-        self, request: CallerRequest, endpoint: Endpoint
+        self, request: CallerRequest, endpoint: Endpoint, number: int
     ) -> CompleteResponse | Failure:
-        """Send a request to an endpoint, and record the attempt's time and outcome."""
+        """Send a request to an endpoint, and record the attempt's time and outcome.
+
+        ``number`` counts the request's attempts from 1.
+        """
         started_at = time.monotonic()
         self.ranking.record_start(endpoint.name)
         self.program.events.emit(
-            Event.ATTEMPT_SENT, request=request.request_id, endpoint=endpoint.name
+            Event.ATTEMPT_SENT,
+            request=request.request_id,
+            endpoint=endpoint.name,
+            attempt=number,
         )
         healthy = False
         try:
--- a/src/baobabturn/gateway/platforminterface.py
+++ b/src/baobabturn/gateway/platforminterface.py
@@ -76,13 +76,15 @@
 
     ``signed`` means that the endpoint itself signed the response, ``refused`` that
     the request did not run and will not, ``encoded`` that the body is compressed or
-    encoded otherwise.
+    encoded otherwise.  ``rate_limit_per_s`` is how many requests a second the endpoint
+    takes from all gateways together, None if it names no limit.
     """
 
     request_id: str
     signed: bool
     refused: bool
     encoded: bool
+    rate_limit_per_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/platform/headers.py
+++ b/src/baobabturn/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from baobabturn.gateway.httpheaders import end_to_end_headers, first_value
 from baobabturn.gateway.platforminterface import Continuation, ResponseMetadata
 from baobabturn.gateway.request import CallerRequest, GenerationSize, Headers
@@ -30,6 +32,8 @@
 RESPONSE_SIGNATURE = b"x-response-stamp"
 NOT_EXECUTED = b"x-not-executed"
 CONTENT_ENCODING = b"content-encoding"
+# The requests a second that the endpoint takes from all gateways together.
+RATE_LIMIT = b"server-limit"
 
 WRONG_ENDPOINT_STATUS = 421
 MS_PER_S = 1000
@@ -130,9 +134,19 @@
             signed=RESPONSE_SIGNATURE in names,
             refused=NOT_EXECUTED in names or status == WRONG_ENDPOINT_STATUS,
             encoded=CONTENT_ENCODING in names,
+            rate_limit_per_s=parse_rate(first_value(headers, RATE_LIMIT)),
         )
 
 
+def parse_rate(text: bytes) -> float | None:
+    """Return a rate as a finite number of at least 0, None if the text isn't one."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def parse_parts(text: bytes) -> tuple[tuple[str, int], ...]:
     """Return a prompt's parts, or none if any of them is malformed."""
     parts = []
