--- a/fakes/site.py
+++ b/fakes/site.py
@@ -201,7 +201,8 @@
     ``event_count`` events with ``event_interval_s`` between them and takes
     ``final_copy_s`` for the final copy of a generation that it has stopped.  If
     ``advertised_address`` is set, the endpoint's entry has this address, that of a
-    proxy, in place of its own.
+    proxy, in place of its own.  ``rate_limit_per_s`` is the limit that its answers
+    name, 0 for none.
     """
 
     def __init__(self, *, name: str, service: str, events: int = 0):
@@ -222,6 +223,7 @@
         self.final_copy_s = 0.0
         self.stopped: set[str] = set()
         self.cut_after_events = 0
+        self.rate_limit_per_s = 0.0
         self.peers: dict[str, SiteEndpoint] = {}
 
     def entry(self, state: str = "ready", **fields: Any) -> dict:
@@ -258,13 +260,20 @@
         if self.event_count:
             await self.stream(request, reader, writer)
             return False
+        headers = self.answer_headers(request)
+        writer.write(response_bytes(200, b"done", headers))
+        await writer.drain()
+        return True
+
+    def answer_headers(self, request: Request) -> dict[str, str]:
+        """Return the headers of every answer."""
         headers = {
             "X-Attempt-Id": request.attempt_id,
             "X-Response-Stamp": RESPONSE_STAMP,
         }
-        writer.write(response_bytes(200, b"done", headers))
-        await writer.drain()
-        return True
+        if self.rate_limit_per_s:
+            headers["Server-Limit"] = f"{self.rate_limit_per_s:g}"
+        return headers
 
     async def control(self, request: Request) -> tuple[int, Any]:
         """Answer a call for the load report, or one that copies a KV cache."""
@@ -300,8 +309,7 @@
         self.stopped.discard(request.attempt_id)
         first = int(request.headers.get("last-event-id") or 0)
         headers = {
-            "X-Attempt-Id": request.attempt_id,
-            "X-Response-Stamp": RESPONSE_STAMP,
+            **self.answer_headers(request),
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
