Gateways keep together to the limits on their rate that endpoints name

What callers saw: job status calls failed more often while endpoints that had named a limit got as many requests as before. A limit for all gateways together can't be kept by each for itself either: nine with 1.6 a second each send 14. Change: the adapter decodes the limit; scheduler/ratelimits.py, without a network, keeps a schedule for each limited endpoint, on which a gateway books its own requests and those of the near gateways (gateway/limitnews.py), in a large fleet within the domain's part of the limit. Plain requests, further attempts, streams, their continuations and migrations all go by it: to another endpoint, or after a wait, or refused at once with the time until their turn. A refused limit ends with the first answer without one. An unsafe request that still waits ends with its caller.

--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -12,6 +12,7 @@
 from baobabturn.core.program import Program
 from baobabturn.gateway.directory import Directory
 from baobabturn.gateway.domainloads import SEND_INTERVAL_S, DomainLoads
+from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.platforminterface import GatewayRecord
@@ -22,6 +23,7 @@
 from baobabturn.wire.messages import Holding, Holdings, Release
 
 SETTINGS = load(None, []).settings
+LIMITED_ENDPOINT = "limited"
 
 
 class FleetClock:
@@ -76,6 +78,14 @@
         self.remote[domain] = loads
 
 
+class KnownEndpoints:
+    """The endpoints that a gateway knows: one, which names a limit."""
+
+    def __init__(self):
+        self.by_name = {LIMITED_ENDPOINT: None}
+        self.leaving_listeners: list[Any] = []
+
+
 class FleetGateway:
     """One gateway without a process: its peers, watchers and aggregates."""
 
@@ -127,6 +137,14 @@
             schedule=self.fleet.schedule,
         )
         self.loads.send_listeners.append(self.part_news.send_active_parts)
+        self.endpoints = KnownEndpoints()
+        self.limits = LimitExchange(
+            program=program,
+            peers=self.peers,
+            far_serving=self.loads.far_serving,
+            endpoints=self.endpoints,
+        )
+        self.limits.limits.clock = self.fleet.clock
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram."""
--- a/features/gatewayfleet.feature
+++ b/features/gatewayfleet.feature
@@ -178,3 +178,31 @@
     And a gateway sees an answer to a prompt with that part
     And the fleet runs for 2.4 seconds
     Then no gateway refuses that part
+
+  # Guards against a limit that each of many gateways keeps to by itself.
+  Scenario Outline: All gateways together keep to an endpoint's limit (<size>)
+    Given a fleet of <size> gateways in <domains> failure domains
+    When the fleet runs for 4 seconds
+    And a tenth of all datagrams gets lost
+    And an endpoint names a limit of <limit> a second, and 40 requests a second might go there for <seconds> seconds
+    Then the endpoint gets at most one and a half times that, and 5, in any 4 seconds
+    And it gets at least 0.5 of what it takes
+    And requests of at least <senders> gateways got there
+
+    Examples:
+      | size | domains | limit | seconds | senders |
+      | 2    | 2       | 2     | 20      | 2       |
+      | 9    | 4       | 1.6   | 20      | 7       |
+      | 65   | 3       | 2     | 20      | 15      |
+      | 195  | 3       | 0.5   | 40      | 10      |
+      | 195  | 3       | 10    | 20      | 50      |
+
+  # Guards against an endpoint that gets less than it takes once gateways are gone.
+  Scenario: The limit is used whole after a failure domain has died
+    Given a fleet of 195 gateways in 3 failure domains
+    When the fleet runs for 4 seconds
+    And all gateways of the failure domain 1 die
+    And the fleet runs for 6 seconds
+    And an endpoint names a limit of 6 a second, and 40 requests a second might go there for 20 seconds
+    Then the endpoint gets at most one and a half times that, and 5, in any 4 seconds
+    And it gets at least 0.8 of what it takes
--- a/features/gatewaylimits.feature
+++ b/features/gatewaylimits.feature
@@ -41,9 +41,9 @@
     Given a site with 2 plain endpoints, 0 engines and 3 gateways
     And one of them names a limit of 2 requests a second
     When 30 safe requests a second come at all gateways for 4 seconds
-    And the endpoint names no limit any more
+    And the endpoint names no limit any more, and the other one leaves
     And 30 safe requests a second come at all gateways for 4 seconds
-    Then it gets at least 20 requests in the last 3 seconds
+    Then all requests of the last 3 seconds are answered
 
   # Guards against a gateway that starts again and sends what the others hold back.
   Scenario: A gateway that starts again hears of the limit before its first request
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -216,7 +216,7 @@
                 response_task.result()
                 return
             self.log_caller_disconnected(request)
-            if request.route.kind is RouteKind.UNSAFE:
+            if request.route.kind is RouteKind.UNSAFE and request.sent:
                 # An unsafe request may not be sent again, so it runs to its end.
                 await response_task
         finally:
--- a/src/baobabturn/gateway/domainloads.py
+++ b/src/baobabturn/gateway/domainloads.py
@@ -111,6 +111,10 @@
         for domain in self.watchers.drop_expired():
             self.pools.apply_domain_load(domain, [])
 
+    def far_serving(self) -> int:
+        """Return how many gateways of the other domains callers may be sent to."""
+        return sum(load.serving for load in self.far_loads())
+
     def far_loads(self) -> list[DomainLoad]:
         """Return the newest aggregate of each other domain."""
         return [received.load for received in self.watchers.received.values()]
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -16,12 +16,12 @@
 from baobabturn.entry.outcome import failure_from_exception
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.platforminterface import (
     Continuation,
     HeaderTranslator,
     ResponseMetadata,
 )
-from baobabturn.gateway.ratelimits import RateLimits
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.transport import Transport
 
@@ -81,7 +81,7 @@
         header_translator: HeaderTranslator,
         body_memory: BodyMemory,
         crash_watch: CrashWatch,
-        rate_limits: RateLimits,
+        rate_limits: LimitExchange,
     ):
         self.transport = transport
         self.header_translator = header_translator
@@ -143,16 +143,29 @@
             response.status, headers
         )
         failure = head_failure(request, response.status, response_metadata)
+        self.record_limit(endpoint, failure, response_metadata)
         if failure is not None:
             response.close()
             return failure
-        self.rate_limits.record_answer(
-            endpoint.name, response_metadata.rate_limit_per_s
-        )
         return OpenResponse(
             response=response, headers=headers, response_metadata=response_metadata
         )
 
+    def record_limit(
+        self,
+        endpoint: Endpoint,
+        failure: Failure | None,
+        response_metadata: ResponseMetadata,
+    ) -> None:
+        """Record the limit that a response names.
+
+        A refusal may name one as well, but only a response shows that there is none.
+        """
+        per_s = response_metadata.rate_limit_per_s
+        is_refusal = response_metadata.refused and per_s is not None
+        if failure is None or is_refusal:
+            self.rate_limits.record_answer(endpoint, per_s)
+
     async def fetch(
         self,
         request: CallerRequest,
--- /dev/null
+++ b/src/baobabturn/gateway/limitnews.py
@@ -0,0 +1,136 @@
+"""Exchanges the rate limits of endpoints, and the requests sent to those.
+
+A limit is for all gateways together, so each request to a limited endpoint is told to
+the near gateways at once; they are at most a few a second, or there would be no need
+of a limit.  In a large fleet each failure domain uses its part of the limit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.gateway.endpoints import Endpoint, Endpoints
+from baobabturn.gateway.peer import Peer
+from baobabturn.gateway.peers import Peers
+from baobabturn.scheduler.ratelimits import RateLimits
+from baobabturn.wire.gatewaymessages import EndpointLimit, LimitNews
+
+MS_PER_S = 1000
+# Limits in one datagram.
+MAX_LIMITS_PER_MESSAGE = 32
+
+
+class LimitExchange:
+    """Keeps the rate limits of endpoints in step with the other gateways.
+
+    ``far_serving`` counts the gateways of other failure domains in a large fleet.
+    """
+
+    def __init__(
+        self,
+        *,
+        program: Program,
+        peers: Peers,
+        far_serving: Callable[[], int],
+        endpoints: Endpoints,
+    ):
+        self.program = program
+        self.peers = peers
+        self.far_serving = far_serving
+        self.endpoints = endpoints
+        self.limits = RateLimits(share=self.near_share)
+        peers.handlers[LimitNews] = self.handle_news
+        peers.introduction_listeners.append(self.introduce)
+        endpoints.leaving_listeners.append(self.forget)
+
+    def near_share(self) -> float:
+        """Return the part of a limit that this and the near gateways may use."""
+        table = self.peers.table
+        if not table.is_large_fleet():
+            return 1.0
+        near = 1 + len(table.near_alive())
+        return near / (near + self.far_serving())
+
+    def record_answer(self, endpoint: Endpoint, per_s: float | None) -> None:
+        """Record the limit that an answer of an endpoint names, None for none."""
+        if per_s is None and endpoint.name not in self.limits.schedules:
+            return
+        stamp = self.program.clock.now()
+        if self.limits.set_limit(endpoint.name, per_s, stamp=stamp):
+            self.log(endpoint.name)
+            self.send(self.peers.table.near_alive(), [self.item(endpoint.name)])
+
+    def book(self, endpoint: str) -> None:
+        """Book a request that is about to be sent, and tell the near gateways."""
+        if self.limits.book(endpoint):
+            item = self.item(endpoint, is_request=True, with_debt=True)
+            self.send(self.peers.table.near_alive(), [item])
+
+    def delay_s(self, endpoint: str) -> float:
+        """Return how long a request to an endpoint would have to wait, 0 for none."""
+        return self.limits.delay_s(endpoint)
+
+    def queue_delay_s(self, endpoints: list[str], waiting: int) -> float:
+        """Return how long a request waits behind others, 0 if any has no limit."""
+        return self.limits.queue_delay_s(endpoints, waiting)
+
+    def forget(self, endpoint: Endpoint) -> None:
+        """Forget the limit of an endpoint that is leaving."""
+        self.limits.forget(endpoint.name)
+
+    def introduce(self, peers: list[Peer]) -> None:
+        """Send gateways that may know nothing all limits."""
+        names = [each for each in self.limits.schedules if self.limits.limited(each)]
+        items = [self.item(name, with_debt=True) for name in names]
+        for start in range(0, len(items), MAX_LIMITS_PER_MESSAGE):
+            self.send(peers, items[start : start + MAX_LIMITS_PER_MESSAGE])
+
+    def item(
+        self, endpoint: str, *, is_request: bool = False, with_debt: bool = False
+    ) -> EndpointLimit:
+        """Return what is known of an endpoint's limit."""
+        schedule = self.limits.schedules[endpoint]
+        debt_s = self.limits.debt_s(endpoint) if with_debt else 0.0
+        return EndpointLimit(
+            endpoint=endpoint,
+            limited=schedule.per_s is not None,
+            per_s=schedule.per_s or 0.0,
+            stamp=schedule.stamp,
+            is_request=is_request,
+            debt_ms=int(debt_s * MS_PER_S),
+        )
+
+    def send(self, peers: list[Peer], items: list[EndpointLimit]) -> None:
+        """Send gateways what is known of some limits."""
+        news = LimitNews(node=self.peers.record.name, items=items)
+        self.peers.send_message(news, peers)
+
+    def handle_news(self, news: LimitNews, peer: Peer) -> None:
+        """Add another gateway's news."""
+        for item in news.items:
+            if item.endpoint in self.endpoints.by_name:
+                self.add(item)
+
+    def add(self, item: EndpointLimit) -> None:
+        """Add what another gateway knows of a limit, and book the request it sends.
+
+        With its debt, a gateway that has missed requests doesn't run ahead of others.
+        """
+        per_s = item.per_s if item.limited else None
+        if self.limits.set_limit(item.endpoint, per_s, stamp=item.stamp):
+            self.log(item.endpoint)
+        if item.is_request:
+            self.limits.book(item.endpoint)
+        self.limits.add_debt(item.endpoint, item.debt_ms / MS_PER_S)
+
+    def log(self, endpoint: str) -> None:
+        """Log the limit of an endpoint, or its end."""
+        per_s = self.limits.schedules[endpoint].per_s
+        if per_s is None:
+            self.program.events.emit(Event.ENDPOINT_UNLIMITED, endpoint=endpoint)
+            return
+        self.program.events.emit(
+            Event.ENDPOINT_LIMITED, endpoint=endpoint, per_s=f"{per_s:.3g}"
+        )
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -20,6 +20,7 @@
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
+from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.migration import Migrator
 from baobabturn.gateway.mirror import Mirror, StoreContact
 from baobabturn.gateway.partnews import PartNewsExchange
@@ -34,7 +35,6 @@
 )
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.quarantinestore import QuarantineStore
-from baobabturn.gateway.ratelimits import RateLimits
 from baobabturn.gateway.registry import Registry
 from baobabturn.gateway.reportpoller import ReportPoller
 from baobabturn.gateway.request import Headers
@@ -128,8 +128,13 @@
             wait_s=program.settings.entry.body_wait_s,
         )
         self.crash_watch = self.make_crash_watch(store)
-        self.rate_limits = RateLimits(events=program.events)
-        self.endpoints.leaving_listeners.append(self.rate_limits.forget)
+        self.rate_limits = LimitExchange(
+            program=program,
+            peers=self.peers,
+            far_serving=self.domain_loads.far_serving,
+            endpoints=self.endpoints,
+        )
+        self.pools.rate_limits = self.rate_limits
         endpoint_client = EndpointClient(
             transport=transport,
             header_translator=header_translator,
@@ -143,6 +148,7 @@
             endpoint_client=endpoint_client,
             budget=self.budget,
             crash_watch=self.crash_watch,
+            rate_limits=self.rate_limits,
         )
         self.streams = Streams(
             program=program,
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 from baobabturn.core.events import Event
@@ -13,6 +14,7 @@
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointclient import CompleteResponse, EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
+from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.request import CallerRequest
 
 # With less time left than this, no endpoint could respond.
@@ -20,6 +22,8 @@
 # At most this many endpoints are tried for a request while none of them has run it.
 MAX_ENDPOINTS_TRIED = 4
 RETRY_AFTER_S = 0.3
+# A request waits for an endpoint at its limit for this part of its time at most.
+MAX_LIMIT_WAIT_RATIO = 0.5
 SERVER_ERRORS = range(500, 600)
 
 
@@ -34,12 +38,14 @@
         endpoint_client: EndpointClient,
         budget: FleetRetryBudget,
         crash_watch: CrashWatch,
+        rate_limits: LimitExchange,
     ):
         self.program = program
         self.endpoints = endpoints
         self.endpoint_client = endpoint_client
         self.budget = budget
         self.crash_watch = crash_watch
+        self.rate_limits = rate_limits
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -56,8 +62,13 @@
             refusal = self.crash_watch.refusal(request)
             if refusal is not None:
                 return best or refusal
+            delay_s = self.rate_limits.delay_s(endpoint.name)
+            if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
+                return best or limit_failure(request, delay_s)
             if attempts_sent and not self.budget.try_spend(request.service.name):
                 break
+            if not await self.wait_for_turn(endpoint, delay_s):
+                continue
             tried_endpoints.add(endpoint.name)
             result = await self.attempt(request, endpoint, len(tried_endpoints))
             attempts_sent += was_sent(result)
@@ -66,10 +77,24 @@
                 break
         return best or self.unsent_failure(request)
 
+    async def wait_for_turn(self, endpoint: Endpoint, delay_s: float) -> bool:
+        """Book a request to an endpoint and wait until its limit permits it.
+
+        Return whether the endpoint still takes requests then.
+        """
+        self.rate_limits.book(endpoint.name)
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        return not endpoint.leaving
+
     def choose_endpoint(
         self, request: CallerRequest, tried_endpoints: set[str]
     ) -> Endpoint | None:
-        """Return the endpoint with the shortest expected wait, None for none."""
+        """Return the endpoint with the shortest expected wait, None for none.
+
+        Those at the limit that they name come last, by the time until it permits a
+        request.
+        """
         by_name = {
             endpoint.name: endpoint
             for endpoint in self.endpoints.usable(request.service.name)
@@ -78,7 +103,13 @@
         if not by_name:
             return None
         own_domain = self.program.settings.host.failure_domain
-        records = [endpoint.record for endpoint in by_name.values()]
+        delays = {name: self.rate_limits.delay_s(name) for name in by_name}
+        shortest_s = min(delays.values())
+        records = [
+            endpoint.record
+            for name, endpoint in by_name.items()
+            if delays[name] <= shortest_s
+        ]
         return by_name[self.ranking.rank(records, own_domain)[0].name]
 
     def unsent_failure(self, request: CallerRequest) -> Failure:
@@ -117,6 +148,7 @@
         ``number`` counts the request's attempts from 1.
         """
         started_at = time.monotonic()
+        request.sent = True
         self.ranking.record_start(endpoint.name)
         self.program.events.emit(
             Event.ATTEMPT_SENT,
@@ -146,6 +178,16 @@
         return result
 
 
+def limit_failure(request: CallerRequest, delay_s: float) -> Failure:
+    """Return the refusal of a request that no endpoint's limit permits in time."""
+    return Failure(
+        Code.SATURATED,
+        f"all endpoints of {request.service.name} are at their limits"
+        f" for {delay_s:.1f} s",
+        retry_after_s=delay_s,
+    )
+
+
 def more_significant(
     first: CompleteResponse | Failure, second: CompleteResponse | Failure
 ) -> CompleteResponse | Failure:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -22,7 +22,11 @@
 from baobabturn.gateway.routes import EngineTraits, RouteTable
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
-from baobabturn.scheduler.state import EndpointState
+from baobabturn.scheduler.state import (
+    EndpointRateLimits,
+    EndpointState,
+    NoRateLimits,
+)
 from baobabturn.wire.gatewaymessages import EngineLoad
 from baobabturn.wire.messages import (
     Admit,
@@ -78,6 +82,7 @@
         self.prefer_own_domain: Callable[[], bool] = lambda: False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
+        self.rate_limits: EndpointRateLimits = NoRateLimits()
 
     def apply_table(self, table: RouteTable) -> None:
         """Apply a configuration: add the pools that it declares."""
@@ -95,6 +100,7 @@
         seed = self.program.identity.incarnation
         policy = POLICIES[settings.policy](settings=settings, seed=seed)
         pool = PoolScheduler(name=name, program=self.program, policy=policy)
+        pool.state.rate_limits = self.rate_limits
         pool.settle()
         return pool
 
@@ -173,6 +179,9 @@
         pool = self.pools.get(request.service.name)
         if pool is None or request.generation_size is None:
             return Failure(Code.NO_ENDPOINT, f"no engine of {request.service.name}")
+        refusal = self.limit_refusal(pool, queue_timeout_s)
+        if refusal is not None:
+            return refusal
         admission = Admit(
             request=request.request_id,
             reservation=self.reservation_name(request),
@@ -192,6 +201,21 @@
             return grant
         return self.record_grant(request, pool, admission, grant)
 
+    def limit_refusal(
+        self, pool: PoolScheduler, queue_timeout_s: float
+    ) -> Failure | None:
+        """Return the refusal of a request that no engine's limit permits in time."""
+        name = pool.state.name
+        usable = [endpoint.name for endpoint in self.endpoints.usable(name)]
+        delay_s = self.rate_limits.queue_delay_s(usable, len(pool.state.queue))
+        if delay_s <= queue_timeout_s:
+            return None
+        return Failure(
+            Code.SATURATED,
+            f"all engines of {name} are at their limits for {delay_s:.1f} s",
+            retry_after_s=delay_s,
+        )
+
     def reservation_name(self, request: CallerRequest) -> str:
         """Return a new name for a reservation."""
         return f"{self.program.identity.node}/{next(self.counter)}/{request.request_id}"
@@ -302,6 +326,7 @@
             taken=self.program.clock.now(),
         )
         pool.hold(None, holding)
+        pool.state.rate_limits.book(target.name)
         return self.record_reservation(
             HeldReservation(
                 pool=reservation.pool, holding=holding, urgent=reservation.urgent
@@ -334,6 +359,8 @@
                 continue
             if not pool.policy.accepts_requests(state, now):
                 continue
+            if pool.state.rate_limits.delay_s(name):
+                continue
             candidates.append(
                 (self.failure_domain_of(name) != domain, state.used_tokens, name, state)
             )
--- a/src/baobabturn/gateway/request.py
+++ b/src/baobabturn/gateway/request.py
@@ -32,7 +32,8 @@
 
     ``request_id`` is the caller's id of this request; if the caller sends the request
     again, that one has another id.
-    ``deadline`` is the earlier of the caller's deadline and the route's timeout.
+    ``deadline`` is the earlier of the caller's deadline and the route's timeout;
+    ``sent`` says that an endpoint may have got the request.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     arrived_at: float
     deadline: float
     generation_size: GenerationSize | None = None
+    sent: bool = False
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline, negative after it."""
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -161,7 +161,18 @@
                 continue
             endpoint = self.policy.choose_endpoint(self.state, waiting, now)
             if endpoint is not None:
+                self.state.rate_limits.book(endpoint.name)
                 self.grant(waiting, endpoint, now)
+        self.schedule_limited_dispatch()
+
+    def schedule_limited_dispatch(self) -> None:
+        """Dispatch again as soon as the limit of an endpoint permits a request."""
+        if not self.state.queue or self.dispatch_scheduled:
+            return
+        delay_s = self.state.limit_delay_s()
+        if delay_s:
+            self.dispatch_scheduled = True
+            asyncio.get_running_loop().call_later(delay_s, self.dispatch)
 
     def grant(
         self, waiting: WaitingRequest, endpoint: EndpointState, now: float
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
@@ -162,19 +162,57 @@
     growth_terms: list[tuple[float, float]] = attrs.Factory(list)
 
 
+class EndpointRateLimits(Protocol):
+    """The limits on their rate of requests that endpoints name."""
+
+    def delay_s(self, endpoint: str) -> float:
+        """Return how long a request to an endpoint would have to wait, 0 for none."""
+
+    def book(self, endpoint: str) -> None:
+        """Book a request that is about to be sent to an endpoint."""
+
+    def queue_delay_s(self, endpoints: list[str], waiting: int) -> float:
+        """Return how long a request waits behind others, 0 if any has no limit."""
+
+
+class NoRateLimits:
+    """The limits of endpoints that name none."""
+
+    def delay_s(self, endpoint: str) -> float:
+        """Return 0."""
+        return 0.0
+
+    def book(self, endpoint: str) -> None:
+        """Do nothing."""
+
+    def queue_delay_s(self, endpoints: list[str], waiting: int) -> float:
+        """Return 0."""
+        return 0.0
+
+
 @attrs.define(kw_only=True)
 class PoolState:
     """A pool's endpoints and queue, as policies see them.
 
     Queued requests are keyed by the name of their future reservation.
+    ``rate_limits`` holds the limits on their rate of requests that endpoints name.
     """
 
     name: str
     endpoints: dict[str, EndpointState] = attrs.Factory(dict)
     queue: dict[str, WaitingRequest] = attrs.Factory(dict)
+    rate_limits: EndpointRateLimits = attrs.Factory(NoRateLimits)
+
+    def limit_delay_s(self) -> float:
+        """Return the shortest time until an endpoint's limit permits a request.
+
+        It is 0 if no endpoint is at its limit.
+        """
+        delays = [self.rate_limits.delay_s(name) for name in self.endpoints]
+        return min((delay_s for delay_s in delays if delay_s), default=0.0)
 
     def available_endpoints(self, admit: Admit) -> list[EndpointState]:
-        """Return endpoints that aren't leaving, excluded or reported unreachable."""
+        """Return endpoints that aren't leaving, excluded, unreachable or at a limit."""
         available = []
         for endpoint in self.endpoints.values():
             if endpoint.leaving or endpoint.name in admit.excluded:
@@ -182,5 +220,7 @@
             report = endpoint.report
             if report is not None and (report.leaving or not report.reachable):
                 continue
+            if self.rate_limits.delay_s(endpoint.name):
+                continue
             available.append(endpoint)
         return available
--- a/src/baobabturn/wire/bodies.py
+++ b/src/baobabturn/wire/bodies.py
@@ -5,6 +5,7 @@
 from baobabturn.wire.gatewaymessages import (
     DomainLoad,
     GatewayState,
+    LimitNews,
     PartNews,
     PeerSilent,
     StoreAsk,
@@ -74,4 +75,5 @@
     PeerSilent,
     DomainLoad,
     PartNews,
+    LimitNews,
 )
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -136,3 +136,29 @@
     items: list[PartEvidence] = attrs.Factory(list)
     forwarded: bool = False
     wanted: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class EndpointLimit:
+    """The limit on its rate of requests that an endpoint names in its answers.
+
+    ``limited`` is false if the newest answer, at ``stamp`` of the hybrid clock, named
+    none.  ``per_s`` counts the requests of all gateways together.  ``is_request``
+    says that the sender sends the endpoint a request now, ``debt_ms`` for how long
+    the booked requests fill its schedule.
+    """
+
+    endpoint: str = ""
+    limited: bool = False
+    per_s: float = 0.0
+    stamp: int = 0
+    is_request: bool = False
+    debt_ms: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class LimitNews:
+    """What a gateway knows of endpoints' limits, and which requests it sends."""
+
+    node: str = ""
+    items: list[EndpointLimit] = attrs.Factory(list)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -44,6 +44,7 @@
     peerSilent @35 :PeerSilent;
     domainLoad @36 :DomainLoad;
     partNews @37 :PartNews;
+    limitNews @38 :LimitNews;
   }
 }
 
@@ -396,3 +397,18 @@
   endpoint @0 :Text;
   stampMs @1 :UInt64;      # time of the hybrid clock
 }
+
+# Limits on the rate of requests that endpoints name, and requests sent to those.
+struct LimitNews {
+  node @0 :Text;
+  items @1 :List(EndpointLimit);
+}
+
+struct EndpointLimit {
+  endpoint @0 :Text;
+  limited @1 :Bool;        # whether the newest answer names a limit
+  perS @2 :Float64;        # requests a second, of all gateways together
+  stamp @3 :UInt64;        # time of the hybrid clock of that answer
+  isRequest @4 :Bool;      # whether `node` sends the endpoint a request now
+  debtMs @5 :UInt32;       # for how long booked requests fill the schedule
+}
