Quarantine: one place that logs crashes, quarantines and their ends

Cause: gateways and entries logged the same events in two copies of the code. Change: quarantine/report.py; the crash of an endpoint that is leaving blames no part, as that one ends by itself.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -140,8 +140,7 @@
     ),
     Event.ENDPOINT_CRASHED: (
         "A response broke off `began_ms` after its head, and its endpoint refuses"
-        " connections; `parts` are those of the request's prompt, `suspect` says"
-        " whether they may have caused it."
+        " connections; `parts` are those of the request's prompt."
     ),
     Event.ENDPOINT_LIMITED: (
         "An endpoint names in its answers how many requests a second it takes,"
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -180,7 +180,12 @@
             return
         watch = self.node.prompt_watch
         parts = self.generation_request.parts
-        watch.record_crash(self.request_id, parts, self.location.endpoint)
+        watch.record_crash(
+            self.request_id,
+            parts,
+            self.location.endpoint,
+            began_s=time.monotonic() - reader.began_at,
+        )
         watch.publish(self.pool, parts)
 
     async def chunks(self) -> Items:
--- a/src/baobabturn/entry/promptwatch.py
+++ b/src/baobabturn/entry/promptwatch.py
@@ -11,11 +11,11 @@
 from collections.abc import Callable
 
 from baobabturn.core.clock import stamp_ms
-from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
-from baobabturn.quarantine.ledger import CrashLedger, PartRecord
+from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.quarantine.refusal import quarantine_failure
+from baobabturn.quarantine.report import QuarantineReport
 from baobabturn.wire.gatewaymessages import PartNews
 from baobabturn.wire.link import Link
 
@@ -37,7 +37,7 @@
         self.ledger = CrashLedger(
             max_records=MAX_RECORDS, max_answered_parts=MAX_ANSWERED_PARTS
         )
-        self.ledger.quarantine_listeners.append(self.log_quarantine)
+        self.report = QuarantineReport(program=program, ledger=self.ledger)
 
     def refusal(self, parts: list[str]) -> Failure | None:
         """Return why a prompt isn't admitted, None if it may be."""
@@ -48,18 +48,19 @@
         """Return whether a prompt that failed shouldn't be sent to another engine."""
         return self.ledger.are_suspect(parts)
 
-    def record_crash(self, request_id: str, parts: list[str], endpoint: str) -> None:
+    def record_crash(
+        self, request_id: str, parts: list[str], endpoint: str, *, began_s: float
+    ) -> None:
         """Record the crash of an engine that had just begun to answer a prompt."""
-        self.program.metrics.count("crashes_seen")
-        self.program.events.emit(
-            Event.ENDPOINT_CRASHED, request=request_id, endpoint=endpoint
-        )
+        self.report.log_crash(request_id, endpoint, began_s=began_s, parts="")
         stamp = stamp_ms(self.program.clock.now())
         self.ledger.record_crash(endpoint, parts, stamp_ms=stamp)
 
     def record_answer(self, parts: list[str], began_at: float) -> list[str]:
         """Record a prompt that was answered; return the parts that this clears."""
-        return self.ledger.record_answer(parts, began_at=began_at)
+        changed = self.ledger.record_answer(parts, began_at=began_at)
+        self.report.log_cleared(changed)
+        return changed
 
     def publish(self, pool: str, parts: list[str]) -> None:
         """Send what is known of some parts to the scheduler of a pool."""
@@ -81,15 +82,3 @@
     def handle_news(self, link: Link, news: PartNews) -> None:
         """Add what other entries know."""
         self.ledger.merge(news.items)
-
-    def log_quarantine(self, record: PartRecord) -> None:
-        """Log that a quarantine has begun, here or at another entry."""
-        self.program.metrics.count("quarantines")
-        self.program.events.emit(
-            Event.PART_QUARANTINED,
-            part=record.part,
-            crashes=",".join(crash.endpoint for crash in record.crashes),
-            answers=record.answers,
-            term=record.term,
-            for_s=int(self.ledger.remaining_s([record.part])),
-        )
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -11,7 +11,6 @@
 import time
 
 from baobabturn.core.clock import stamp_ms
-from baobabturn.core.events import Event
 from baobabturn.core.probe import has_ended
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
@@ -20,8 +19,9 @@
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.quarantinestore import QuarantineStore
 from baobabturn.gateway.request import CallerRequest
-from baobabturn.quarantine.ledger import CrashLedger, PartRecord
+from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.quarantine.refusal import quarantine_failure
+from baobabturn.quarantine.report import QuarantineReport
 
 # A crash that this request may have caused is known so soon as a rule.
 VERDICT_WAIT_S = 0.1
@@ -30,7 +30,6 @@
 SUSPECT_AGE_S = 1.0
 # An answer that has been under way for so long shows that its prompt is sound.
 SOUND_AGE_S = 2.0
-MS_PER_S = 1000
 
 
 class CrashWatch:
@@ -52,7 +51,7 @@
         self.ledger = ledger
         self.exchange = exchange
         self.store = store
-        ledger.quarantine_listeners.append(self.log_quarantine)
+        self.report = QuarantineReport(program=program, ledger=ledger)
 
     def refusal(self, request: CallerRequest) -> Failure | None:
         """Return why a request may not be sent to any endpoint, None if it may."""
@@ -79,7 +78,9 @@
         if not suspect_parts(request):
             return
         began_s = time.monotonic() - began_at
-        is_suspect = not event_count or began_s <= SUSPECT_AGE_S
+        has_just_begun = not event_count or began_s <= SUSPECT_AGE_S
+        # One that is leaving ends by itself.
+        is_suspect = has_just_begun and not endpoint.leaving
         check = self.program.background.start(
             self.check(request, endpoint, began_s, is_suspect),
             f"crash-check-{request.request_id}",
@@ -96,14 +97,11 @@
         """Record the crash of an endpoint, if it has crashed."""
         if not await has_ended(*parse_address(endpoint.record.address)):
             return
-        self.program.metrics.count("crashes_seen")
-        self.program.events.emit(
-            Event.ENDPOINT_CRASHED,
-            request=request.request_id,
-            endpoint=endpoint.name,
-            began_ms=int(began_s * MS_PER_S),
+        self.report.log_crash(
+            request.request_id,
+            endpoint.name,
+            began_s=began_s,
             parts=part_ids(request),
-            suspect=is_suspect,
         )
         if is_suspect:
             self.record_crash(request, endpoint)
@@ -122,27 +120,11 @@
         """Record that a request's answer was written, whole or for long enough."""
         changed = self.ledger.record_answer(suspect_parts(request), began_at=began_at)
         self.exchange.publish(changed)
+        self.report.log_cleared(changed)
         for part in changed:
-            if self.ledger.records[part].lifted:
-                self.log_lifted(part)
+            if self.ledger.is_lifted(part):
                 self.store.remove(part)
 
-    def log_quarantine(self, record: PartRecord) -> None:
-        """Log that a quarantine has begun, here or at another gateway."""
-        self.program.metrics.count("quarantines")
-        self.program.events.emit(
-            Event.PART_QUARANTINED,
-            part=record.part,
-            crashes=",".join(crash.endpoint for crash in record.crashes),
-            answers=record.answers,
-            term=record.term,
-            for_s=int(self.ledger.remaining_s([record.part])),
-        )
-
-    def log_lifted(self, part: str) -> None:
-        """Log that an answer has ended a quarantine or probation."""
-        self.program.events.emit(Event.PART_CLEARED, part=part)
-
 
 def suspect_parts(request: CallerRequest) -> list[str]:
     """Return the ids of the parts of a prompt that other prompts may share.
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -286,6 +286,11 @@
             and record.is_quarantined(now)
         ]
 
+    def is_lifted(self, part: str) -> bool:
+        """Return whether an answer ended the last quarantine of a part."""
+        record = self.records.get(part)
+        return record is not None and record.lifted
+
     def are_suspect(self, parts: Iterable[str]) -> bool:
         """Return whether any of these parts may well crash engines."""
         now = self.clock()
