Gateway: a module of its own for how the responses of a stream end

Change: gateway/responsewatch.py; a plain request that has waited for its turn asks the quarantine again. No other change of behaviour. Result: lint; gateway, crash, unframed and limit features 64 passed, 0 failed.

--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -59,15 +59,12 @@
                 break
             if request.remaining_s() < MIN_REMAINING_S:
                 break
-            refusal = self.crash_watch.refusal(request)
+            refusal = self.refusal(request, endpoint)
             if refusal is not None:
                 return best or refusal
-            delay_s = self.rate_limits.delay_s(endpoint.name)
-            if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
-                return best or limit_failure(request, delay_s)
             if attempts_sent and not self.budget.try_spend(request.service.name):
                 break
-            if not await self.wait_for_turn(endpoint, delay_s):
+            if not await self.wait_for_turn(request, endpoint):
                 continue
             tried_endpoints.add(endpoint.name)
             result = await self.attempt(request, endpoint, len(tried_endpoints))
@@ -77,15 +74,27 @@
                 break
         return best or self.unsent_failure(request)
 
-    async def wait_for_turn(self, endpoint: Endpoint, delay_s: float) -> bool:
+    def refusal(self, request: CallerRequest, endpoint: Endpoint) -> Failure | None:
+        """Return why a request may not be sent to any endpoint, None if it may.
+
+        ``endpoint`` is the one whose limit permits a request first.
+        """
+        delay_s = self.rate_limits.delay_s(endpoint.name)
+        if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
+            return limit_failure(request, delay_s)
+        return self.crash_watch.refusal(request)
+
+    async def wait_for_turn(self, request: CallerRequest, endpoint: Endpoint) -> bool:
         """Book a request to an endpoint and wait until its limit permits it.
 
-        Return whether the endpoint still takes requests then.
+        Return whether it may still be sent there then.
         """
+        delay_s = self.rate_limits.delay_s(endpoint.name)
         self.rate_limits.book(endpoint.name)
-        if delay_s:
-            await asyncio.sleep(delay_s)
-        return not endpoint.leaving
+        if not delay_s:
+            return True
+        await asyncio.sleep(delay_s)
+        return not endpoint.leaving and self.crash_watch.refusal(request) is None
 
     def choose_endpoint(
         self, request: CallerRequest, tried_endpoints: set[str]
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -10,7 +10,6 @@
 import aiohttp
 
 from baobabturn.core.events import Event
-from baobabturn.core.probe import has_ended
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.outcome import (
     AttemptState,
@@ -18,16 +17,15 @@
     failure_from_exception,
     may_retry,
 )
-from baobabturn.gateway.crashwatch import SOUND_AGE_S
 from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.eventreader import EventReader, stall_timeout_s
 from baobabturn.gateway.httpheaders import end_to_end_headers
-from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.plain import more_significant
 from baobabturn.gateway.platforminterface import Continuation
 from baobabturn.gateway.pools import HeldReservation
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.responsewatch import ResponseWatch
 from baobabturn.gateway.sse import SseEvent
 from baobabturn.gateway.streamparts import StreamParts, tokens_per_event
 from baobabturn.gateway.streamtimes import StreamTimes
@@ -56,8 +54,7 @@
     """Relays one generation to one caller, wherever it runs.
 
     ``last_event_id`` is the id of the last event sent to the caller, ``sent`` says
-    whether an engine may have got the request, ``answer_recorded`` that the newest
-    attempt has shown the prompt to be sound.  A migration
+    whether an engine may have got the request.  A migration
     sets ``continuation_future`` to the reservation and the copied KV cache with
     which the generation continues, or to None if the migration failed.
     """
@@ -76,7 +73,7 @@
         self.abort_scope = asyncio.timeout(None)
         self.last_event_id = b""
         self.attempts_sent = 0
-        self.answer_recorded = False
+        self.responses = ResponseWatch(crash_watch=parts.crash_watch, request=request)
         self.sent = False
         self.head_sent = False
         self.ended = False
@@ -221,7 +218,7 @@
             self.record_refusal(reservation, response)
             return response
         self.response = response
-        self.answer_recorded = False
+        self.responses.begin(endpoint, response)
         self.attempts_sent += 1
         return await self.send_head(response)
 
@@ -285,37 +282,13 @@
             # The time that a slow caller takes isn't counted.
             if not all(event.is_comment for event in events):
                 reader.restart_stall_timer()
-        failure = await self.unframed_end(self.response)
+        failure = await self.responses.check_end(self.times.event_count)
         if failure is not None:
             return failure
-        self.record_answer(self.response)
+        self.responses.record_answer()
         self.finish(FINISHED)
         return None
 
-    async def unframed_end(self, response: OpenResponse) -> Failure | None:
-        """Return why a stream that ended with its connection is incomplete, if it is.
-
-        The connections of a process that crashes are closed as after a whole response.
-        One that is leaving may end after its last response.
-        """
-        if response.framed or self.endpoint is None:
-            return None
-        if not self.times.event_count:
-            return Failure(Code.GENERATION_CUT, "the response had no event")
-        if self.endpoint.leaving:
-            return None
-        if await has_ended(*parse_address(self.endpoint.record.address)):
-            return Failure(Code.GENERATION_CUT, "the engine ended with its response")
-        return None
-
-    def record_answer(self, response: OpenResponse) -> None:
-        """Record once for each attempt that an engine has answered the prompt."""
-        if not self.answer_recorded:
-            self.answer_recorded = True
-            self.parts.crash_watch.record_answer(
-                self.request, began_at=response.began_at
-            )
-
     async def relay_body(self, response: OpenResponse) -> Failure | None:
         """Pass on a response that is not a stream."""
         try:
@@ -368,9 +341,7 @@
             self.progress_recorded_at = times.last_event_at
             produced = times.event_count * tokens_per_event(self.request)
             self.pools.record_progress(self.reservation, produced)
-        response = self.response
-        if response and times.last_event_at - response.began_at >= SOUND_AGE_S:
-            self.record_answer(response)
+        self.responses.record_event(times.last_event_at)
 
     async def continue_elsewhere(self, interruption: Failure) -> Failure | None:
         """Continue an interrupted stream at another engine; return why that failed."""
@@ -379,13 +350,14 @@
             request=self.request.request_id,
             endpoint=endpoint_name(self),
             events=self.times.event_count,
-            began_ms=self.began_ms(),
+            began_ms=self.responses.began_ms(),
             reason=str(interruption),
             moving=self.continuation_future is not None,
         )
         if self.response is not None:
             self.response.close()
-        await self.record_broken()
+        if self.continuation_future is None:
+            await self.responses.record_broken(self.times.event_count)
         if interruption.code in (Code.DEADLINE_PARTIAL, Code.DEADLINE_UNKNOWN):
             return interruption
         migration_result = await self.await_migration()
@@ -395,23 +367,6 @@
             self.pools.release(self.reservation, FAILED)
         return await self.continue_by_rerun(interruption)
 
-    def began_ms(self) -> int:
-        """Return for how long the newest attempt's response has been under way."""
-        if self.response is None:
-            return 0
-        return int((time.monotonic() - self.response.began_at) * MS_PER_S)
-
-    async def record_broken(self) -> None:
-        """Find out whether the engine has crashed, unless a migration stopped it."""
-        if self.endpoint is None or self.response is None or self.continuation_future:
-            return
-        await self.parts.crash_watch.record_broken(
-            self.request,
-            self.endpoint,
-            began_at=self.response.began_at,
-            event_count=self.times.event_count,
-        )
-
     async def await_migration(self) -> tuple[HeldReservation, Continuation] | None:
         """Return what a migration provides to continue, None if there is none."""
         future = self.continuation_future
