Gateway: one mark for a request that an endpoint may have got

Cause: streams and plain requests kept it in two places. Change: CallerRequest.sent serves both; three docstrings reworded on a second reading.

--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -201,7 +201,7 @@
         )
 
     def make_crash_watch(self, store: ObjectStore) -> CrashWatch:
-        """Return the parts that keep crashing prompts from engines."""
+        """Return the watch for prompts that crash engines, and what it needs."""
         ledger = CrashLedger()
         exchange = PartNewsExchange(
             peers=self.peers, watchers=self.watchers, ledger=ledger
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -53,8 +53,7 @@
 class RelayedStream:
     """Relays one generation to one caller, wherever it runs.
 
-    ``last_event_id`` is the id of the last event sent to the caller, ``sent`` says
-    whether an engine may have got the request.  A migration
+    ``last_event_id`` is the id of the last event sent to the caller.  A migration
     sets ``continuation_future`` to the reservation and the copied KV cache with
     which the generation continues, or to None if the migration failed.
     """
@@ -74,7 +73,6 @@
         self.last_event_id = b""
         self.attempts_sent = 0
         self.responses = ResponseWatch(crash_watch=parts.crash_watch, request=request)
-        self.sent = False
         self.head_sent = False
         self.ended = False
         self.progress_recorded_at = 0.0
@@ -118,7 +116,7 @@
     def abort_failure(self) -> Failure:
         """Return the failure of a stream that was aborted for its prompt."""
         refusal = self.parts.crash_watch.refusal(self.request)
-        if refusal is not None and not self.sent:
+        if refusal is not None and not self.request.sent:
             return refusal
         return Failure(Code.OUTCOME_UNKNOWN, "its prompt crashes engines")
 
@@ -197,7 +195,7 @@
             self.pools.release(reservation, ABANDONED)
             return refusal
         self.reservation, self.endpoint = reservation, endpoint
-        self.sent = True
+        self.request.sent = True
         self.program.events.emit(
             Event.ATTEMPT_SENT,
             request=self.request.request_id,
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -81,7 +81,7 @@
     def abort_unanswered(self, part: PartRecord) -> None:
         """Abort the streams whose prompt has a part that has just been quarantined.
 
-        Those that have had an event go on: their engine stands their prompt.
+        Those that have had an event go on, as their engine hasn't crashed.
         """
         now = asyncio.get_running_loop().time()
         for stream in self.active:
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -162,7 +162,7 @@
             self.answered.popitem(last=False)
 
     def clear(self, record: PartRecord, began_at: float) -> bool:
-        """Forgive the crashes before an answer; return whether that changes much."""
+        """Forgive the crashes before an answer; return whether others should know."""
         record.answers = max(record.answers, self.answered[record.part])
         earlier = [
             crash
