--- a/src/baobabturn/core/probe.py
+++ b/src/baobabturn/core/probe.py
@@ -7,6 +7,7 @@
 
 # A host that is up accepts or refuses a connection within this time.
 PROBE_TIMEOUT_S = 1.0
+# A process that is ending has closed its listener by then.
 REPEAT_DELAY_S = 0.05
 
 log = logging.getLogger("baobabturn.probe")
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -26,6 +26,7 @@
 from baobabturn.entry.requests import GenerationRequest, engine_body
 from baobabturn.entry.resumetokens import GenerationLocation
 from baobabturn.entry.retries import backoff_s
+from baobabturn.quarantine.refusal import is_quarantined
 from baobabturn.wire.messages import Admit, Grant, Holding
 from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
@@ -377,11 +378,6 @@
         return reader
 
 
-def is_quarantined(failure: Failure) -> bool:
-    """Return whether a prompt was refused because it crashes engines."""
-    return failure.code is Code.PROMPT_QUARANTINED
-
-
 class ResumedRun(Delivery):
     """A running generation that a caller resumes at this entry."""
 
--- a/src/baobabturn/entry/promptwatch.py
+++ b/src/baobabturn/entry/promptwatch.py
@@ -13,14 +13,14 @@
 from baobabturn.core.clock import stamp_ms
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
-from baobabturn.quarantine.ledger import CrashLedger
+from baobabturn.quarantine.ledger import MAX_BLOCK_RECORDS, CrashLedger
 from baobabturn.quarantine.refusal import quarantine_failure
 from baobabturn.quarantine.report import QuarantineReport
 from baobabturn.wire.gatewaymessages import PartNews
 from baobabturn.wire.link import Link
 
-# Each prompt has up to 64 blocks.
-MAX_RECORDS, MAX_ANSWERED_PARTS = 4096, 16_384
+# Each prompt has up to 64 parts.
+MAX_ANSWERED_PARTS = 16_384
 
 Send = Callable[[str, PartNews], None]
 
@@ -35,7 +35,7 @@
         self.program = program
         self.send = send
         self.ledger = CrashLedger(
-            max_records=MAX_RECORDS, max_answered_parts=MAX_ANSWERED_PARTS
+            max_records=MAX_BLOCK_RECORDS, max_answered_parts=MAX_ANSWERED_PARTS
         )
         self.report = QuarantineReport(program=program, ledger=self.ledger)
 
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -36,7 +36,7 @@
     """Watches for prompts that crash engines, and refuses them.
 
     A process that has ended refuses new connections, while one whose connections
-    were cut on the way takes them.  So one connection tells a crash from a cut.
+    were cut on the way takes them.  That tells a crash from a cut.
     """
 
     def __init__(
--- a/src/baobabturn/gateway/quarantinestore.py
+++ b/src/baobabturn/gateway/quarantinestore.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 
@@ -32,6 +33,8 @@
 FIRST_READ_TIMEOUT_S = 1.0
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 1.0, 20.0
 
+log = logging.getLogger("baobabturn.gateway.quarantinestore")
+
 
 class QuarantineStore:
     """Writes the quarantines that begin here, and reads those of before the start."""
@@ -63,6 +66,7 @@
             )
         self.first_read_ended = True
         while failure is not None:
+            self.log_failure("all", failure)
             await asyncio.sleep(random.uniform(0.5, 1.0) * delay_s)
             delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
             failure = await self.read()
@@ -131,13 +135,7 @@
 
     def log_failure(self, name: str, failure: Failure) -> None:
         """Log a call that failed."""
-        self.program.events.emit(
-            Event.PLATFORM_DOWN,
-            kind=self.object_codec.quarantine_kind,
-            endpoint=name,
-            code=int(failure.code),
-            reason=failure.reason,
-        )
+        log.warning("event=quarantine-store-failed object=%s error=%s", name, failure)
 
 
 def object_name(part: str) -> str:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -29,6 +29,7 @@
 from baobabturn.gateway.sse import SseEvent
 from baobabturn.gateway.streamparts import StreamParts, tokens_per_event
 from baobabturn.gateway.streamtimes import StreamTimes
+from baobabturn.quarantine.refusal import is_quarantined
 from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
 MS_PER_S = 1000
@@ -434,11 +435,6 @@
         return interruption if is_quarantined(failure) else failure
 
 
-def is_quarantined(failure: Failure | None) -> bool:
-    """Return whether a prompt was refused because it crashes engines."""
-    return failure is not None and failure.code is Code.PROMPT_QUARANTINED
-
-
 def endpoint_name(stream: RelayedStream) -> str:
     """Return the name of the endpoint where a generation runs or ran last."""
     return stream.endpoint.name if stream.endpoint is not None else ""
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -40,6 +40,8 @@
 SUSPICION_EXPIRY_S = 600.0
 PROBATION_EXPIRY_S = 7200.0
 MAX_RECORDS = 512
+# The same at entries and schedulers, where a prompt has up to 64 parts.
+MAX_BLOCK_RECORDS = 4096
 MAX_CRASHES_PER_PART = 16
 # How many answered parts are remembered.
 MAX_ANSWERED_PARTS = 2048
--- a/src/baobabturn/quarantine/refusal.py
+++ b/src/baobabturn/quarantine/refusal.py
@@ -12,3 +12,8 @@
         f"a part of the prompt crashed engines; refused for {remaining_s:.0f} s",
         retry_after_s=remaining_s,
     )
+
+
+def is_quarantined(failure: Failure | None) -> bool:
+    """Return whether a prompt was refused because it crashes engines."""
+    return failure is not None and failure.code is Code.PROMPT_QUARANTINED
--- a/src/baobabturn/scheduler/partrelay.py
+++ b/src/baobabturn/scheduler/partrelay.py
@@ -5,12 +5,10 @@
 from collections.abc import Callable, Iterable
 
 from baobabturn.core.program import Program
-from baobabturn.quarantine.ledger import CrashLedger
+from baobabturn.quarantine.ledger import MAX_BLOCK_RECORDS, CrashLedger
 from baobabturn.wire.gatewaymessages import PartNews
 from baobabturn.wire.link import Link
 
-MAX_RECORDS = 4096
-
 
 class PartRelay:
     """Keeps what the entries know, and sends each what it lacks.
@@ -22,7 +20,7 @@
     def __init__(self, *, program: Program, links: Callable[[], Iterable[Link]]):
         self.program = program
         self.links = links
-        self.ledger = CrashLedger(max_records=MAX_RECORDS)
+        self.ledger = CrashLedger(max_records=MAX_BLOCK_RECORDS)
 
     def handle_news(self, link: Link, news: PartNews) -> None:
         """Add an entry's news, and send them to the other entries."""
