Gateway: logs tell which lists are applied, and the store's era

Cause: the log couldn't tell whether a store that returns from a copy answers late or with lower revisions. Change: store-listed (version, known version, applied or not; lists in vain at most once a second), store-update-old, store-era; the adapter reads the era of each answer.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -72,6 +72,9 @@
     PART_CLEARED = "part-cleared"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
+    STORE_ERA = "store-era"
+    STORE_LISTED = "store-listed"
+    STORE_UPDATE_OLD = "store-update-old"
     LINK_OPENED = "link-opened"
     LINK_CLOSED = "link-closed"
     ENDPOINT_SEEN = "endpoint-seen"
@@ -157,6 +160,16 @@
     Event.ENDPOINT_RESTORED: "An endpoint gets its full share of new requests again.",
     Event.PLATFORM_DOWN: "Calls to the platform fail.",
     Event.PLATFORM_UP: "Calls to the platform succeed again.",
+    Event.STORE_ERA: (
+        "The platform's store answers from a copy: its era has risen from `before`."
+    ),
+    Event.STORE_LISTED: (
+        "All objects of a kind were read at a version; `applied` is no if `known` was"
+        " newer."
+    ),
+    Event.STORE_UPDATE_OLD: (
+        "An update from another gateway was ignored, because `known` was newer."
+    ),
     Event.LINK_OPENED: "A link to another process is open.",
     Event.LINK_CLOSED: "A link to another process closed.",
     Event.ENDPOINT_SEEN: "The platform lists an endpoint that was not known before.",
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -66,7 +66,9 @@
         return sockets
     gateway = program.settings.gateway
     transport = Transport(connect_timeout_s=gateway.connect_timeout_s)
-    platform = PlatformAdapter(transport=transport, address=gateway.platform)
+    platform = PlatformAdapter(
+        transport=transport, address=gateway.platform, events=program.events
+    )
     node = GatewayNode(
         program=program,
         header_translator=platform.header_translator,
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -19,6 +19,8 @@
 BATCH_DELAY_S = 0.05
 # How often a mirror that doesn't watch the store checks whether it should.
 INACTIVE_CHECK_INTERVAL_S = 0.25
+# Lists in vain are logged at most this often.
+VAIN_LIST_LOG_INTERVAL_S = 1.0
 # Failures for at least this long are an outage, after which entries may be missing.
 MIN_OUTAGE_S = 1.0
 
@@ -105,6 +107,7 @@
         self.complete_version = 0
         self.confirmed_at = 0.0
         self.failures = 0
+        self.vain_list_logged_at = 0.0
         self.invalidated = asyncio.Event()
         self.is_active: Callable[[], bool] = lambda: True
         self.on_watch_changes: Callable[[Mirror, int, Changes], None] = (
@@ -154,6 +157,7 @@
         if isinstance(snapshot, Failure):
             return snapshot
         self.contact.record_success()
+        self.log_list(snapshot)
         if snapshot.version < self.last_change_version:
             # An update from another gateway was newer; list again.
             return None
@@ -164,6 +168,23 @@
         self.confirm(asked_at)
         return None
 
+    def log_list(self, snapshot: Changes) -> None:
+        """Log a list, if it is in vain only now and then."""
+        is_applied = snapshot.version >= self.last_change_version
+        now = boot_time_s()
+        if not is_applied:
+            if now - self.vain_list_logged_at < VAIN_LIST_LOG_INTERVAL_S:
+                return
+            self.vain_list_logged_at = now
+        self.contact.events.emit(
+            Event.STORE_LISTED,
+            kind=self.kind,
+            version=snapshot.version,
+            known=self.last_change_version,
+            objects=len(snapshot.changes),
+            applied="yes" if is_applied else "no",
+        )
+
     def confirm(self, at: float) -> None:
         """Record that the mirror was certainly up to date at boot time ``at``."""
         self.confirmed_at = max(self.confirmed_at, at)
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from baobabturn.core.events import Event
 from baobabturn.gateway.mirror import Mirror, StoreContact, boot_time_s
 from baobabturn.gateway.peer import Peer
 from baobabturn.gateway.peers import Peers
@@ -226,6 +227,7 @@
         if update.returning:
             self.contact.outage_ended_at = boot_time_s()
         if update.version <= mirror.last_change_version:
+            self.log_old_update(update, mirror)
             return
         if (
             peer.failure_domain != self.peers.record.failure_domain
@@ -238,6 +240,17 @@
         else:
             mirror.invalidate()
 
+    def log_old_update(self, update: StoreNews, mirror: Mirror) -> None:
+        """Log an update that is older than what is known; equal ones are repeats."""
+        if update.version < mirror.last_change_version:
+            self.contact.events.emit(
+                Event.STORE_UPDATE_OLD,
+                kind=update.kind,
+                version=update.version,
+                known=mirror.last_change_version,
+                sender=update.node,
+            )
+
     def handle_ask(self, ask: StoreAsk, peer: Peer) -> None:
         """Send missed updates and a confirmation, if this gateway is a watcher.
 
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from baobabturn.core.events import Event, EventLog
 from baobabturn.core.httpclient import read_limited
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.gateway.transport import Transport
@@ -24,6 +25,8 @@
 CALL_TIMEOUT_S = 1.0
 # A page of a list has about 1 MB; a watch may return more.
 MAX_RESPONSE_BYTES = 8_388_608
+# Rises by one each time the store returns from a copy that is some seconds old.
+ERA_HEADER = "Store-Era"
 # A watch times out this long after the wait that it asked the store for.
 WATCH_TIMEOUT_MARGIN_S = 0.5
 FAILURE_CODES = {
@@ -40,13 +43,15 @@
 
     An object's ``version`` is the store's revision at the object's last change; the
     version of a watch or list is the store's current revision.  ``calls`` counts the
-    calls made.
+    calls made; ``era`` is the highest that an answer stated.
     """
 
-    def __init__(self, *, address: str, transport: Transport):
+    def __init__(self, *, address: str, transport: Transport, events: EventLog):
         self.base_url = f"http://{address}{OBJECTS_PATH}"
         self.transport = transport
+        self.events = events
         self.calls = 0
+        self.era = 0
 
     async def call(
         self,
@@ -69,6 +74,7 @@
             ) as response:
                 data = await read_limited(response, MAX_RESPONSE_BYTES)
                 status = response.status
+                self.record_era(response.headers.get(ERA_HEADER, ""))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             reason = f"connect: {type(error).__name__}"
             return Failure(Code.PLATFORM_UNREACHABLE, reason, run=Run.NOT_RUN)
@@ -83,6 +89,15 @@
         except ValueError as error:
             return Failure(Code.WRITE_UNRESOLVED, f"not JSON: {error}")
 
+    def record_era(self, text: str) -> None:
+        """Record the era that an answer states; log that it has risen."""
+        era = int(text) if text.isdigit() else 0
+        if era <= self.era:
+            return
+        if self.era:
+            self.events.emit(Event.STORE_ERA, era=era, before=self.era)
+        self.era = era
+
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Return an object, or ``OBJECT_MISSING`` if it doesn't exist."""
         response = await self.call("GET", f"{kind}/{name}")
--- a/src/baobabturn/timeline/explain.py
+++ b/src/baobabturn/timeline/explain.py
@@ -21,6 +21,7 @@
         Event.KEYS_UNCONFIRMED,
         Event.PLATFORM_DOWN,
         Event.PLATFORM_UP,
+        Event.STORE_ERA,
         Event.PROCESS_STARTED,
         Event.PROCESS_DRAINING,
         Event.PROCESS_STOPPED,
