--- a/fakes/site.py
+++ b/fakes/site.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from fakes.rawhttp import RawHttpServer, Request, chunk_bytes, response_bytes
 
 PLATFORM_PATH = "/baobabturn/"
@@ -20,9 +23,20 @@
 EVENT_INTERVAL_S = 0.01
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """The objects and history of a store at a revision."""
+
+    revision: int
+    objects: dict[str, dict[str, dict]]
+    history: list[tuple[str, dict, bool]]
+
+
 class SiteStore(RawHttpServer):
     """The platform's object store, with lists, watches and conditional writes.
 
+    ``era`` rises each time the store returns from a copy; every answer states it.
+
     ``failing_status`` is a status that every call gets (0 for none); with ``silent``
     calls get no answer.  ``repeat_after_s`` is the time after which each answer is
     sent a second time (0 for never).  With ``endless_lists`` the answer to a list
@@ -32,6 +46,7 @@
     def __init__(self, *, page: int = 500):
         super().__init__()
         self.page_size = page
+        self.era = 1
         self.revision = 1
         self.objects: dict[str, dict[str, dict]] = {}
         self.history: list[tuple[str, dict, bool]] = []
@@ -70,6 +85,22 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy from which the store can return later."""
+        return StoreCopy(
+            revision=self.revision,
+            objects=copy.deepcopy(self.objects),
+            history=copy.deepcopy(self.history),
+        )
+
+    def restore(self, stored: StoreCopy) -> None:
+        """Return from a copy; later revisions are given out again."""
+        self.era += 1
+        self.revision = stored.revision
+        self.objects = copy.deepcopy(stored.objects)
+        self.history = copy.deepcopy(stored.history)
+        self.reset_connections()
+
     def discard_history(self) -> None:
         """Discard the history; watches from older revisions then get 410."""
         self.history.clear()
@@ -90,7 +121,8 @@
         if self.endless_lists and request.method == "GET":
             await send_endless_list(writer)
         data = json.dumps(body).encode()
-        answer = response_bytes(status, data, {"Content-Type": "application/json"})
+        headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
+        answer = response_bytes(status, data, headers)
         writer.write(answer)
         await writer.drain()
         if self.repeat_after_s:
@@ -129,7 +161,7 @@
 
         Return none after ``wait_ms``.
         """
-        if since < self.compacted_revision:
+        if not self.compacted_revision <= since <= self.revision:
             return 410, {}
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000
