What the store says is ordered by its era first, then by revision

What callers saw: after the store returned from a copy 9 s old, one gateway of eight or nine kept an old configuration (404 for routes that are there), and all requests that need a key got 503 for 2.6 to 4 s on every site. Cause: revisions alone were taken for an order. After the return they lie lower: lists were thrown away as old and read again without a pause, updates and confirmations between gateways were compared across the return. Evidence: store-listed lines, applied=no from 17.0 to 21.5 s at every gateway. Change: StoreVersion, an era and a revision, with the comparison in one place, decoded by both clients of a store and carried by the messages between processes. A watch or a list that meets another era begins anew; a condition of an earlier era isn't sent; a confirmation of another era confirms nothing; a list in vain backs off. A watcher sends all objects to gateways that ask with a version of the last era, so that one which the store doesn't answer gets across. A platform that names no era is in era 0. Why it works: within an era nothing changes, and between eras the newer one wins. The test of a datagram that can't be handled names era 1 now, as its store does; a version of era 0 would be ignored before it could fail.

--- a/features/schedules.py
+++ b/features/schedules.py
@@ -15,7 +15,8 @@
 import attrs
 
 from baobabturn.core.results import Code, Failure
-from baobabturn.store.interface import ABSENT, ANY_VERSION, StoredObject
+from baobabturn.store.interface import StoredObject
+from baobabturn.store.version import ABSENT, ANY_VERSION, StoreVersion
 
 LOST = Failure(Code.WRITE_UNRESOLVED, "answer lost")
 
@@ -38,17 +39,18 @@
 
     def __init__(self):
         self.objects: dict[tuple[str, str], StoredObject] = {}
-        self.version = 0
+        self.era = 0
+        self.revision = 0
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Return an object."""
         return await Call(effect=lambda: self.read(kind, name))
 
-    async def put(self, kind: str, name: str, value: Any, expect: int) -> Any:
+    async def put(self, kind: str, name: str, value: Any, expect: StoreVersion) -> Any:
         """Write an object if its version is the expected one."""
         return await Call(effect=lambda: self.write(kind, name, value, expect))
 
-    async def delete(self, kind: str, name: str, expect: int) -> Any:
+    async def delete(self, kind: str, name: str, expect: StoreVersion) -> Any:
         """Delete an object if its version is the expected one."""
         return await Call(effect=lambda: self.remove(kind, name, expect))
 
@@ -57,7 +59,7 @@
         missing = Failure(Code.OBJECT_MISSING, name)
         return self.objects.get((kind, name), missing)
 
-    def conflict(self, kind: str, name: str, expect: int) -> Failure | None:
+    def conflict(self, kind: str, name: str, expect: StoreVersion) -> Failure | None:
         """Return the failure of a condition that isn't met."""
         held = self.objects.get((kind, name))
         version = held.version if held is not None else ABSENT
@@ -65,17 +67,18 @@
             return None
         return Failure(Code.VERSION_CONFLICT, name)
 
-    def write(self, kind: str, name: str, value: Any, expect: int) -> Any:
+    def write(self, kind: str, name: str, value: Any, expect: StoreVersion) -> Any:
         """Carry out a write."""
         failed = self.conflict(kind, name, expect)
         if failed is not None:
             return failed
-        self.version += 1
-        made = StoredObject(kind=kind, name=name, version=self.version, value=value)
+        self.revision += 1
+        version = StoreVersion(self.era, self.revision)
+        made = StoredObject(kind=kind, name=name, version=version, value=value)
         self.objects[(kind, name)] = made
         return made
 
-    def remove(self, kind: str, name: str, expect: int) -> Any:
+    def remove(self, kind: str, name: str, expect: StoreVersion) -> Any:
         """Carry out a deletion."""
         failed = self.conflict(kind, name, expect)
         if failed is None:
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -13,10 +13,11 @@
 from baobabturn.core.results import Failure
 from baobabturn.settings.load import load
 from baobabturn.store.acquisition import Claim
-from baobabturn.store.claims import ABSENT, CLAIM_KIND, Claims, claim_name
+from baobabturn.store.claims import CLAIM_KIND, Claims, claim_name
 from baobabturn.store.claimvalues import ClaimValue, Result, encode_claim
 from baobabturn.store.httpstore import HttpStore
 from baobabturn.store.sweep import ClaimSweep
+from baobabturn.store.version import ABSENT
 from fakes.platform import FakePlatform
 
 NAME = claim_name("clerks", "corral", "k")
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -19,7 +19,6 @@
 from baobabturn.controller.partsweep import PREFIXES, PartSweep
 from baobabturn.core.results import Code, Failure
 from baobabturn.store.httpstore import HttpStore
-from baobabturn.store.interface import ABSENT, ANY_VERSION
 from baobabturn.store.objects import (
     MANIFEST_KIND,
     MANIFEST_NAME,
@@ -27,6 +26,7 @@
     encode_body,
     manifest_value,
 )
+from baobabturn.store.version import ABSENT, ANY_VERSION
 from baobabturn.wire.messages import ConfigUpdate, Part
 from bench.members import MemberFleet
 from dev.fleet import ADMIN_KEY, call
--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -10,11 +10,17 @@
 from baobabturn.gateway.mirror import Mirror, StoreContact
 from baobabturn.gateway.peers import Peer
 from baobabturn.store.interface import Change, Changes
+from baobabturn.store.version import StoreVersion
 from fakes.proxy import Direction
 from features.sitecase import eventually
 from features.steps.gateway import begins_to_leave, run, start, status_of
 
 
+def at(revision, era=0):
+    """Return a version of the store."""
+    return StoreVersion(era, revision)
+
+
 class ScriptedStore:
     """Gives prepared answers; a watch waits until the script lets it end."""
 
@@ -22,12 +28,12 @@
         self.lists = 0
         self.release = asyncio.Event()
         self.watched = asyncio.Event()
-        self.found = Changes(changes=(), version=10)
+        self.found = Changes(changes=(), version=at(10))
 
     async def snapshot(self, kind):
         """Return an empty list."""
         self.lists += 1
-        return Changes(changes=(), version=10 * self.lists)
+        return Changes(changes=(), version=at(10 * self.lists))
 
     async def watch(self, kind, since, wait_s):
         """Wait for the script, then return what it prepared."""
@@ -61,7 +67,7 @@
 @when("news show that a change was missed, and then the watch ends")
 def missed(context):
     async def play():
-        assert not context.mirror.apply_update(15, 16, [])
+        assert not context.mirror.apply_update(at(15), at(16), [])
         context.mirror.invalidate()
         context.store.release.set()
         await eventually(lambda: context.store.lists == 2, "a second list")
@@ -82,12 +88,12 @@
 
 @when("news bring an endpoint's end, and the watch then brings its older entry")
 def older_entry(context):
-    ready = Change(name="e", version=11, value={"state": "ready"})
-    gone = Change(name="e", version=12, value=None)
+    ready = Change(name="e", version=at(11), value={"state": "ready"})
+    gone = Change(name="e", version=at(12), value=None)
 
     async def play():
-        assert context.mirror.apply_update(10, 12, [ready, gone])
-        context.store.found = Changes(changes=(ready,), version=11)
+        assert context.mirror.apply_update(at(10), at(12), [ready, gone])
+        context.store.found = Changes(changes=(ready,), version=at(11))
         context.store.watched.clear()
         context.store.release.set()
         await asyncio.wait_for(context.store.watched.wait(), 2)
@@ -97,8 +103,10 @@
 
 @then("the mirror has applied the end alone")
 def end_alone(context):
-    assert [change.version for change in context.applied] == [11, 12], context.applied
-    assert context.mirror.last_change_version == 12
+    assert [change.version for change in context.applied] == [at(11), at(12)], (
+        context.applied
+    )
+    assert context.mirror.last_change_version == at(12)
 
 
 @then("after {seconds:g} seconds one gateway alone calls the store")
--- a/features/steps/gatewayrecovery.py
+++ b/features/steps/gatewayrecovery.py
@@ -11,6 +11,7 @@
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.peer import parse_address
 from baobabturn.membership.datagrams import DatagramSigner
+from baobabturn.store.version import StoreVersion
 from baobabturn.wire.codec import Envelope, pack_small
 from baobabturn.wire.gatewaymessages import StoreChange, StoreNews
 from fakes.callers import read_reply, request_bytes, request_headers, send_request
@@ -48,16 +49,19 @@
     assert any("event=task-restarted" in line for line in lines), lines
 
 
+FAR_VERSION = StoreVersion(1, 1_000_000)
+
+
 @when("a message between the gateways makes its handler fail")
 def handler_fails(context):
     first, second = context.case.gateways
     settings = first.program.settings
-    broken = StoreChange(name="w0", version=1_000_000, value=b"no compressed data")
+    broken = StoreChange(name="w0", version=FAR_VERSION, value=b"no compressed data")
     update = StoreNews(
         node=second.program.settings.host.name,
         kind="servers",
-        before=1,
-        version=1_000_000,
+        before=StoreVersion(1, 1),
+        version=FAR_VERSION,
         changes=[broken],
     )
     envelope = Envelope(body=update, hlc=second.program.clock.now())
--- a/features/steps/platformclient.py
+++ b/features/steps/platformclient.py
@@ -11,7 +11,7 @@
 from baobabturn.core.events import EventLog
 from baobabturn.core.results import Failure
 from baobabturn.store.httpstore import HttpStore
-from baobabturn.store.interface import ABSENT
+from baobabturn.store.version import ABSENT
 from bench.members import settings_for
 from fakes.platform import FakePlatform
 
--- a/src/baobabturn/config/publish.py
+++ b/src/baobabturn/config/publish.py
@@ -10,7 +10,7 @@
 from baobabturn.config.parts import Manifest, digest, join, read_manifest, split
 from baobabturn.core.idents import nonce
 from baobabturn.core.results import Code, Failure
-from baobabturn.store.interface import ABSENT, ANY_VERSION, ObjectStore
+from baobabturn.store.interface import ObjectStore
 from baobabturn.store.objects import (
     MANIFEST_KIND,
     MANIFEST_NAME,
@@ -19,6 +19,7 @@
     encode_body,
     manifest_value,
 )
+from baobabturn.store.version import ABSENT, ANY_VERSION, StoreVersion
 
 TRIES = 8
 RETRY_S = 0.3
@@ -29,7 +30,7 @@
     """A manifest on the platform, with its object's version and its document."""
 
     manifest: Manifest
-    version: int
+    version: StoreVersion
     document: Document
 
 
@@ -111,7 +112,7 @@
 
 
 async def write_manifest_object(
-    store: ObjectStore, manifest: Manifest, version: int
+    store: ObjectStore, manifest: Manifest, version: StoreVersion
 ) -> Manifest | Failure:
     """Write the manifest if its object still has the version."""
     value = manifest_value(manifest)
--- a/src/baobabturn/controller/configsync.py
+++ b/src/baobabturn/controller/configsync.py
@@ -20,6 +20,7 @@
     PART_KIND,
     decode_body,
 )
+from baobabturn.store.version import NO_VERSION
 from baobabturn.wire.messages import ConfigFetch, ConfigUpdate, Member, Part
 
 MIN_RETRY_S = 0.5
@@ -32,7 +33,7 @@
 
     A watcher reads the platform; every host also fetches from a peer that has a
     newer revision.  ``seen_version`` is the platform's version of the last changes
-    that were applied, 0 if all must be read.
+    that were applied, ``NO_VERSION`` if all must be read.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         self.membership = membership
         self.on_change = on_change
         self.random = random.Random(program.identity.node)
-        self.seen_version = 0
+        self.seen_version = NO_VERSION
         self.platform_read = False
         self.fetching = False
 
@@ -59,7 +60,7 @@
         delay = MIN_RETRY_S
         while True:
             if self.platform_read and not self.membership.is_watcher():
-                self.seen_version = 0
+                self.seen_version = NO_VERSION
                 await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
                 continue
             failed = await self.read_changes()
@@ -76,14 +77,14 @@
         A manifest whose parts can't be read yet is read again later: the version
         seen advances only when everything up to it is in force.
         """
-        if self.seen_version:
+        if self.seen_version != NO_VERSION:
             wait_s = self.program.settings.platform.watch_wait_s
             changes = await self.store.watch(MANIFEST_KIND, self.seen_version, wait_s)
         else:
             changes = await self.store.snapshot(MANIFEST_KIND)
         if isinstance(changes, Failure):
             if changes.code is Code.VERSION_TOO_OLD:
-                self.seen_version = 0
+                self.seen_version = NO_VERSION
             return changes
         failed = await self.apply_changes(changes)
         if failed is not None:
--- a/src/baobabturn/controller/orders.py
+++ b/src/baobabturn/controller/orders.py
@@ -29,9 +29,10 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.endpoints.engine import Engine, EngineState, Order
 from baobabturn.membership.owners import owner
-from baobabturn.store.interface import ANY_VERSION, ObjectStore
+from baobabturn.store.interface import ObjectStore
 from baobabturn.store.leases import Lease, LeaseTimes
 from baobabturn.store.objects import STATUS_KIND
+from baobabturn.store.version import ANY_VERSION
 from baobabturn.wire.messages import Member
 
 RENEWALS_PER_LEASE = 3  # attempts to renew a lease within its duration
--- a/src/baobabturn/controller/partsweep.py
+++ b/src/baobabturn/controller/partsweep.py
@@ -24,6 +24,7 @@
     PART_KIND,
     decode_body,
 )
+from baobabturn.store.version import StoreVersion
 
 PREFIXES = "0123456789abcdef"  # a part is named after its digest in hex
 SWEEP_KEY = "config/parts"
@@ -40,7 +41,7 @@
         self.program = program
         self.store = store
         self.membership = membership
-        self.unreferenced: dict[str, tuple[int, float]] = {}
+        self.unreferenced: dict[str, tuple[StoreVersion, float]] = {}
         self.deleted = 0
 
     async def run(self) -> None:
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -11,6 +11,7 @@
 from baobabturn.core.events import Event, EventLog
 from baobabturn.core.results import Code, Failure
 from baobabturn.store.interface import Change, Changes, ObjectStore
+from baobabturn.store.version import NO_VERSION, StoreVersion
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.6
@@ -34,6 +35,7 @@
     """Records when the platform's store answers this gateway and when it fails.
 
     Times are boot times; ``failing_since`` and ``outage_ended_at`` are 0 for never.
+    ``era`` is the store's era, as far as this gateway has read it or been told.
     """
 
     def __init__(self, *, events: EventLog):
@@ -41,6 +43,7 @@
         self.failing_since = 0.0
         self.outage_ended_at = 0.0
         self.last_answer_at = boot_time_s()
+        self.era = 0
 
     def age_s(self) -> float:
         """Return the seconds since the last answer."""
@@ -58,6 +61,18 @@
             self.outage_ended_at = now
             self.events.emit(Event.PLATFORM_UP, after_s=f"{outage_s:.1f}")
 
+    def record_era(self, era: int) -> None:
+        """Record the store's era; one that has risen ends an outage.
+
+        The outage may have been too short to be noticed here, but entries may be
+        missing from the copy as after any other.
+        """
+        if era <= self.era:
+            return
+        if self.era:
+            self.outage_ended_at = boot_time_s()
+        self.era = era
+
     def record_failure(self, failure: Failure, kind: str) -> None:
         """Record that a call for a kind failed; log the first failure in a row."""
         if not self.failing_since:
@@ -81,7 +96,8 @@
 
     ``watch_version`` is the version to watch from, None if a list is needed;
     ``last_change_version`` is the version of the newest change that was applied, and
-    ``complete_version`` the version up to which no change is missing.
+    ``complete_version`` the version up to which no change is missing.  ``objects``
+    holds the newest change of each object that exists.
     """
 
     def __init__(
@@ -102,15 +118,16 @@
         self.on_list = on_list
         self.on_change = on_change
         self.on_confirm = on_confirm
-        self.watch_version: int | None = None
-        self.last_change_version = 0
-        self.complete_version = 0
+        self.watch_version: StoreVersion | None = None
+        self.last_change_version = NO_VERSION
+        self.complete_version = NO_VERSION
+        self.objects: dict[str, Change] = {}
         self.confirmed_at = 0.0
         self.failures = 0
         self.vain_list_logged_at = 0.0
         self.invalidated = asyncio.Event()
         self.is_active: Callable[[], bool] = lambda: True
-        self.on_watch_changes: Callable[[Mirror, int, Changes], None] = (
+        self.on_watch_changes: Callable[[Mirror, StoreVersion, Changes], None] = (
             lambda mirror, before, changes: None
         )
 
@@ -127,6 +144,10 @@
             if failure is None:
                 self.failures = 0
                 continue
+            is_history_lost = failure.code is Code.VERSION_TOO_OLD
+            if is_history_lost and self.watch_version is not None:
+                self.watch_version = None
+                continue
             await self.wait_after(failure)
 
     async def wait_inactive(self) -> None:
@@ -137,16 +158,10 @@
                 await self.invalidated.wait()
 
     async def wait_after(self, failure: Failure) -> None:
-        """Back off after a failure.
-
-        If the store no longer holds the changes since the last version, list again
-        at once instead.
-        """
-        if failure.code is Code.VERSION_TOO_OLD:
-            self.watch_version = None
-            return
+        """Back off after a failure, or after a list that was older than is known."""
         self.failures += 1
-        self.contact.record_failure(failure, self.kind)
+        if failure.code is not Code.VERSION_TOO_OLD:
+            self.contact.record_failure(failure, self.kind)
         delay_s = min(MIN_RETRY_DELAY_S * 2 ** (self.failures - 1), MAX_RETRY_DELAY_S)
         await asyncio.sleep(random.uniform(delay_s / 2, delay_s))
 
@@ -158,15 +173,38 @@
             return snapshot
         self.contact.record_success()
         self.log_list(snapshot)
+        if not self.apply_snapshot(snapshot):
+            # An update from another gateway was newer.
+            reason = f"listed at {snapshot.version}, {self.last_change_version} known"
+            return Failure(Code.VERSION_TOO_OLD, reason)
+        self.confirm(asked_at)
+        return None
+
+    def apply_snapshot(self, snapshot: Changes) -> bool:
+        """Replace all objects; return false if newer ones are known."""
         if snapshot.version < self.last_change_version:
-            # An update from another gateway was newer; list again.
-            return None
+            return False
+        self.contact.record_era(snapshot.version.era)
         self.watch_version = self.last_change_version = self.complete_version = (
             snapshot.version
         )
+        self.objects = {change.name: change for change in snapshot.changes}
         self.on_list(snapshot.changes)
-        self.confirm(asked_at)
-        return None
+        return True
+
+    def snapshot(self) -> Changes:
+        """Return all objects as they are known."""
+        return Changes(
+            changes=tuple(self.objects.values()), version=self.last_change_version
+        )
+
+    def apply_change(self, change: Change) -> None:
+        """Apply the change of one object."""
+        if change.value is None:
+            self.objects.pop(change.name, None)
+        else:
+            self.objects[change.name] = change
+        self.on_change(change)
 
     def log_list(self, snapshot: Changes) -> None:
         """Log a list, if it is in vain only now and then."""
@@ -191,7 +229,7 @@
         self.on_confirm(at)
 
     def apply_update(
-        self, before: int, version: int, changes: Iterable[Change]
+        self, before: StoreVersion, version: StoreVersion, changes: Iterable[Change]
     ) -> bool:
         """Apply the changes between two versions that another gateway sent.
 
@@ -199,14 +237,17 @@
         """
         if version <= self.last_change_version:
             return True
-        if not self.complete_version or before > self.complete_version:
+        is_known_era = before.era == self.complete_version.era == version.era
+        if self.complete_version == NO_VERSION or not is_known_era:
+            return False
+        if before > self.complete_version:
             return False
         for change in changes:
             if change.version > self.last_change_version:
-                self.on_change(change)
+                self.apply_change(change)
         self.last_change_version = version
         self.complete_version = max(self.complete_version, version)
-        self.watch_version = max(self.watch_version or 0, version)
+        self.watch_version = max(self.watch_version or NO_VERSION, version)
         return True
 
     def invalidate(self) -> None:
@@ -230,7 +271,7 @@
         before = self.last_change_version
         for change in result.changes:
             if change.version > self.last_change_version:
-                self.on_change(change)
+                self.apply_change(change)
                 self.last_change_version = change.version
         self.confirm(self.confirmed_time(asked_at, result))
         if result.changes:
--- a/src/baobabturn/gateway/quarantinestore.py
+++ b/src/baobabturn/gateway/quarantinestore.py
@@ -25,8 +25,9 @@
     CrashLedger,
     PartRecord,
 )
-from baobabturn.store.interface import ANY_VERSION, ObjectStore
+from baobabturn.store.interface import ObjectStore
 from baobabturn.store.upsert import upsert
+from baobabturn.store.version import ANY_VERSION, StoreVersion
 
 MS_PER_S = 1000
 # Until the first read has ended, for this long at most, callers are sent elsewhere.
@@ -88,7 +89,7 @@
                 self.ledger.merge([to_evidence(record)])
         return None
 
-    async def delete(self, name: str, version: int) -> None:
+    async def delete(self, name: str, version: StoreVersion) -> None:
         """Delete a quarantine that has ended; log it if that fails."""
         kind = self.object_codec.quarantine_kind
         failure = await self.store.delete(kind, name, version)
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -10,6 +10,9 @@
 
 A gateway without a confirmation for a while watches the store itself.  A watcher
 that the store doesn't answer asks the watchers of other domains.
+
+When the store returns from a copy, updates of its last era say nothing of the new one.
+A watcher then sends all objects to the gateways that ask with a version of the last.
 """
 
 from __future__ import annotations
@@ -27,6 +30,7 @@
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.watchers import Watchers, rank
 from baobabturn.store.interface import Change, Changes
+from baobabturn.store.version import StoreVersion
 from baobabturn.wire.gatewaymessages import (
     StoreAsk,
     StoreChange,
@@ -159,7 +163,7 @@
         ask = StoreAsk(node=self.peers.record.name, stamp=stamp, known=known)
         self.peers.send_message(ask, self.watchers_to_ask())
 
-    def publish(self, mirror: Mirror, before: int, result: Changes) -> None:
+    def publish(self, mirror: Mirror, before: StoreVersion, result: Changes) -> None:
         """Send the changes of a watch to the gateways that rely on this one.
 
         Changes too large for a datagram are replaced by an update without changes
@@ -207,7 +211,12 @@
             kept.popleft()
 
     def missed_updates(self, known: StoreState) -> list[StoreNews]:
-        """Return the kept updates since a version, none if they leave a gap."""
+        """Return the updates since a version, none if they leave a gap."""
+        mirror = self.mirrors.get(known.kind)
+        if mirror is None:
+            return []
+        if known.version.era < mirror.complete_version.era:
+            return self.full_updates(mirror)
         newer = [
             update
             for update in self.kept.get(known.kind, ())
@@ -216,6 +225,18 @@
         complete = bool(newer) and newer[0].before <= known.version
         return newer if complete else []
 
+    def full_updates(self, mirror: Mirror) -> list[StoreNews]:
+        """Return an update with all objects of a kind, none if it is too large."""
+        snapshot = mirror.snapshot()
+        update = StoreNews(
+            node=self.peers.record.name,
+            kind=mirror.kind,
+            version=snapshot.version,
+            changes=[encode_change(change) for change in snapshot.changes],
+            full=True,
+        )
+        return [update] if value_bytes(update) <= MAX_UPDATE_BYTES else []
+
     def handle_update(self, update: StoreNews, peer: Peer) -> None:
         """Apply a watcher's update; list the store if an earlier one was missed.
 
@@ -234,8 +255,10 @@
             and self.watchers.is_watcher()
         ):
             self.forward(update)
-        changes = [decode_change(change) for change in update.changes]
-        if mirror.apply_update(update.before, update.version, changes):
+        changes = tuple(decode_change(change) for change in update.changes)
+        if update.full:
+            mirror.apply_snapshot(Changes(changes=changes, version=update.version))
+        elif mirror.apply_update(update.before, update.version, changes):
             self.keep_update(update)
         else:
             mirror.invalidate()
@@ -300,7 +323,7 @@
                 continue
             if item.version > mirror.complete_version:
                 mirror.invalidate()
-            else:
+            elif item.version.era == mirror.complete_version.era:
                 at = asked_at - item.age_ms / MS_PER_S
                 mirror.confirm(at)
                 is_recent = (
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -11,14 +11,22 @@
 from baobabturn.core.httpclient import read_limited
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.gateway.transport import Transport
+from baobabturn.store.answer import StoreAnswer, decode_era
 from baobabturn.store.interface import (
-    ABSENT,
-    ANY_VERSION,
     Change,
     Changes,
     PlatformHost,
     StoredObject,
 )
+from baobabturn.store.version import (
+    ABSENT,
+    ANY_VERSION,
+    NO_VERSION,
+    StoreVersion,
+    crossed_eras,
+    is_condition,
+    outdated_condition,
+)
 
 OBJECTS_PATH = "/baobabturn/objects/"
 MS_PER_S = 1000
@@ -41,9 +49,9 @@
 class PlatformObjectStore:
     """The platform's object API; a process has one instance.
 
-    An object's ``version`` is the store's revision at the object's last change; the
-    version of a watch or list is the store's current revision.  ``calls`` counts the
-    calls made; ``era`` is the highest that an answer stated.
+    An object's ``version`` is the store's era and its revision at the object's last
+    change; the version of a watch or list is the store's current one.  ``calls``
+    counts the calls made; ``era`` is the highest that an answer stated.
     """
 
     def __init__(self, *, address: str, transport: Transport, events: EventLog):
@@ -61,8 +69,8 @@
         params: dict[str, str] | None = None,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any] | Failure:
-        """Return the status and decoded body of one call, or a failure."""
+    ) -> StoreAnswer | Failure:
+        """Return the answer to one call, or a failure."""
         self.calls += 1
         try:
             async with self.transport.store_session.request(
@@ -74,24 +82,25 @@
             ) as response:
                 data = await read_limited(response, MAX_RESPONSE_BYTES)
                 status = response.status
-                self.record_era(response.headers.get(ERA_HEADER, ""))
+                era = decode_era(response.headers.get(ERA_HEADER, ""))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             reason = f"connect: {type(error).__name__}"
             return Failure(Code.PLATFORM_UNREACHABLE, reason, run=Run.NOT_RUN)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Failure(Code.WRITE_UNRESOLVED, type(error).__name__)
+        self.record_era(era)
         if status in FAILURE_CODES:
             return Failure(FAILURE_CODES[status], f"status {status}")
         if status >= 300:
             return Failure(Code.WRITE_UNRESOLVED, f"status {status}")
         try:
-            return status, json.loads(data or b"null")
+            body = json.loads(data or b"null")
+            return StoreAnswer(status=status, body=body, era=era)
         except ValueError as error:
             return Failure(Code.WRITE_UNRESOLVED, f"not JSON: {error}")
 
-    def record_era(self, text: str) -> None:
+    def record_era(self, era: int) -> None:
         """Record the era that an answer states; log that it has risen."""
-        era = int(text) if text.isdigit() else 0
         if era <= self.era:
             return
         if self.era:
@@ -100,15 +109,11 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Return an object, or ``OBJECT_MISSING`` if it doesn't exist."""
-        response = await self.call("GET", f"{kind}/{name}")
-        return (
-            response
-            if isinstance(response, Failure)
-            else decode_object(kind, response[1])
-        )
+        answer = await self.call("GET", f"{kind}/{name}")
+        return answer if isinstance(answer, Failure) else stored_object(kind, answer)
 
     async def put(
-        self, kind: str, name: str, value: Any, expect: int
+        self, kind: str, name: str, value: Any, expect: StoreVersion
     ) -> StoredObject | Failure:
         """Write an object if its version is ``expect``.
 
@@ -117,22 +122,38 @@
         metadata: dict[str, Any] = {"name": name}
         body = {"metadata": metadata, "spec": value}
         if expect == ABSENT:
-            response = await self.call("POST", kind, body=body)
+            answer = await self.call("POST", kind, body=body)
         else:
-            if expect != ANY_VERSION:
-                metadata["revision"] = expect
-            response = await self.call("PUT", f"{kind}/{name}", body=body)
-        return (
-            response
-            if isinstance(response, Failure)
-            else decode_object(kind, response[1])
-        )
+            if is_condition(expect):
+                metadata["revision"] = expect.revision
+            answer = await self.write("PUT", f"{kind}/{name}", expect, body=body)
+        return answer if isinstance(answer, Failure) else stored_object(kind, answer)
 
-    async def delete(self, kind: str, name: str, expect: int) -> None | Failure:
+    async def delete(
+        self, kind: str, name: str, expect: StoreVersion
+    ) -> None | Failure:
         """Delete an object if its version is ``expect`` (or for ``ANY_VERSION``)."""
-        params = None if expect == ANY_VERSION else {"revision": str(expect)}
-        response = await self.call("DELETE", f"{kind}/{name}", params=params)
-        return response if isinstance(response, Failure) else None
+        params = None if expect == ANY_VERSION else {"revision": str(expect.revision)}
+        answer = await self.write("DELETE", f"{kind}/{name}", expect, params=params)
+        return answer if isinstance(answer, Failure) else None
+
+    async def write(
+        self,
+        method: str,
+        path: str,
+        expect: StoreVersion,
+        *,
+        params: dict[str, str] | None = None,
+        body: Any = None,
+    ) -> StoreAnswer | Failure:
+        """Make a call whose condition holds in the era of ``expect`` alone."""
+        outdated = outdated_condition(expect, self.era)
+        if outdated is not None:
+            return outdated
+        answer = await self.call(method, path, params=params, body=body)
+        if isinstance(answer, Failure):
+            return answer
+        return crossed_eras(expect, answer.era) or answer
 
     async def find(self, kind: str, prefix: str) -> list[StoredObject] | Failure:
         """Return the objects of a kind whose names start with a prefix."""
@@ -141,20 +162,28 @@
             return listed
         return [each for each in listed[0] if each.name.startswith(prefix)]
 
-    async def watch(self, kind: str, since: int, wait_s: float) -> Changes | Failure:
+    async def watch(
+        self, kind: str, since: StoreVersion, wait_s: float
+    ) -> Changes | Failure:
         """Wait up to ``wait_s`` for changes of a kind since a version."""
-        response = await self.call(
+        answer = await self.call(
             "GET",
             kind,
-            params={"watch": str(since), "waitMs": str(int(wait_s * MS_PER_S))},
+            params={
+                "watch": str(since.revision),
+                "waitMs": str(int(wait_s * MS_PER_S)),
+            },
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
-        if isinstance(response, Failure):
-            return response
+        if isinstance(answer, Failure):
+            return answer
+        if answer.era != since.era:
+            reason = f"since {since}, the store is in era {answer.era}"
+            return Failure(Code.VERSION_TOO_OLD, reason)
         try:
-            events = response[1]["events"]
-            changes = tuple(decode_event(kind, event) for event in events)
-            return Changes(changes=changes, version=response[1]["currentRev"])
+            events = answer.body["events"]
+            changes = tuple(decode_event(kind, event, answer.era) for event in events)
+            return Changes(changes=changes, version=current_version(answer))
         except (KeyError, TypeError, ValueError) as error:
             return Failure(Code.WRITE_UNRESOLVED, f"watch of {kind}: {error!r}")
 
@@ -170,25 +199,32 @@
         )
         return Changes(changes=changes, version=version)
 
-    async def list_objects(self, kind: str) -> tuple[list[StoredObject], int] | Failure:
+    async def list_objects(
+        self, kind: str
+    ) -> tuple[list[StoredObject], StoreVersion] | Failure:
         """Return all objects of a kind and the version of the first page.
 
-        Changes between two pages are then returned by a watch from that version.
+        Changes between two pages are then returned by a watch from that version.  A
+        list whose pages are of two eras fails with ``VERSION_TOO_OLD``.
         """
         objects: list[StoredObject] = []
-        version = 0
+        version = NO_VERSION
         last_name = ""
         while True:
             params = {"after": last_name} if last_name else None
-            response = await self.call("GET", kind, params=params)
-            if isinstance(response, Failure):
-                return response
+            answer = await self.call("GET", kind, params=params)
+            if isinstance(answer, Failure):
+                return answer
             try:
-                page = [decode_object(kind, item) for item in response[1]["items"]]
-                version = version or response[1]["currentRev"]
-                has_more = response[1].get("truncated") and page
+                items = answer.body["items"]
+                page = [decode_object(kind, item, answer.era) for item in items]
+                version = version if last_name else current_version(answer)
+                has_more = answer.body.get("truncated") and page
             except (KeyError, TypeError, ValueError) as error:
                 return Failure(Code.WRITE_UNRESOLVED, f"list of {kind}: {error!r}")
+            if answer.era != version.era:
+                reason = f"list of {kind} at {version}, its next page in {answer.era}"
+                return Failure(Code.VERSION_TOO_OLD, reason)
             objects += page
             if not has_more:
                 return objects, version
@@ -199,19 +235,29 @@
         return []
 
 
-def decode_object(kind: str, item: Any) -> StoredObject:
+def current_version(answer: StoreAnswer) -> StoreVersion:
+    """Return the version at which the store answered; raise ``KeyError`` for none."""
+    return answer.version(answer.body["currentRev"])
+
+
+def stored_object(kind: str, answer: StoreAnswer) -> StoredObject:
+    """Return the object that an answer holds."""
+    return decode_object(kind, answer.body, answer.era)
+
+
+def decode_object(kind: str, item: Any, era: int) -> StoredObject:
     """Return an object; raise ``KeyError`` or ``TypeError`` for a malformed one."""
     metadata = item["metadata"]
     return StoredObject(
         kind=kind,
         name=metadata["name"],
-        version=metadata["revision"],
+        version=StoreVersion(era, metadata["revision"]),
         value=item.get("spec"),
     )
 
 
-def decode_event(kind: str, event: Any) -> Change:
+def decode_event(kind: str, event: Any, era: int) -> Change:
     """Return one event of a watch as a change."""
-    stored = decode_object(kind, event["object"])
+    stored = decode_object(kind, event["object"], era)
     value = None if event.get("removed") else stored.value
     return Change(name=stored.name, version=stored.version, value=value)
--- a/src/baobabturn/store/acquisition.py
+++ b/src/baobabturn/store/acquisition.py
@@ -21,8 +21,9 @@
     decode_result,
     encode_claim,
 )
-from baobabturn.store.interface import ABSENT, ObjectStore, StoredObject
+from baobabturn.store.interface import ObjectStore, StoredObject
 from baobabturn.store.objects import CLAIM_KIND
+from baobabturn.store.version import ABSENT, StoreVersion
 
 FIRST_RETRY_PAUSE_S = 0.05
 MAX_RETRY_PAUSE_S = 1.0
@@ -43,7 +44,7 @@
     """
 
     name: str
-    version: int
+    version: StoreVersion
     value: ClaimValue
     started_at: float = 0.0
 
--- a/src/baobabturn/store/claims.py
+++ b/src/baobabturn/store/claims.py
@@ -41,8 +41,9 @@
     encode_claim,
     encode_result,
 )
-from baobabturn.store.interface import ABSENT, ObjectStore, StoredObject
+from baobabturn.store.interface import ObjectStore, StoredObject
 from baobabturn.store.objects import CLAIM_KIND
+from baobabturn.store.version import ABSENT
 
 MIN_START_WAIT_S = 0.5
 HOLD_MARGIN_S = 1.0
--- a/src/baobabturn/store/httpstore.py
+++ b/src/baobabturn/store/httpstore.py
@@ -18,23 +18,34 @@
 from baobabturn.core.httpclient import unpooled_session
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.settings.model import Platform
+from baobabturn.store.answer import StoreAnswer, decode_era
 from baobabturn.store.budget import CallBudget
 from baobabturn.store.interface import (
-    ABSENT,
-    ANY_VERSION,
     Change,
     Changes,
     PlatformHost,
     StoredObject,
 )
 from baobabturn.store.objects import STATUS_KIND
+from baobabturn.store.version import (
+    ABSENT,
+    ANY_VERSION,
+    StoreVersion,
+    crossed_eras,
+    outdated_condition,
+)
 
 WATCH_SLACK_S = 5.0
+# Rises by one each time the store returns from a copy that is some seconds old.
+ERA_HEADER = "Store-Era"
 PROBE_PATH = f"/objects/{STATUS_KIND}/probe"
 
 
 class HttpStore:
-    """Implements ``ObjectStore`` over HTTP; one instance per process."""
+    """Implements ``ObjectStore`` over HTTP; one instance per process.
+
+    ``era`` is the highest that an answer stated, 0 for a platform without eras.
+    """
 
     def __init__(
         self,
@@ -49,6 +60,7 @@
         self.probing = False
         self.session: aiohttp.ClientSession | None = None
         self.calls = 0
+        self.era = 0
 
     async def request(
         self,
@@ -59,8 +71,8 @@
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
         body: Any = None,
-    ) -> tuple[int, Any] | Failure:
-        """Make one call within the budget; return status and decoded body."""
+    ) -> StoreAnswer | Failure:
+        """Make one call within the budget; return the answer."""
         refusal = await self.wait_for_budget()
         if refusal is not None:
             self.ensure_probing()
@@ -109,7 +121,7 @@
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
         body: Any = None,
-    ) -> tuple[int, Any] | Failure:
+    ) -> StoreAnswer | Failure:
         """Make one call without spending from the budget."""
         self.calls += 1
         if self.session is None:
@@ -128,6 +140,7 @@
             ) as response:
                 values = await response.json(content_type=None)
                 status = response.status
+                era = decode_era(response.headers.get(ERA_HEADER, ""))
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
             self.budget.record_failure("connect")
             return Failure(
@@ -141,9 +154,10 @@
             self.budget.record_failure(f"status {status}")
             return Failure(Code.WRITE_UNRESOLVED, f"status {status}")
         self.budget.record_success()
-        return status, values
+        self.era = max(self.era, era)
+        return StoreAnswer(status=status, body=values, era=era)
 
-    async def read(self, path: str, **options: Any) -> tuple[int, Any] | Failure:
+    async def read(self, path: str, **options: Any) -> StoreAnswer | Failure:
         """Make a GET call; a lost response becomes ``PLATFORM_UNREACHABLE``.
 
         A read that got no response has no outcome that could be in doubt.
@@ -155,87 +169,81 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Return an object, or ``OBJECT_MISSING`` if there is none."""
-        response = await self.read(f"/objects/{kind}/{name}")
-        return (
-            response if isinstance(response, Failure) else read_object(kind, response)
-        )
+        answer = await self.read(f"/objects/{kind}/{name}")
+        return answer if isinstance(answer, Failure) else read_object(kind, answer)
 
     async def put(
-        self, kind: str, name: str, value: Any, expect: int
+        self, kind: str, name: str, value: Any, expect: StoreVersion
     ) -> StoredObject | Failure:
         """Write an object if its version is the expected one."""
-        response = await self.request(
-            "PUT",
-            f"/objects/{kind}/{name}",
-            headers=precondition_headers(expect),
-            body=value,
-        )
-        return (
-            response if isinstance(response, Failure) else read_object(kind, response)
-        )
+        return await self.write("PUT", kind, name, expect, body=value)
 
-    async def delete(self, kind: str, name: str, expect: int) -> None | Failure:
+    async def delete(
+        self, kind: str, name: str, expect: StoreVersion
+    ) -> None | Failure:
         """Delete an object if its version is the expected one."""
-        response = await self.request(
-            "DELETE", f"/objects/{kind}/{name}", headers=precondition_headers(expect)
-        )
-        if isinstance(response, Failure):
-            return response
-        stored = read_object(kind, response)
+        stored = await self.write("DELETE", kind, name, expect)
         return stored if isinstance(stored, Failure) else None
 
+    async def write(
+        self, method: str, kind: str, name: str, expect: StoreVersion, body: Any = None
+    ) -> StoredObject | Failure:
+        """Make a call whose condition holds in the era of ``expect`` alone."""
+        outdated = outdated_condition(expect, self.era)
+        if outdated is not None:
+            return outdated
+        headers = precondition_headers(expect)
+        path = f"/objects/{kind}/{name}"
+        answer = await self.request(method, path, headers=headers, body=body)
+        if isinstance(answer, Failure):
+            return answer
+        stored = read_object(kind, answer)
+        if isinstance(stored, Failure):
+            return stored
+        return crossed_eras(expect, answer.era) or stored
+
     async def find(self, kind: str, prefix: str) -> list[StoredObject] | Failure:
         """Return the objects of a kind whose names start with a prefix."""
-        response = await self.read(f"/objects/{kind}", params={"prefix": prefix})
-        if isinstance(response, Failure):
-            return response
-        _, values = response
+        answer = await self.read(f"/objects/{kind}", params={"prefix": prefix})
+        if isinstance(answer, Failure):
+            return answer
         return [
-            StoredObject(
-                kind=kind,
-                name=item["name"],
-                version=item["version"],
-                value=item["value"],
-            )
-            for item in values["objects"]
+            decode_object(kind, item, answer.era) for item in answer.body["objects"]
         ]
 
-    async def watch(self, kind: str, since: int, wait_s: float) -> Changes | Failure:
+    async def watch(
+        self, kind: str, since: StoreVersion, wait_s: float
+    ) -> Changes | Failure:
         """Wait up to ``wait_s`` for changes of a kind after the version ``since``."""
-        response = await self.read(
+        answer = await self.read(
             f"/objects/{kind}",
-            params={"watch": "1", "since": str(since), "wait": f"{wait_s:g}"},
+            params={
+                "watch": "1",
+                "since": str(since.revision),
+                "wait": f"{wait_s:g}",
+            },
             timeout_s=wait_s + WATCH_SLACK_S,
         )
-        if isinstance(response, Failure):
-            return response
-        status, values = response
-        if status == 410:
-            return Failure(Code.VERSION_TOO_OLD, f"since {since}")
-        changes = tuple(
-            Change(name=item["name"], version=item["version"], value=item["value"])
-            for item in values["changes"]
-        )
-        return Changes(changes=changes, version=values["version"])
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status == 410 or answer.era != since.era:
+            reason = f"since {since}, the store is in era {answer.era}"
+            return Failure(Code.VERSION_TOO_OLD, reason)
+        return decode_changes(answer, "changes")
 
     async def snapshot(self, kind: str) -> Changes | Failure:
         """Return all objects of a kind and the version to watch from."""
-        response = await self.read(f"/objects/{kind}")
-        if isinstance(response, Failure):
-            return response
-        _, values = response
-        changes = tuple(
-            Change(name=item["name"], version=item["version"], value=item["value"])
-            for item in values["objects"]
+        answer = await self.read(f"/objects/{kind}")
+        return (
+            answer if isinstance(answer, Failure) else decode_changes(answer, "objects")
         )
-        return Changes(changes=changes, version=values["version"])
 
     async def hosts(self) -> list[PlatformHost] | Failure:
         """Return the platform's list of live and leaving hosts."""
         response = await self.read("/hosts")
         if isinstance(response, Failure):
             return response
-        return [PlatformHost(**fields) for fields in response[1]["hosts"]]
+        return [PlatformHost(**fields) for fields in response.body["hosts"]]
 
     async def close(self) -> None:
         """Stop probing and close the connections."""
@@ -244,13 +252,13 @@
             await self.session.close()
 
 
-def precondition_headers(expect: int) -> dict[str, str]:
+def precondition_headers(expect: StoreVersion) -> dict[str, str]:
     """Return the headers that make a write conditional on the expected version."""
     if expect == ANY_VERSION:
         return {}
     if expect == ABSENT:
         return {"If-None-Match": "*"}
-    return {"If-Match": f'"{expect}"'}
+    return {"If-Match": f'"{expect.revision}"'}
 
 
 STATUS_CODES = {
@@ -262,15 +270,32 @@
 }
 
 
-def read_object(kind: str, response: tuple[int, Any]) -> StoredObject | Failure:
-    """Return the object in a response, or the failure that its status means."""
-    status, values = response
-    if status >= 300:
-        code = STATUS_CODES.get(status, Code.PLATFORM_UNREACHABLE)
-        return Failure(code, f"status {status}")
+def read_object(kind: str, answer: StoreAnswer) -> StoredObject | Failure:
+    """Return the object in an answer, or the failure that its status means."""
+    if answer.status >= 300:
+        code = STATUS_CODES.get(answer.status, Code.PLATFORM_UNREACHABLE)
+        return Failure(code, f"status {answer.status}")
+    return decode_object(kind, answer.body, answer.era)
+
+
+def decode_object(kind: str, item: Any, era: int) -> StoredObject:
+    """Return an object of an answer."""
     return StoredObject(
         kind=kind,
-        name=values["name"],
-        version=values["version"],
-        value=values["value"],
+        name=item["name"],
+        version=StoreVersion(era, item["version"]),
+        value=item["value"],
+    )
+
+
+def decode_changes(answer: StoreAnswer, field: str) -> Changes:
+    """Return the changes or objects in a field of an answer, and its version."""
+    changes = tuple(
+        Change(
+            name=item["name"],
+            version=answer.version(item["version"]),
+            value=item["value"],
+        )
+        for item in answer.body[field]
     )
+    return Changes(changes=changes, version=answer.version(answer.body["version"]))
--- a/src/baobabturn/store/interface.py
+++ b/src/baobabturn/store/interface.py
@@ -1,8 +1,8 @@
 """The interface of the platform object store, as a ``Protocol``.
 
-An object has a kind, a name, a JSON value and a version.  Versions are numbers
-that increase over the whole store, not per object.  To support another platform,
-write one module that implements this ``Protocol``.
+An object has a kind, a name, a JSON value and a version.  Versions increase over the
+whole store, not per object.  To support another platform, write one module that
+implements this ``Protocol``.
 """
 
 from __future__ import annotations
@@ -12,9 +12,7 @@
 import attrs
 
 from baobabturn.core.results import Failure
-
-ABSENT = 0
-ANY_VERSION = -1
+from baobabturn.store.version import StoreVersion
 
 
 @attrs.frozen(kw_only=True)
@@ -23,7 +21,7 @@
 
     kind: str
     name: str
-    version: int
+    version: StoreVersion
     value: Any
 
 
@@ -32,7 +30,7 @@
     """One changed object; ``value`` is None for a deletion."""
 
     name: str
-    version: int
+    version: StoreVersion
     value: Any
 
 
@@ -41,7 +39,7 @@
     """The changes that a watch or snapshot returned, and the version to watch from."""
 
     changes: tuple[Change, ...]
-    version: int
+    version: StoreVersion
 
 
 @attrs.frozen(kw_only=True)
@@ -63,7 +61,7 @@
         """Return an object, or ``OBJECT_MISSING`` if there is none."""
 
     async def put(
-        self, kind: str, name: str, value: Any, expect: int
+        self, kind: str, name: str, value: Any, expect: StoreVersion
     ) -> StoredObject | Failure:
         """Write an object if its version is the expected one.
 
@@ -72,16 +70,21 @@
         the response was lost, so that the write may or may not have happened.
         """
 
-    async def delete(self, kind: str, name: str, expect: int) -> None | Failure:
+    async def delete(
+        self, kind: str, name: str, expect: StoreVersion
+    ) -> None | Failure:
         """Delete an object if its version is the expected one."""
 
     async def find(self, kind: str, prefix: str) -> list[StoredObject] | Failure:
         """Return the objects of a kind whose names start with a prefix."""
 
-    async def watch(self, kind: str, since: int, wait_s: float) -> Changes | Failure:
+    async def watch(
+        self, kind: str, since: StoreVersion, wait_s: float
+    ) -> Changes | Failure:
         """Wait up to ``wait_s`` for changes of a kind after the version ``since``.
 
-        Returns ``VERSION_TOO_OLD`` if the platform no longer has these changes.
+        Returns ``VERSION_TOO_OLD`` if the platform no longer has these changes, or is
+        in another era by now.
         """
 
     async def snapshot(self, kind: str) -> Changes | Failure:
--- a/src/baobabturn/store/leases.py
+++ b/src/baobabturn/store/leases.py
@@ -17,8 +17,9 @@
 
 from baobabturn.core.idents import nonce
 from baobabturn.core.results import Code, Failure
-from baobabturn.store.interface import ABSENT, ObjectStore, StoredObject
+from baobabturn.store.interface import ObjectStore, StoredObject
 from baobabturn.store.objects import LEASE_KIND
+from baobabturn.store.version import ABSENT
 
 NO_HOLDER = ""
 
--- a/src/baobabturn/store/upsert.py
+++ b/src/baobabturn/store/upsert.py
@@ -5,12 +5,8 @@
 from typing import Any
 
 from baobabturn.core.results import Code, Failure
-from baobabturn.store.interface import (
-    ABSENT,
-    ANY_VERSION,
-    ObjectStore,
-    StoredObject,
-)
+from baobabturn.store.interface import ObjectStore, StoredObject
+from baobabturn.store.version import ABSENT, ANY_VERSION
 
 
 async def upsert(
--- a/src/baobabturn/wire/codec.py
+++ b/src/baobabturn/wire/codec.py
@@ -11,9 +11,12 @@
 import capnp
 
 from baobabturn.core.results import Code, Failure
+from baobabturn.store.version import StoreVersion
 from baobabturn.wire.bodies import BODIES
 
 VERSION = 1
+# Added to the name of a version's revision on the wire, for its era.
+ERA_SUFFIX = "Era"
 TRAVERSAL_WORDS = 8 * 1024 * 1024
 # What the library raises over bytes that aren't a message.
 UNREADABLE = (capnp.KjException, ValueError, UnicodeDecodeError, RuntimeError)
@@ -37,12 +40,16 @@
 
 @attrs.frozen
 class Field:
-    """How one field is read and written; ``item`` is set for lists of messages."""
+    """How one field is read and written; ``item`` is set for lists of messages.
+
+    A version of the store is two fields on the wire, its revision and its era.
+    """
 
     name: str
     wire: str
     is_list: bool
     item: type | None
+    is_version: bool = False
 
 
 def fields_of(kind: type) -> list[Field]:
@@ -53,7 +60,10 @@
         is_list = typing.get_origin(field.type) is list
         inner = typing.get_args(field.type)[0] if is_list else field.type
         item = inner if is_list and attrs.has(inner) else None
-        fields.append(Field(field.name, camel(field.name), is_list, item))
+        is_version = inner is StoreVersion
+        if is_version:
+            item = None
+        fields.append(Field(field.name, camel(field.name), is_list, item, is_version))
     return fields
 
 
@@ -78,6 +88,9 @@
         value = getattr(body, field.name)
         if field.item is not None:
             value = [to_dict(item) for item in value]
+        if field.is_version:
+            values[field.wire + ERA_SUFFIX] = value.era
+            value = value.revision
         values[field.wire] = value
     return values
 
@@ -92,6 +105,8 @@
             value = [from_reader(item, entry) for entry in value]
         elif field.is_list:
             value = list(value)
+        elif field.is_version:
+            value = StoreVersion(getattr(reader, field.wire + ERA_SUFFIX), value)
         values[field.name] = value
     return kind(**values)
 
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from baobabturn.quarantine.evidence import PartEvidence
+from baobabturn.store.version import NO_VERSION, StoreVersion
 from baobabturn.wire.messages import Holdings, Release
 
 
@@ -74,7 +75,7 @@
     """One change of an object; ``value`` is compressed JSON, empty for a removal."""
 
     name: str = ""
-    version: int = 0
+    version: StoreVersion = NO_VERSION
     value: bytes = b""
 
 
@@ -83,15 +84,17 @@
     """Changes of one kind of the platform's objects, as a watcher saw them.
 
     ``before`` is the version of the change before these, ``version`` that of the
-    last of them; ``returning`` says that the store has just come back.
+    last of them; ``returning`` says that the store has just come back.  With ``full``
+    the changes are all objects that exist.
     """
 
     node: str = ""
     kind: str = ""
-    before: int = 0
-    version: int = 0
+    before: StoreVersion = NO_VERSION
+    version: StoreVersion = NO_VERSION
     changes: list[StoreChange] = attrs.Factory(list)
     returning: bool = False
+    full: bool = False
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -99,7 +102,7 @@
     """Up to which change a kind is known, and how old that knowledge may be."""
 
     kind: str = ""
-    version: int = 0
+    version: StoreVersion = NO_VERSION
     age_ms: int = 0
 
 
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -346,12 +346,16 @@
   version @3 :UInt64;      # version of the last of these
   changes @4 :List(StoreChange);
   returning @5 :Bool;      # whether the store has just come back
+  beforeEra @6 :UInt64;    # the store's era of `before`
+  versionEra @7 :UInt64;   # the store's era of `version`
+  full @8 :Bool;           # whether these are all objects of the kind
 }
 
 struct StoreChange {
   name @0 :Text;
   version @1 :UInt64;
   value @2 :Data;          # JSON, compressed by zlib; empty for a removal
+  versionEra @3 :UInt64;   # the store's era of `version`
 }
 
 # Asks a watcher what it knows; `stamp` is the asker's own clock, `known` is up
@@ -372,6 +376,7 @@
   kind @0 :Text;
   version @1 :UInt64;      # version of the last change known
   ageMs @2 :UInt32;        # time since nothing newer existed for certain
+  versionEra @3 :UInt64;   # the store's era of `version`
 }
 
 # What a gateway knows of parts of prompts that may crash engines.
