Directory: callers who ask while no gateway serves get the known addresses

What callers saw: 500 in place of addresses, for as long as no gateway served. Cause: addresses were sampled in proportion to the gateways that serve; with none the proportion was a division by zero, so that the known addresses were never named. Change: without a serving gateway nothing is sampled.

--- a/features/gatewaystate.feature
+++ b/features/gatewaystate.feature
@@ -16,6 +16,13 @@
     When the store answers again
     Then requests with a key are soon served
 
+  # Guards against a directory that fails while no gateway serves.
+  Scenario: Callers who ask for addresses while no gateway serves get the known ones
+    Given a site with 1 plain endpoints where keys may be trusted for 1.6 seconds
+    When the store falls silent
+    Then the gateway is soon not ready
+    And the directory still names the gateway
+
   Scenario: An older configuration doesn't replace a newer one
     Given a site with 1 plain endpoints
     When the operator writes version 7 without a key and then version 3 with it
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -528,6 +528,20 @@
     assert not run(context, context.case.gateways[0].is_ready())
 
 
+@then("the gateway is soon not ready")
+def soon_not_ready(context):
+    async def check():
+        return not await context.case.gateways[0].is_ready()
+
+    run(context, eventually(check, "a gateway that isn't ready"))
+
+
+@then("the directory still names the gateway")
+def still_named(context):
+    gateway = context.case.gateways[0]
+    assert run(context, gateway.named()) == {gateway.addresses["callers"]}
+
+
 @then("requests with a key are soon served")
 def soon_served(context):
     run(context, soon_status(context, "/read/x", 200))
--- a/src/baobabturn/gateway/directory.py
+++ b/src/baobabturn/gateway/directory.py
@@ -61,6 +61,8 @@
         ['a', 'b']
     """
     total = sum(group.serving for group in groups)
+    if not total:
+        return []
     chosen: list[str] = []
     for group in groups:
         share = math.ceil(min(1.0, limit / total) * group.serving)
