Gateway: records and quarantines that a returned store has lost are written again

What callers saw: nothing by itself; a gateway that started after the return didn't find the others, and after a start of all gateways prompts that crash engines were sent again. Cause: each gateway wrote its record once, and whoever decided it a quarantine; nobody noticed that a copy lacks them.

--- a/features/gatewaycrashes.feature
+++ b/features/gatewaycrashes.feature
@@ -34,6 +34,15 @@
       | one gateway      |
       | the whole system |
 
+  # Guards against a quarantine that a store which returns from a copy has lost.
+  Scenario: After a return of the store and a restart requests with the part reach no engine
+    Given a site with 4 engines that a part crashes and 3 gateways
+    And a copy of the store
+    When streams with the part come at all gateways for 5 seconds beside sound ones
+    And the store returns from that copy
+    And the whole system starts again
+    Then none of 6 more streams with the part reaches an engine
+
   # Guards against a part that is blamed for crashes it has no share in.
   Scenario: Engines that crash by themselves have no part blamed
     Given a site with 4 engines that a part crashes and 3 gateways
--- a/features/steps/gatewayrestored.py
+++ b/features/steps/gatewayrestored.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
 from fakes.siteconfig import PLAIN_SERVICE, configuration
 from features.sitecase import eventually
@@ -205,3 +205,14 @@
         if RECORDS in call and not call.startswith("GET")
     ]
     assert len(writes) == len(context.case.gateways), writes
+
+
+@given("a copy of the store")
+def copy_taken(context):
+    context.copied = context.case.store.take_copy()
+
+
+@when("the store returns from that copy")
+def returns_from_copy(context):
+    run(context, return_from(context.case.store, context.copied, 0.3))
+    run(context, asyncio.sleep(1.0))
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -35,7 +35,8 @@
     """Records when the platform's store answers this gateway and when it fails.
 
     Times are boot times; ``failing_since`` and ``outage_ended_at`` are 0 for never.
-    ``era`` is the store's era, as far as this gateway has read it or been told.
+    ``era`` is the store's era, as far as this gateway has read it or been told;
+    ``era_listeners`` are called when it has risen.
     """
 
     def __init__(self, *, events: EventLog):
@@ -44,6 +45,7 @@
         self.outage_ended_at = 0.0
         self.last_answer_at = boot_time_s()
         self.era = 0
+        self.era_listeners: list[Callable[[], None]] = []
 
     def age_s(self) -> float:
         """Return the seconds since the last answer."""
@@ -69,9 +71,12 @@
         """
         if era <= self.era:
             return
-        if self.era:
-            self.outage_ended_at = boot_time_s()
+        has_risen = self.era > 0
         self.era = era
+        if has_risen:
+            self.outage_ended_at = boot_time_s()
+            for listener in self.era_listeners:
+                listener()
 
     def record_failure(self, failure: Failure, kind: str) -> None:
         """Record that a call for a kind failed; log the first failure in a row."""
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -40,6 +40,7 @@
 from baobabturn.gateway.request import Headers
 from baobabturn.gateway.routes import RouteTable
 from baobabturn.gateway.staleness import ConfigStaleness
+from baobabturn.gateway.storereturn import StoreReturn
 from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.transport import Transport
@@ -199,6 +200,13 @@
             contact=self.contact,
             mirrors=self.mirrors,
         )
+        self.store_return = StoreReturn(
+            background=program.background,
+            contact=self.contact,
+            registry=self.registry,
+            quarantine_store=self.quarantine_store,
+            watchers=self.watchers,
+        )
 
     def make_crash_watch(self, store: ObjectStore) -> CrashWatch:
         """Return the watch for prompts that crash engines, and what it needs."""
--- a/src/baobabturn/gateway/quarantinestore.py
+++ b/src/baobabturn/gateway/quarantinestore.py
@@ -128,6 +128,19 @@
             await asyncio.sleep(random.uniform(0.5, 1.0) * delay_s)
             delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
+    def write_again(self) -> None:
+        """Write what the store has lost, as it has returned from a copy.
+
+        The copy may lack quarantines, and may have some that were lifted.
+        """
+        for part in self.ledger.active_parts():
+            record = self.ledger.records[part]
+            if self.ledger.remaining_s([part]):
+                self.saved_terms[part] = record.term
+                self.program.background.start(self.write(record), f"quarantine-{part}")
+            elif record.lifted:
+                self.remove(part)
+
     def remove(self, part: str) -> None:
         """Delete the quarantine of a part that turned out to be sound."""
         self.saved_terms.pop(part, None)
--- a/src/baobabturn/gateway/registry.py
+++ b/src/baobabturn/gateway/registry.py
@@ -49,8 +49,7 @@
 
     async def run(self) -> None:
         """Write the record, then read all records for as long as the process runs."""
-        while await self.write() is not None:
-            await asyncio.sleep(random.uniform(RETRY_DELAY_S / 2, RETRY_DELAY_S))
+        await self.write_until_done()
         reads = 0
         while True:
             if await self.read() is None:
@@ -67,6 +66,11 @@
             return FIRST_READ_PAUSES_S[reads]
         return READ_INTERVAL_S * max(1.0, fleet_size / READ_FLEET_SIZE)
 
+    async def write_until_done(self) -> None:
+        """Write this gateway's record; try again until the store has taken it."""
+        while await self.write() is not None:
+            await asyncio.sleep(random.uniform(RETRY_DELAY_S / 2, RETRY_DELAY_S))
+
     async def write(self) -> Failure | None:
         """Write this gateway's record; the write is idempotent."""
         kind, name = self.object_codec.gateway_kind, self.record.name
