Gateways tell each other what a store that returned from a copy may lack

What callers saw: a gateway that started after the return used a key that had been withdrawn, and an endpoint that had left, since the copy still had both; one that was cut off or paused over the return could have done so. Cause: the newest answer of the store was taken for the newest configuration, and an entry that says ready for a new incarnation. ConfigInForce goes by the operator's own version; the store may hold an older one for 300 s after its return, then that takes effect. Departures keeps the endpoints that left within 120 s: a listed entry of an earlier era's departure names no endpoint until the endpoint writes it again. CatchUp asks up to three near gateways, and the watchers of far failure domains, after a start and each time the era rises, for 0.6 s at most; what the new era confirms counts only after that.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -78,7 +78,10 @@
     LINK_OPENED = "link-opened"
     LINK_CLOSED = "link-closed"
     ENDPOINT_SEEN = "endpoint-seen"
+    ENDPOINT_STAYS_OUT = "endpoint-stays-out"
     ENTRY_UNREADABLE = "entry-unreadable"
+    CONFIG_BEHIND = "config-behind"
+    CAUGHT_UP = "caught-up"
     GATEWAY_SEEN = "gateway-seen"
     GATEWAY_SILENT = "gateway-silent"
     PROCESS_LATE = "process-late"
@@ -173,6 +176,16 @@
     Event.LINK_OPENED: "A link to another process is open.",
     Event.LINK_CLOSED: "A link to another process closed.",
     Event.ENDPOINT_SEEN: "The platform lists an endpoint that was not known before.",
+    Event.ENDPOINT_STAYS_OUT: (
+        "The copy from which the store returned still has an endpoint that has left."
+    ),
+    Event.CONFIG_BEHIND: (
+        "The store, returned from a copy, holds `revision`, older than the one"
+        " `in_force`, which stays."
+    ),
+    Event.CAUGHT_UP: (
+        "A gateway has asked `replies` others what they know beyond the store's copy."
+    ),
     Event.ENTRY_UNREADABLE: "A record on the platform can't be read and is ignored.",
     Event.GATEWAY_SEEN: (
         "Another gateway sends heartbeats; `address` is its address for callers."
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -20,6 +20,7 @@
     "answer_us": "Time from a request's arrival to the end of its response, by route.",
     "attempt_us": "Duration of an attempt at an endpoint of a plain service.",
     "crashes_seen": "Responses that broke off because their endpoint crashed.",
+    "configs_too_large": "Configurations that didn't fit into a reply to a gateway.",
     "datagrams_refused": "Datagrams refused for a wrong signature or content.",
     "datagrams_undelivered": "Datagrams that could not be delivered.",
     "time_to_first_event_us": "Time from a request's arrival to its first event.",
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -11,9 +11,11 @@
 
 from baobabturn.core.events import Event, EventLog
 from baobabturn.core.results import Failure
+from baobabturn.gateway.departures import Departures
 from baobabturn.gateway.mirror import StoreContact, boot_time_s
 from baobabturn.gateway.platforminterface import EndpointRecord, ObjectCodec
 from baobabturn.store.interface import Change
+from baobabturn.wire.gatewaymessages import DepartedEndpoint
 
 # A leaving endpoint is kept for this long, for the generations that it still runs.
 LEAVING_EXPIRY_S = 15.0
@@ -47,7 +49,8 @@
 
     ``leaving_listeners`` are called once for each endpoint that begins to leave,
     ``change_listeners`` after any change.  ``missing_timers`` holds the timers of
-    endpoints whose entry is missing since an outage of the store.
+    endpoints whose entry is missing since an outage of the store, ``departures`` the
+    endpoints that left lately.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.contact = contact
         self.lapse_grace_s = lapse_grace_s
         self.by_name: dict[str, Endpoint] = {}
+        self.departures = Departures()
         self.missing_timers: dict[str, asyncio.TimerHandle] = {}
         self.list_received = False
         self.leaving_listeners: list[Callable[[Endpoint], None]] = []
@@ -81,7 +85,7 @@
         self.list_received = True
         listed = {change.name for change in changes}
         for change in changes:
-            self.apply_entry(change.name, change.value)
+            self.apply_listed(change)
         for name in [name for name in self.by_name if name not in listed]:
             self.handle_missing(name)
         self.notify()
@@ -94,6 +98,33 @@
             self.apply_entry(change.name, change.value)
         self.notify()
 
+    def apply_listed(self, change: Change) -> None:
+        """Apply a listed entry, unless the copy alone still has it.
+
+        A change is certainly written in the era in which it comes; a list after the
+        store's return has entries of endpoints that have left since the copy.
+        """
+        record = self.object_codec.decode_endpoint(change.name, change.value)
+        era = change.version.era
+        if isinstance(record, EndpointRecord) and not record.leaving:
+            if self.departures.left_before(record, era):
+                self.events.emit(
+                    Event.ENDPOINT_STAYS_OUT, endpoint=record.name, era=era
+                )
+                return
+        self.apply_entry(change.name, change.value)
+
+    def apply_departures(self, departed: list[DepartedEndpoint]) -> None:
+        """Mark endpoints as leaving that left before the copy was read here."""
+        self.departures.merge(departed)
+        era = self.contact.era
+        for endpoint in list(self.by_name.values()):
+            if not endpoint.leaving and self.departures.left_before(
+                endpoint.record, era
+            ):
+                self.mark_leaving(endpoint, "it left before the store's return")
+        self.notify()
+
     def notify(self) -> None:
         """Notify the listeners that something may have changed."""
         for listener in self.change_listeners:
@@ -111,6 +142,8 @@
         timer = self.missing_timers.pop(name, None)
         if timer is not None:
             timer.cancel()
+        if not record.leaving:
+            self.departures.forget(record)
         endpoint = self.by_name.get(name)
         if endpoint is None or is_other_incarnation(endpoint, record):
             if endpoint is not None:
@@ -156,6 +189,7 @@
         if endpoint.leaving:
             return
         endpoint.leaving_since = time.monotonic()
+        self.departures.add(endpoint.record, self.contact.era)
         self.events.emit(Event.ENDPOINT_LEAVING, endpoint=endpoint.name, reason=reason)
         asyncio.get_running_loop().call_later(LEAVING_EXPIRY_S, self.remove, endpoint)
         for listener in self.leaving_listeners:
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -6,14 +6,14 @@
 import contextlib
 import time
 from collections.abc import Iterator
-from typing import Any
 
 from baobabturn.core.events import Event
 from baobabturn.core.lag import LagWatch
 from baobabturn.core.program import Program
-from baobabturn.core.results import Failure
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.catchup import CatchUp
+from baobabturn.gateway.configinforce import ConfigInForce
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.directory import Directory
 from baobabturn.gateway.domainloads import DomainLoads
@@ -47,7 +47,7 @@
 from baobabturn.gateway.watchers import Watchers
 from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.settings.model import Gateway
-from baobabturn.store.interface import Change, ObjectStore
+from baobabturn.store.interface import ObjectStore
 
 MS_PER_S = 1000
 KEYS_CHECK_INTERVAL_S = 0.5
@@ -73,7 +73,6 @@
         settings = program.settings.gateway
         self.program = program
         self.object_codec = object_codec
-        self.table: RouteTable | None = None
         self.open_requests = 0
         self.last_request_at = NEVER
         self.stopping_since = 0.0
@@ -87,6 +86,11 @@
             lapse_grace_s=settings.lapse_grace_s,
         )
         self.pools = EnginePools(program=program, endpoints=self.endpoints)
+        self.config = ConfigInForce(
+            object_codec=object_codec,
+            events=program.events,
+            on_table=self.pools.apply_table,
+        )
         self.endpoints.change_listeners.append(self.pools.refresh_endpoints)
         record = GatewayRecord(
             name=program.settings.host.name,
@@ -101,6 +105,15 @@
             serving=self.serving,
         )
         self.watchers = Watchers(table=self.peers.table)
+        self.catch_up = CatchUp(
+            peers=self.peers,
+            watchers=self.watchers,
+            contact=self.contact,
+            config=self.config,
+            endpoints=self.endpoints,
+            events=program.events,
+            on_confirm=self.config_staleness.confirm,
+        )
         self.domain_loads = DomainLoads(
             program=program,
             peers=self.peers,
@@ -180,9 +193,9 @@
                 contact=self.contact,
                 kind=object_codec.config_kind,
                 wait_s=settings.config_watch_s,
-                on_list=self.apply_config_list,
-                on_change=self.apply_config,
-                on_confirm=self.config_staleness.confirm,
+                on_list=self.config.apply_list,
+                on_change=self.config.apply,
+                on_confirm=self.catch_up.confirm,
             ),
             Mirror(
                 store=store,
@@ -236,6 +249,7 @@
         await loop.create_datagram_endpoint(lambda: self.peers, local_addr=address)
         for mirror in self.mirrors:
             background.supervise(mirror.run, f"mirror-{mirror.kind}")
+        background.supervise(self.catch_up.run, "catch-up")
         background.supervise(self.store_updates.run, "store-updates")
         background.supervise(self.registry.run, "registry")
         background.supervise(self.quarantine_store.run, "quarantine-store")
@@ -246,33 +260,19 @@
         background.supervise(self.log_key_acceptance, "keys")
         background.supervise(LagWatch(program=self.program).run, "lag")
 
-    def apply_config_list(self, changes: tuple[Change, ...]) -> None:
-        """Apply the configuration from the list of all objects of its kind."""
-        for change in changes:
-            self.apply_config(change)
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the configuration in force, None until it is known to be the newest.
 
-    def apply_config(self, change: Change) -> None:
-        """Apply a configuration if it is valid and newer than the one in force."""
-        if change.name != self.object_codec.config_name or change.value is None:
-            return
-        table: Any = self.object_codec.decode_table(change.value)
-        if isinstance(table, Failure):
-            self.program.events.emit(
-                Event.ENTRY_UNREADABLE, endpoint=change.name, reason=table.reason
-            )
-            return
-        if self.table is not None and table.version <= self.table.version:
-            return
-        self.table = table
-        self.pools.apply_table(table)
-        self.program.events.emit(
-            Event.CONFIG_IN_FORCE, revision=table.version, routes=len(table.routes)
-        )
+        The store alone may hold an older one than the other gateways.
+        """
+        return self.config.table if self.catch_up.has_settled else None
 
     async def log_key_acceptance(self) -> None:
-        """Log when keys begin and cease to be accepted."""
+        """Log when keys begin and cease to be accepted; check the store's version."""
         while True:
             await asyncio.sleep(KEYS_CHECK_INTERVAL_S)
+            self.config.check_behind()
             accepted = self.config_staleness.allows_keys()
             if accepted != self.keys_accepted:
                 self.keys_accepted = accepted
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -18,8 +18,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import zlib
 from collections import deque
 
 import attrs
@@ -28,12 +26,12 @@
 from baobabturn.gateway.mirror import Mirror, StoreContact, boot_time_s
 from baobabturn.gateway.peer import Peer
 from baobabturn.gateway.peers import Peers
+from baobabturn.gateway.storechanges import decode_change, encode_change
 from baobabturn.gateway.watchers import Watchers, rank
-from baobabturn.store.interface import Change, Changes
+from baobabturn.store.interface import Changes
 from baobabturn.store.version import StoreVersion
 from baobabturn.wire.gatewaymessages import (
     StoreAsk,
-    StoreChange,
     StoreNews,
     StoreState,
     StoreVouch,
@@ -52,8 +50,6 @@
 CONFIRMATION_TIMEOUT_S = 1.3
 # Larger updates don't fit into a datagram; receivers list the store instead.
 MAX_UPDATE_BYTES = 48_000
-# A value is decompressed up to this size.
-MAX_VALUE_BYTES = 8_000_000
 # Limits for the updates of one kind that are kept for gateways that missed them.
 MAX_KEPT_UPDATES = 64
 MAX_KEPT_BYTES = 262_144
@@ -337,20 +333,3 @@
 def value_bytes(update: StoreNews) -> int:
     """Return the size of an update's compressed values in bytes."""
     return sum(len(change.value) for change in update.changes)
-
-
-def encode_change(change: Change) -> StoreChange:
-    """Return a change as it is sent; the value of a deletion is empty."""
-    value = b""
-    if change.value is not None:
-        value = zlib.compress(json.dumps(change.value).encode())
-    return StoreChange(name=change.name, version=change.version, value=value)
-
-
-def decode_change(change: StoreChange) -> Change:
-    """Return a received change; the value is None for a deletion."""
-    value = None
-    if change.value:
-        data = zlib.decompressobj().decompress(change.value, MAX_VALUE_BYTES)
-        value = json.loads(data)
-    return Change(name=change.name, version=change.version, value=value)
--- a/src/baobabturn/wire/bodies.py
+++ b/src/baobabturn/wire/bodies.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from baobabturn.wire.gatewaymessages import (
+    CatchUpAsk,
+    CatchUpReply,
     DomainLoad,
     GatewayState,
     LimitNews,
@@ -76,4 +78,6 @@
     DomainLoad,
     PartNews,
     LimitNews,
+    CatchUpAsk,
+    CatchUpReply,
 )
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -165,3 +165,39 @@
 
     node: str = ""
     items: list[EndpointLimit] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class DepartedEndpoint:
+    """An endpoint that left ``age_ms`` ago, in an era of the store."""
+
+    name: str = ""
+    address: str = ""
+    incarnation: int = 0
+    era: int = 0
+    age_ms: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class CatchUpAsk:
+    """Asks what the receiver knows beyond a configuration's ``revision``."""
+
+    node: str = ""
+    revision: int = 0
+
+
+@attrs.define(kw_only=True, slots=True)
+class CatchUpReply:
+    """What a gateway knows that a store which returned from a copy may lack.
+
+    ``settled`` says that it served before it was asked.  ``revision`` is that of its
+    configuration, ``config`` the object with it if it is newer than the asker's, and
+    ``behind_ms`` for how long the store has held an older one.
+    """
+
+    node: str = ""
+    settled: bool = False
+    revision: int = 0
+    config: list[StoreChange] = attrs.Factory(list)
+    behind_ms: int = 0
+    departed: list[DepartedEndpoint] = attrs.Factory(list)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -45,6 +45,8 @@
     domainLoad @36 :DomainLoad;
     partNews @37 :PartNews;
     limitNews @38 :LimitNews;
+    catchUpAsk @39 :CatchUpAsk;
+    catchUpReply @40 :CatchUpReply;
   }
 }
 
@@ -417,3 +419,27 @@
   isRequest @4 :Bool;      # whether `node` sends the endpoint a request now
   debtMs @5 :UInt32;       # for how long booked requests fill the schedule
 }
+
+# Asks what the receiver knows beyond the revision of a configuration.
+struct CatchUpAsk {
+  node @0 :Text;
+  revision @1 :UInt64;
+}
+
+# What a gateway knows that a store which returned from a copy may lack.
+struct CatchUpReply {
+  node @0 :Text;
+  settled @1 :Bool;        # whether it served before it was asked
+  revision @2 :UInt64;     # of its configuration
+  config @3 :List(StoreChange);  # its object, if newer than the asker's
+  behindMs @4 :UInt32;     # for how long the store has held an older one
+  departed @5 :List(DepartedEndpoint);
+}
+
+struct DepartedEndpoint {
+  name @0 :Text;
+  address @1 :Text;
+  incarnation @2 :UInt64;
+  era @3 :UInt64;          # the store's era when it left
+  ageMs @4 :UInt32;
+}
