Claims: a request isn't sent again because a returned store has lost its claim

What callers saw: nothing yet; a call with an idempotency key ran a second time if the store returned from a copy between the two. Cause: the claim is what keeps a request to one run, and the copy forgets it. What remains: a claim whose process has ended before it wrote it again, and a process that starts just after the return, which can't know of it. The stand-in of the first interface's platform can return from a copy as well.

--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -8,6 +8,8 @@
 each write: ``ok``, ``lose`` (takes effect, no answer), ``drop`` (no effect, no answer),
 ``late`` (no answer, takes effect a second later), ``hang`` (neither, until the caller
 disconnects) or ``slow`` (takes effect after four seconds).
+``restore_to`` lets the platform return from a copy of that version, in the next era;
+its era is 0, and isn't stated, until one is set.
 ``GET /counts`` returns the number of calls by operation, by second and by kind of
 object.
 """
@@ -18,6 +20,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -36,6 +39,7 @@
         self.random = random.Random(seed)
         self.objects: dict[tuple[str, str], dict] = {}
         self.version = 0
+        self.era = 0
         self.history: list[tuple[str, dict]] = []
         self.changed = asyncio.Event()
         self.host_list: list[dict] = []
@@ -55,6 +59,7 @@
         self.per_second: dict[int, int] = {}
         self.late_writes: set[asyncio.Task] = set()
         self.server = Server(
+            middlewares=[self.state_era],
             routes=[
                 web.get("/objects/{kind}", self.list_or_watch),
                 web.get("/objects/{kind}/{name:.+}", self.get),
@@ -63,9 +68,36 @@
                 web.get("/hosts", self.hosts),
                 web.post("/control", self.control),
                 web.get("/counts", self.show_counts),
-            ]
+            ],
         )
 
+    @web.middleware
+    async def state_era(self, request: web.Request, handler: Callable) -> Any:
+        """State the era in every answer, unless the platform has none."""
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            response = error
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+        if isinstance(response, web.HTTPException):
+            raise response
+        return response
+
+    def restore(self, version: int) -> None:
+        """Return from a copy of a version; later versions are given out again."""
+        self.era += 1
+        self.history = [each for each in self.history if each[1]["version"] <= version]
+        self.version = version
+        self.objects = {}
+        for kind, held in self.history:
+            self.objects[(kind, held["name"])] = held
+        self.objects = {
+            key: held for key, held in self.objects.items() if held["value"] is not None
+        }
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the URL."""
         return await self.server.start(address, port)
@@ -215,7 +247,8 @@
         since = int(request.query.get("since", "0"))
         oldest = self.history[0][1]["version"] if self.history else self.version + 1
         trimmed = len(self.history) == HISTORY and since + 1 < oldest
-        if trimmed or since < self.faults["forget_before"]:
+        is_lost = since > self.version
+        if trimmed or is_lost or since < self.faults["forget_before"]:
             raise web.HTTPGone(text="{}")
         end = time.monotonic() + float(request.query.get("wait", "30"))
         while True:
@@ -250,6 +283,8 @@
     async def control(self, request: web.Request) -> web.Response:
         """Set faults, or replace the host list under ``hosts``."""
         values = await request.json()
+        if "restore_to" in values:
+            self.restore(values.pop("restore_to"))
         hosts = values.pop("hosts", None)
         if hosts is not None:
             self.set_hosts(hosts)
--- a/fakes/server.py
+++ b/fakes/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from aiohttp import web
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -10,8 +12,10 @@
 class Server:
     """An aiohttp application listening on one address."""
 
-    def __init__(self, *, routes: list[web.RouteDef]):
-        self.app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    def __init__(self, *, routes: list[web.RouteDef], middlewares: Any = ()):
+        self.app = web.Application(
+            client_max_size=BODY_LIMIT_BYTES, middlewares=middlewares
+        )
         self.app.add_routes(routes)
         self.runner = web.AppRunner(
             self.app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -148,3 +148,16 @@
     And "clerks" sends tally "woken" with key "k-woken" to entry 0
     And the paused entry wakes
     Then nobody was told "not-run" and the workers ran "woken" 1 time in all
+
+  # Guards against a request that runs again because a returned store lost its claim.
+  Scenario Outline: A request whose claim is lost by a copy isn't sent again (<state>)
+    Given a platform with the write faults ""
+    When the store returns from a copy without a claim that is <state>
+    Then no other call with the key is allowed to send
+    And later calls with the key end as <outcome>
+
+    Examples:
+      | state    | outcome        |
+      | sending  | in progress    |
+      | recorded | recorded       |
+      | outdated | in progress    |
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from helper import connect, send, start_fleet, wait_for
 
-from baobabturn.core.results import Failure
+from baobabturn.core.results import Code, Failure
 from baobabturn.settings.load import load
 from baobabturn.store.acquisition import Claim
 from baobabturn.store.claims import CLAIM_KIND, Claims, claim_name
@@ -502,3 +502,54 @@
 @then('the workers ran "{tag}" at most 1 time in all')
 def ran_at_most(context, tag):
     assert ran(context, tag) <= 1, ran(context, tag)
+
+
+RETURN_WAIT_S = 6.0
+
+
+async def lose_claim(platform, claims, state):
+    """Hold a claim in a state, and let the store return from a copy before it."""
+    before = platform.version
+    claim = await claims.acquire(NAME, "hash", soon())
+    if state == "outdated":
+        before = platform.version
+    assert await claims.start(claim, soon(60), 60.0) is None
+    if state == "recorded":
+        assert await claims.record(claim, ANSWER) is None
+    platform.restore(before)
+
+
+@when("the store returns from a copy without a claim that is {state}")
+def claim_lost(context, state):
+    async def case(platform, holder, other):
+        platform.era = 1
+        await other.acquire(claim_name("clerks", "corral", "other"), "hash", soon())
+        await lose_claim(platform, holder, state)
+        outcomes = []
+        end = soon(RETURN_WAIT_S)
+        while time.monotonic() < end:
+            taken = await other.acquire(NAME, "hash", soon(0.3))
+            outcomes.append(taken)
+            if isinstance(taken, Claim):
+                break
+            await asyncio.sleep(0.2)
+        return outcomes
+
+    context.outcomes = with_platform(context, case)
+
+
+@then("no other call with the key is allowed to send")
+def none_sends(context):
+    taken = [each for each in context.outcomes if isinstance(each, Claim)]
+    assert not taken, taken
+
+
+@then("later calls with the key end as {outcome}")
+def ends_as(context, outcome):
+    last = context.outcomes[-1]
+    if outcome == "recorded":
+        assert isinstance(last, Result), last
+        assert last.body == ANSWER.body
+    else:
+        assert isinstance(last, Failure), last
+        assert last.code is Code.CLAIM_IN_PROGRESS, last
--- a/src/baobabturn/store/claims.py
+++ b/src/baobabturn/store/claims.py
@@ -30,6 +30,7 @@
     ResultOrFailure,
     claim_unavailable,
 )
+from baobabturn.store.claimmemory import ClaimMemory
 from baobabturn.store.claimvalues import (
     CLAIMED,
     DONE,
@@ -88,14 +89,30 @@
         self.holder_ended = holder_ended
         self.random = random.Random()
         self.background = Background()
+        self.memory = ClaimMemory(store=store, background=self.background)
 
     async def acquire(
         self, name: str, request_hash: str, deadline: float
     ) -> Claim | ResultOrFailure:
         """Acquire a claim; return it, or the recorded result, or a failure.
 
-        ``deadline`` is a monotonic time in seconds.
+        ``deadline`` is a monotonic time in seconds.  After a return of the store from
+        a copy none is acquired until the holders have written theirs again.
         """
+        settling = self.memory.settling_failure()
+        if settling is not None:
+            return settling
+        acquired = await self.acquire_settled(name, request_hash, deadline)
+        settling = self.memory.settling_failure()
+        if settling is not None and isinstance(acquired, Claim):
+            self.void_in_background(acquired)
+            return settling
+        return acquired
+
+    async def acquire_settled(
+        self, name: str, request_hash: str, deadline: float
+    ) -> Claim | ResultOrFailure:
+        """Acquire a claim from a store that holds all that were sent under."""
         value = ClaimValue(
             nonce=nonce(),
             state=CLAIMED,
@@ -142,7 +159,10 @@
                 failure = await self.update_claim(claim, value, end)
         except TimeoutError:
             failure = Failure(Code.CLAIM_UNAVAILABLE, "the platform did not respond")
-        if failure is None or failure.code is Code.CLAIM_IN_PROGRESS:
+        if failure is None:
+            self.memory.remember(claim.name, claim.value)
+            return None
+        if failure.code is Code.CLAIM_IN_PROGRESS:
             return failure
         run = Run.NOT_RUN if claim.is_exclusive() else Run.UNKNOWN
         self.void_in_background(claim)
@@ -153,6 +173,7 @@
         """Record the result of the request that was sent under a claim."""
         encoded_result = encode_result(result, self.result_limit_bytes)
         value = attrs.evolve(claim.value, state=DONE, result=encoded_result)
+        self.memory.remember(claim.name, value)
         return await self.update_claim(
             claim, value, time.monotonic() + SETTLE_TIMEOUT_S
         )
@@ -160,6 +181,7 @@
     async def record_unknown(self, claim: Claim) -> Failure | None:
         """Record that a request was sent and that its outcome is unknown."""
         value = attrs.evolve(claim.value, state=UNKNOWN)
+        self.memory.remember(claim.name, value)
         return await self.update_claim(
             claim, value, time.monotonic() + SETTLE_TIMEOUT_S
         )
