Gateway: logs name what requests have in common, and crashes under any kind of request

Cause: the log couldn't tell whether endpoints end under one request or under load: it didn't say which requests are alike, and noticed crashes under streams alone. Change: request-received and endpoint-crashed have the digest of a request's method, host, path with query, workspace and body (blake2b, so that no caller can find another one's); an attempt that breaks off before its response's head is followed by the same check as one that breaks off after it.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -113,7 +113,8 @@
     Event.MEMBER_LEAVING: "A host is draining or stopping.",
     Event.MEMBER_REFUTED: "This host refuted a report that it is suspect or dead.",
     Event.REQUEST_RECEIVED: (
-        "An entry received a caller's request; `parts` are those of its prompt."
+        "An entry received a caller's request; `parts` are those of its prompt,"
+        " `digest` is the same for requests that a caller sends alike."
     ),
     Event.REQUEST_QUEUED: "A request waits in a pool's queue.",
     Event.REQUEST_GRANTED: "A request got a reservation at an endpoint.",
@@ -145,8 +146,9 @@
         "An endpoint gets fewer new requests because it is slow or silent."
     ),
     Event.ENDPOINT_CRASHED: (
-        "A response broke off `began_ms` after its head, and its endpoint refuses"
-        " connections; `parts` are those of the request's prompt."
+        "A response broke off `began_ms` after its head, or the request was sent"
+        " `began_ms` before, and its endpoint refuses connections; `digest` and `parts`"
+        " are the request's."
     ),
     Event.ENDPOINT_LIMITED: (
         "An endpoint names in its answers how many requests a second it takes,"
--- a/src/baobabturn/entry/promptwatch.py
+++ b/src/baobabturn/entry/promptwatch.py
@@ -52,7 +52,7 @@
         self, request_id: str, parts: list[str], endpoint: str, *, began_s: float
     ) -> None:
         """Record the crash of an engine that had just begun to answer a prompt."""
-        self.report.log_crash(request_id, endpoint, began_s=began_s, parts="")
+        self.report.log_crash(request_id, endpoint, began_s=began_s)
         stamp = stamp_ms(self.program.clock.now())
         self.ledger.record_crash(endpoint, parts, stamp_ms=stamp)
 
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -24,7 +24,7 @@
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.platforminterface import GatewayPaths, HeaderTranslator
-from baobabturn.gateway.request import CallerRequest, Headers
+from baobabturn.gateway.request import CallerRequest, Headers, request_digest
 from baobabturn.gateway.routes import Route, RouteKind, RouteTable
 
 MS_PER_S = 1000
@@ -147,10 +147,11 @@
         service = table.services.get(route.pick_service())
         if service is None:
             return Failure(Code.NO_ENDPOINT, "the route's service isn't declared")
+        method, path = scope["method"], target.decode("latin-1")
         return CallerRequest(
             request_id=self.header_translator.request_id(headers),
-            method=scope["method"],
-            target=target.decode("latin-1"),
+            method=method,
+            target=path,
             headers=headers,
             body=body,
             route=route,
@@ -159,6 +160,7 @@
             priority=priority,
             arrived_at=arrived_at,
             deadline=min(route_deadline, caller_deadline),
+            digest=request_digest((method, route.host, path, workspace), body),
             generation_size=self.header_translator.generation_size(headers)
             if route.is_generation
             else None,
@@ -200,6 +202,7 @@
             service=request.service.name,
             revision=node.table.version if node.table else 0,
             left_ms=int(request.remaining_s() * MS_PER_S),
+            digest=request.digest,
             parts=part_ids(request),
         )
         refusal = self.stopping_refusal(request)
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -75,8 +75,6 @@
         ``began_at`` is the monotonic time at which the response's head arrived.  Wait
         a little for the outcome, so that it counts for the request's next attempt.
         """
-        if not suspect_parts(request):
-            return
         began_s = time.monotonic() - began_at
         has_just_begun = not event_count or began_s <= SUSPECT_AGE_S
         # One that is leaving ends by itself.
@@ -85,7 +83,8 @@
             self.check(request, endpoint, began_s, is_suspect),
             f"crash-check-{request.request_id}",
         )
-        await asyncio.wait({check}, timeout=VERDICT_WAIT_S)
+        if suspect_parts(request):
+            await asyncio.wait({check}, timeout=VERDICT_WAIT_S)
 
     async def check(
         self,
@@ -101,6 +100,7 @@
             request.request_id,
             endpoint.name,
             began_s=began_s,
+            digest=request.digest,
             parts=part_ids(request),
         )
         if is_suspect:
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict
 
 from baobabturn.core.httpclient import READ_CHUNK_BYTES
-from baobabturn.core.results import Code, Failure
+from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
 from baobabturn.gateway.crashwatch import CrashWatch
@@ -110,6 +110,7 @@
             engine_priority=engine_priority,
             continuation=continuation,
         )
+        sent_at = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self.transport.endpoint_session.request(
@@ -128,7 +129,12 @@
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, f"no response in {timeout_s:.3g} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return failure_from_exception(error)
+            failure = failure_from_exception(error)
+            if failure.run is not Run.NOT_RUN:
+                await self.crash_watch.record_broken(
+                    request, endpoint, began_at=sent_at, event_count=0
+                )
+            return failure
         return self.check_head(request, endpoint, response)
 
     def check_head(
--- a/src/baobabturn/gateway/request.py
+++ b/src/baobabturn/gateway/request.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import time
+from collections.abc import Iterable
 
 import attrs
 
@@ -10,6 +12,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+DIGEST_BYTES = 16
+
 
 @attrs.frozen(kw_only=True)
 class GenerationSize:
@@ -32,6 +36,7 @@
 
     ``request_id`` is the caller's id of this request; if the caller sends the request
     again, that one has another id.
+    ``digest`` is the same for all requests that a caller sends alike.
     ``deadline`` is the earlier of the caller's deadline and the route's timeout;
     ``sent`` says that an endpoint may have got the request.
     """
@@ -47,9 +52,24 @@
     priority: int
     arrived_at: float
     deadline: float
+    digest: str = ""
     generation_size: GenerationSize | None = None
     sent: bool = False
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline, negative after it."""
         return self.deadline - time.monotonic()
+
+
+def request_digest(texts: Iterable[str], body: bytes) -> str:
+    """Return what requests have in common whose texts and bodies are the same.
+
+    A caller can't find a request whose digest is that of another caller's.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in texts:
+        data = text.encode()
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/baobabturn/quarantine/report.py
+++ b/src/baobabturn/quarantine/report.py
@@ -18,7 +18,13 @@
         ledger.quarantine_listeners.append(self.log_quarantine)
 
     def log_crash(
-        self, request_id: str, endpoint: str, *, began_s: float, parts: str
+        self,
+        request_id: str,
+        endpoint: str,
+        *,
+        began_s: float,
+        digest: str = "",
+        parts: str = "",
     ) -> None:
         """Log that an endpoint crashed some seconds after it began to answer."""
         self.program.metrics.count("crashes_seen")
@@ -27,6 +33,7 @@
             request=request_id,
             endpoint=endpoint,
             began_ms=int(began_s * MS_PER_S),
+            digest=digest,
             parts=parts,
         )
 
