--- a/fakes/crashing.py
+++ b/fakes/crashing.py
@@ -1,4 +1,4 @@
-"""Engines that a part of a prompt crashes, and that start again after a while."""
+"""Endpoints that some requests crash, and that start again after a while."""
 
 from __future__ import annotations
 
@@ -23,17 +23,42 @@
     return [entry.partition(":")[0] for entry in entries]
 
 
-class CrashingEngine(SiteEndpoint):
-    """An engine whose process ends as it begins to answer a prompt with a part."""
+IsCrashing = Callable[[Request], bool]
 
-    def __init__(self, *, name: str, part: str, on_crash: Callable[[Any], None]):
-        super().__init__(name=name, service=ENGINE_SERVICE, events=EVENT_COUNT)
-        self.part = part
+
+def has_part(part: str) -> IsCrashing:
+    """Return a test for requests whose prompts have a part."""
+    return lambda request: part in prompt_parts(request)
+
+
+class CrashingEndpoint(SiteEndpoint):
+    """An endpoint whose process ends as it begins to answer certain requests."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        events: int,
+        is_crashing: IsCrashing,
+        on_crash: Callable[[Any], None],
+    ):
+        super().__init__(name=name, service=service, events=events)
+        self.is_crashing = is_crashing
         self.on_crash = on_crash
 
+    async def handle(self, request, reader, writer) -> bool:
+        """Answer a request, or end before the head of the answer."""
+        if self.event_count or not self.is_crashing(request):
+            return await super().handle(request, reader, writer)
+        self.ran.append(request)
+        await asyncio.sleep(CRASH_DELAY_S)
+        await self.crash()
+        return False
+
     async def stream(self, request, reader, writer) -> None:
         """Stream an answer, or end after its head."""
-        if self.part not in prompt_parts(request):
+        if not self.is_crashing(request):
             await super().stream(request, reader, writer)
             return
         headers = {
@@ -63,36 +88,51 @@
 
 
 class CrashingFleet:
-    """A site's engines, each of which is replaced after a crash.
+    """A service's endpoints, each of which is replaced after a crash.
 
     ``crashed_at`` holds the times of the crashes in monotonic seconds.
     """
 
-    def __init__(self, *, store: SiteStore, part: str):
+    def __init__(
+        self,
+        *,
+        store: SiteStore,
+        is_crashing: IsCrashing,
+        service: str = ENGINE_SERVICE,
+        events: int = EVENT_COUNT,
+    ):
         self.store = store
-        self.part = part
-        self.engines: dict[str, CrashingEngine] = {}
+        self.is_crashing = is_crashing
+        self.service = service
+        self.event_count = events
+        self.engines: dict[str, CrashingEndpoint] = {}
         self.crashed_at: list[float] = []
         self.started = 0
         self.restarts: set[asyncio.Task] = set()
 
     async def add(self) -> None:
-        """Start an engine under a new name and write its entry."""
+        """Start an endpoint under a new name and write its entry."""
         name = f"e{self.started}"
         self.started += 1
-        engine = CrashingEngine(name=name, part=self.part, on_crash=self.replace)
+        engine = CrashingEndpoint(
+            name=name,
+            service=self.service,
+            events=self.event_count,
+            is_crashing=self.is_crashing,
+            on_crash=self.replace,
+        )
         await engine.start()
         self.engines[name] = engine
         self.store.write("servers", name, engine.entry())
 
-    def replace(self, engine: CrashingEngine) -> None:
+    def replace(self, engine: CrashingEndpoint) -> None:
         """Record a crash, and start another engine after a while."""
         self.crashed_at.append(time.monotonic())
         task = asyncio.get_running_loop().create_task(self.restart(engine))
         self.restarts.add(task)
         task.add_done_callback(raise_error)
 
-    async def restart(self, engine: CrashingEngine) -> None:
+    async def restart(self, engine: CrashingEndpoint) -> None:
         """Start a crashed engine again under its name, or another in its place.
 
         While the store is down, its entry stays.
@@ -105,12 +145,12 @@
         await self.add()
 
     def reached_at(self) -> list[float]:
-        """Return when requests with the part reached engines, in order."""
+        """Return when requests that crash endpoints reached some, in order."""
         return sorted(
             request.arrived_at
             for engine in self.engines.values()
             for request in engine.ran
-            if self.part in prompt_parts(request)
+            if self.is_crashing(request)
         )
 
     async def stop(self) -> None:
--- a/features/steps/gatewaycrashes.py
+++ b/features/steps/gatewaycrashes.py
@@ -7,7 +7,7 @@
 import attrs
 from behave import given, then, when
 
-from fakes.crashing import CrashingFleet
+from fakes.crashing import CrashingFleet, has_part
 from features.sitecase import eventually
 from features.steps.gateway import run, start
 
@@ -86,7 +86,9 @@
 @given("a site with {count:d} engines that a part crashes and {gateways:d} gateways")
 def crashing_site(context, count, gateways):
     start(context, plain=0, engines=0, gateways=gateways, options=OPTIONS)
-    context.fleet = CrashingFleet(store=context.case.store, part=BAD_PART)
+    context.fleet = CrashingFleet(
+        store=context.case.store, is_crashing=has_part(BAD_PART)
+    )
 
     async def play():
         for _ in range(count):
