Quarantine: endpoints that end in one moment count once

What callers saw: nothing yet; a rack or a failure domain that goes at once, with answers to one popular part just begun at three or more engines, had that part refused for 300 s. Cause: each crash was evidence of its own, though one event ended them all. Change: crashes within 25 ms are one moment, by the time at which the response broke off, not that of the check that follows.

--- a/features/crashledger.feature
+++ b/features/crashledger.feature
@@ -14,6 +14,16 @@
     When two hosts report the same 2 crashes under "shared,bad"
     Then "shared,bad" isn't refused
 
+  # Guards against a part that is blamed as a rack or a failure domain goes.
+  Scenario: Endpoints that end in one moment are one event
+    Given a ledger that knows answers to "shared"
+    When 6 engines crash at once under "shared,popular"
+    Then "shared,popular" isn't refused
+    When 4 engines crash at once under "shared,popular"
+    Then "shared,popular" isn't refused
+    When engines crash under "shared,popular" 1 times
+    Then "shared,popular" is refused
+
   Scenario: Prompts that had just begun beside the culprit are not blamed
     Given a ledger that knows answers to "shared"
     When engines crash under "shared,bad" 5 times, twice beside "shared,bystander"
--- a/features/steps/crashledger.py
+++ b/features/steps/crashledger.py
@@ -36,6 +36,15 @@
     context.clock.now += CRASH_INTERVAL_S
 
 
+@when('{count:d} engines crash at once under "{parts}"')
+def crash_at_once(context, count, parts):
+    context.clock.now += 1.0
+    for number in range(count):
+        stamp_ms = int(context.clock() * MS_PER_S) + number
+        engine = f"e{next(context.engines)}"
+        context.ledger.record_crash(engine, parts.split(","), stamp_ms=stamp_ms)
+
+
 @when('engines crash under "{parts}" {count:d} times')
 def crashes(context, parts, count):
     for _ in range(count):
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -79,8 +79,9 @@
         has_just_begun = not event_count or began_s <= SUSPECT_AGE_S
         # One that is leaving ends by itself.
         is_suspect = has_just_begun and not endpoint.leaving
+        broken_ms = stamp_ms(self.program.clock.now())
         check = self.program.background.start(
-            self.check(request, endpoint, began_s, is_suspect),
+            self.check(request, endpoint, began_s, is_suspect, broken_ms),
             f"crash-check-{request.request_id}",
         )
         if suspect_parts(request):
@@ -92,8 +93,12 @@
         endpoint: Endpoint,
         began_s: float,
         is_suspect: bool,
+        broken_ms: int,
     ) -> None:
-        """Record the crash of an endpoint, if it has crashed."""
+        """Record the crash of an endpoint, if it has crashed.
+
+        ``broken_ms`` is the time of the hybrid clock at which the response broke off.
+        """
         if not await has_ended(*parse_address(endpoint.record.address)):
             return
         self.report.log_crash(
@@ -104,14 +109,14 @@
             parts=part_ids(request),
         )
         if is_suspect:
-            self.record_crash(request, endpoint)
+            self.record_crash(request, endpoint, broken_ms)
 
-    def record_crash(self, request: CallerRequest, endpoint: Endpoint) -> None:
+    def record_crash(
+        self, request: CallerRequest, endpoint: Endpoint, broken_ms: int
+    ) -> None:
         """Tell all gateways that a request may have crashed an endpoint."""
         parts = suspect_parts(request)
-        changed = self.ledger.record_crash(
-            endpoint.name, parts, stamp_ms=stamp_ms(self.program.clock.now())
-        )
+        changed = self.ledger.record_crash(endpoint.name, parts, stamp_ms=broken_ms)
         self.exchange.publish(changed)
         for record in self.ledger.quarantined(parts):
             self.store.save(record)
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -2,7 +2,8 @@
 
 The parts of a prompt whose answer had just begun when its engine crashed are suspects
 in that crash.  A part is quarantined once it is a suspect in several crashes and no
-prompt with it was answered after any of them.  Of several such parts the one with the
+prompt with it was answered after any of them.  Endpoints that end in one moment count
+once: what ends many of them at a time says little of what they were running.  Of several such parts the one with the
 fewest answers comes first, since sound prompts share the others; the crashes that it
 explains count against no other part any more.
 
@@ -31,6 +32,8 @@
 # The crashes that bring a quarantine: of a part that was never answered, of one that
 # was, and of one on probation.
 NEW_PART_CRASHES, KNOWN_PART_CRASHES, PROBATION_CRASHES = 3, 5, 1
+# Crashes within this time of the first of them are one moment.
+MOMENT_MS = 25
 # With so many crashes a request isn't sent to another engine after a failure.
 SUSPECT_CRASHES = 2
 MIN_QUARANTINE_S = 300.0
@@ -236,7 +239,7 @@
             limit = PROBATION_CRASHES
         if len(record.crashes) < limit:
             return False
-        return len(self.unexplained_crashes(record, now)) >= limit
+        return count_moments(self.unexplained_crashes(record, now)) >= limit
 
     def unexplained_crashes(self, record: PartRecord, now: float) -> list[Crash]:
         """Return the crashes of a part that no quarantined one is a suspect in."""
@@ -300,7 +303,7 @@
             record = self.records.get(part)
             if record is None or len(record.crashes) < SUSPECT_CRASHES:
                 continue
-            if len(self.unexplained_crashes(record, now)) >= SUSPECT_CRASHES:
+            if count_moments(self.unexplained_crashes(record, now)) >= SUSPECT_CRASHES:
                 return True
         return False
 
@@ -352,6 +355,17 @@
                 record.quarantined_until = 0.0
 
 
+def count_moments(crashes: list[Crash]) -> int:
+    """Return how many moments there are in which some of the crashes happened."""
+    count = 0
+    ends_ms = 0
+    for stamp_ms in sorted(crash.stamp_ms for crash in crashes):
+        if not count or stamp_ms > ends_ms:
+            count += 1
+            ends_ms = stamp_ms + MOMENT_MS
+    return count
+
+
 def expiry(record: PartRecord, now: float) -> float:
     """Return the monotonic time at which a record is forgotten."""
     if record.is_quarantined(now):
