Requests of any kind that crash endpoints are kept from them

What callers saw: all endpoints of a plain service ended within 0.3 s of each other, and again each time they were back: status checks and bookings were refused for most of 30 s. Cause: only parts of prompts could be blamed for a crash. A plain request was judged alone, and sent to a second endpoint at once; nothing remembered that requests which are alike had ended others. Change: the digest of method, host, path with query, workspace and body is one more suspect in the same ledger, whatever the kind of request. After two crashes a plain request is on trial: one gateway at a time tries it, the others wait for the outcome; after three without an answer it is refused at once with 503 (1610, not run). Answers are counted apart from those of parts. An endpoint is probed once at a time, and a failed request waits for the verdict only if a crash stands against it already. Why it works: a request that ends whatever runs it is never answered, and a sound one that was cut beside it is answered elsewhere, which clears it at all gateways.

--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -156,11 +156,12 @@
     ),
     Event.ENDPOINT_UNLIMITED: "An endpoint doesn't name a limit any more.",
     Event.PART_QUARANTINED: (
-        "A part of prompts crashed engines; prompts with it are refused for `for_s`."
-        " `term` counts its quarantines, `answers` its prompts answered before."
+        "A part of prompts, or requests that are alike, `request:` and their digest,"
+        " crashed endpoints; requests with it are refused for `for_s`."
+        " `term` counts its quarantines, `answers` its requests answered before."
     ),
     Event.PART_CLEARED: (
-        "An answer to a prompt with a quarantined part shows that the part is sound."
+        "An answer to a request with a quarantined `part` shows that it is sound."
     ),
     Event.ENDPOINT_RESTORED: "An endpoint gets its full share of new requests again.",
     Event.PLATFORM_DOWN: "Calls to the platform fail.",
--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -82,7 +82,7 @@
     NO_ROUTE = 1607
     ROUTE_TIMEOUT = 1608
     STOPPING = 1609
-    PROMPT_QUARANTINED = 1610
+    REQUEST_QUARANTINED = 1610
     SCHEDULER_UNREACHABLE = 1603
     POOL_MOVED = 1604
 
@@ -248,8 +248,11 @@
     Code.STOPPING: CodeRow(
         503, _N, True, "This host stops before a request of this kind could end."
     ),
-    Code.PROMPT_QUARANTINED: CodeRow(
-        503, _N, True, "A part of the prompt crashed engines and is kept from them."
+    Code.REQUEST_QUARANTINED: CodeRow(
+        503,
+        _N,
+        True,
+        "The request, or a part of its prompt, crashed the endpoints that ran it.",
     ),
     Code.SCHEDULER_UNREACHABLE: CodeRow(
         503, _N, True, "No scheduler responded and the entry chose no endpoint itself."
--- a/src/baobabturn/entry/outcome.py
+++ b/src/baobabturn/entry/outcome.py
@@ -73,7 +73,7 @@
     Code.DEADLINE_NOT_RUN: AttemptState.UNSENT,
     Code.ENDPOINT_REFUSED: AttemptState.REFUSED,
     Code.REQUEST_REJECTED: AttemptState.REJECTED,
-    Code.PROMPT_QUARANTINED: AttemptState.REJECTED,
+    Code.REQUEST_QUARANTINED: AttemptState.REJECTED,
     Code.OUTCOME_UNKNOWN: AttemptState.UNKNOWN,
     Code.GENERATION_CUT: AttemptState.UNKNOWN,
     Code.GENERATION_STALLED: AttemptState.UNKNOWN,
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -1,7 +1,7 @@
-"""Keeps prompts from engines that they would crash.
+"""Keeps requests from endpoints that they would crash.
 
-Reports to the ledger of crashes which answers broke off with their engine and which
-were written, and refuses requests with a quarantined part.  Everything that sends a
+Reports to the ledger of crashes which answers broke off with their endpoint and which
+were written, and refuses requests with a quarantined suspect.  Everything that sends a
 request to an endpoint asks here right before.
 """
 
@@ -19,8 +19,9 @@
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.quarantinestore import QuarantineStore
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.quarantine.evidence import request_suspect
 from baobabturn.quarantine.ledger import CrashLedger
-from baobabturn.quarantine.refusal import quarantine_failure
+from baobabturn.quarantine.refusal import quarantine_failure, trial_failure
 from baobabturn.quarantine.report import QuarantineReport
 
 # A crash that this request may have caused is known so soon as a rule.
@@ -32,8 +33,14 @@
 SOUND_AGE_S = 2.0
 
 
+# How long a request waits for the outcome of another one's trial, as a part of its
+# time, and how often it looks.
+MAX_TRIAL_WAIT_RATIO = 0.5
+TRIAL_CHECK_INTERVAL_S = 0.01
+
+
 class CrashWatch:
-    """Watches for prompts that crash engines, and refuses them.
+    """Watches for requests that crash endpoints, and refuses them.
 
     A process that has ended refuses new connections, while one whose connections
     were cut on the way takes them.  That tells a crash from a cut.
@@ -52,15 +59,36 @@
         self.exchange = exchange
         self.store = store
         self.report = QuarantineReport(program=program, ledger=ledger)
+        self.probes: dict[str, asyncio.Task[bool]] = {}
 
     def refusal(self, request: CallerRequest) -> Failure | None:
         """Return why a request may not be sent to any endpoint, None if it may."""
-        remaining_s = self.ledger.remaining_s(suspect_parts(request))
+        remaining_s = self.ledger.remaining_s(suspects(request))
         return quarantine_failure(remaining_s) if remaining_s else None
 
+    async def admit(self, request: CallerRequest) -> Failure | None:
+        """Return why a request may not be sent now, None if it may.
+
+        One on trial waits for the outcome of another one's trial, and is then tried
+        itself or let through.
+        """
+        suspect = request_suspect(request.digest)
+        end = time.monotonic() + MAX_TRIAL_WAIT_RATIO * request.remaining_s()
+        while self.ledger.is_on_trial(suspect) and time.monotonic() < end:
+            await asyncio.sleep(TRIAL_CHECK_INTERVAL_S)
+        refusal = self.refusal(request)
+        if refusal is not None:
+            return refusal
+        if self.ledger.is_on_trial(suspect):
+            return trial_failure()
+        if self.ledger.are_suspect([suspect]):
+            self.ledger.begin_trial(suspect, request.remaining_s())
+            self.exchange.publish([suspect])
+        return None
+
     def may_crash_engines(self, request: CallerRequest) -> bool:
         """Return whether a request that failed shouldn't be sent to another engine."""
-        return self.ledger.are_suspect(suspect_parts(request))
+        return self.ledger.are_suspect(suspects(request))
 
     async def record_broken(
         self,
@@ -84,7 +112,8 @@
             self.check(request, endpoint, began_s, is_suspect, broken_ms),
             f"crash-check-{request.request_id}",
         )
-        if suspect_parts(request):
+        is_prompt = request.generation_size is not None
+        if is_prompt or self.ledger.has_crashes(suspects(request)):
             await asyncio.wait({check}, timeout=VERDICT_WAIT_S)
 
     async def check(
@@ -99,7 +128,7 @@
 
         ``broken_ms`` is the time of the hybrid clock at which the response broke off.
         """
-        if not await has_ended(*parse_address(endpoint.record.address)):
+        if not await self.has_ended(endpoint):
             return
         self.report.log_crash(
             request.request_id,
@@ -111,11 +140,23 @@
         if is_suspect:
             self.record_crash(request, endpoint, broken_ms)
 
+    async def has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's process has ended; probe it once at a time."""
+        probe = self.probes.get(endpoint.name)
+        if probe is None:
+            work = has_ended(*parse_address(endpoint.record.address))
+            name = f"probe-{endpoint.name}"
+            probe = self.probes[endpoint.name] = self.program.background.start(
+                work, name
+            )
+            probe.add_done_callback(lambda _: self.probes.pop(endpoint.name, None))
+        return await asyncio.shield(probe)
+
     def record_crash(
         self, request: CallerRequest, endpoint: Endpoint, broken_ms: int
     ) -> None:
         """Tell all gateways that a request may have crashed an endpoint."""
-        parts = suspect_parts(request)
+        parts = suspects(request)
         changed = self.ledger.record_crash(endpoint.name, parts, stamp_ms=broken_ms)
         self.exchange.publish(changed)
         for record in self.ledger.quarantined(parts):
@@ -123,7 +164,7 @@
 
     def record_answer(self, request: CallerRequest, *, began_at: float) -> None:
         """Record that a request's answer was written, whole or for long enough."""
-        changed = self.ledger.record_answer(suspect_parts(request), began_at=began_at)
+        changed = self.ledger.record_answer(suspects(request), began_at=began_at)
         self.exchange.publish(changed)
         self.report.log_cleared(changed)
         for part in changed:
@@ -131,16 +172,15 @@
                 self.store.remove(part)
 
 
-def suspect_parts(request: CallerRequest) -> list[str]:
-    """Return the ids of the parts of a prompt that other prompts may share.
+def suspects(request: CallerRequest) -> list[str]:
+    """Return what a request has in common with others that may crash endpoints.
 
-    That is all but the last one, which belongs to this prompt or its session alone.
+    That is its digest, and all parts of its prompt but the last one, which belongs to
+    this prompt or its session alone.
     """
     size = request.generation_size
-    if size is None:
-        return []
-    parts = [part for part, _ in size.prompt_parts]
-    return parts[:-1] or parts
+    parts = [part for part, _ in size.prompt_parts] if size is not None else []
+    return [request_suspect(request.digest), *(parts[:-1] or parts)]
 
 
 def part_ids(request: CallerRequest) -> str:
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -59,7 +59,7 @@
                 break
             if request.remaining_s() < MIN_REMAINING_S:
                 break
-            refusal = self.refusal(request, endpoint)
+            refusal = await self.refusal(request, endpoint)
             if refusal is not None:
                 return best or refusal
             if attempts_sent and not self.budget.try_spend(request.service.name):
@@ -74,7 +74,9 @@
                 break
         return best or self.unsent_failure(request)
 
-    def refusal(self, request: CallerRequest, endpoint: Endpoint) -> Failure | None:
+    async def refusal(
+        self, request: CallerRequest, endpoint: Endpoint
+    ) -> Failure | None:
         """Return why a request may not be sent to any endpoint, None if it may.
 
         ``endpoint`` is the one whose limit permits a request first.
@@ -82,7 +84,7 @@
         delay_s = self.rate_limits.delay_s(endpoint.name)
         if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
             return limit_failure(request, delay_s)
-        return self.crash_watch.refusal(request)
+        return await self.crash_watch.admit(request)
 
     async def wait_for_turn(self, request: CallerRequest, endpoint: Endpoint) -> bool:
         """Book a request to an endpoint and wait until its limit permits it.
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -9,7 +9,7 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
 from baobabturn.gateway.budget import FleetRetryBudget
-from baobabturn.gateway.crashwatch import CrashWatch, suspect_parts
+from baobabturn.gateway.crashwatch import CrashWatch, suspects
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.pools import EnginePools
@@ -89,7 +89,7 @@
             is_aborted = stream.abort_scope.when() is not None
             if is_aborted or not is_unanswered:
                 continue
-            if part.part in suspect_parts(stream.request):
+            if part.part in suspects(stream.request):
                 stream.abort_scope.reschedule(now)
 
     def active_at(self, endpoint: Endpoint) -> list[RelayedStream]:
--- a/src/baobabturn/quarantine/evidence.py
+++ b/src/baobabturn/quarantine/evidence.py
@@ -1,4 +1,8 @@
-"""What hosts tell one another about parts of prompts and crashes of engines."""
+"""What hosts tell one another about suspects and crashes of endpoints.
+
+A suspect is a part of prompts, or what the requests of a caller that are alike have in
+common, their digest.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,18 @@
 
 # Hosts that see the same crash give it times that differ by less than this.
 SAME_CRASH_MS = 1000
+# Begins the names of suspects that are digests; no part's id contains a colon.
+REQUEST_PREFIX = "request:"
+
+
+def request_suspect(digest: str) -> str:
+    """Return the name of the suspect that stands for requests with a digest."""
+    return REQUEST_PREFIX + digest
+
+
+def is_request(suspect: str) -> bool:
+    """Return whether a suspect stands for requests that are alike."""
+    return suspect.startswith(REQUEST_PREFIX)
 
 
 @attrs.define(kw_only=True, slots=True, frozen=True)
@@ -24,14 +40,14 @@
 
 @attrs.define(kw_only=True, slots=True)
 class PartEvidence:
-    """What a host knows of one part of prompts.
-
-    ``crashes`` are those of endpoints that had just begun to answer a prompt with the
-    part, and ``forgiven`` the ones after which such a prompt was answered.
-    ``answers`` counts the answered prompts with the part, as far as one host knows
-    them.  ``depth`` is the part's place in the prompt.  ``term`` counts the
-    quarantines of the part; the newest still lasts for ``remaining_ms``, unless it
-    was ``lifted``.
+    """What a host knows of one suspect, ``part``.
+
+    ``crashes`` are those of endpoints that had just begun to answer a request with it,
+    and ``forgiven`` the ones after which such a request was answered.  ``answers``
+    counts the answered requests with it, as far as one host knows them.  ``depth`` is
+    a part's place in the prompt.  ``term`` counts its quarantines; the newest still
+    lasts for ``remaining_ms``, unless it was ``lifted``.  ``trial_ms`` is for how long
+    the host may be trying a request with it, 0 if it isn't.
     """
 
     part: str = ""
@@ -42,3 +58,4 @@
     term: int = 0
     lifted: bool = False
     remaining_ms: int = 0
+    trial_ms: int = 0
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -1,15 +1,19 @@
-"""Decides which parts of prompts crash engines and have to be kept from them.
+"""Decides which requests crash endpoints and have to be kept from them.
 
 The parts of a prompt whose answer had just begun when its engine crashed are suspects
-in that crash.  A part is quarantined once it is a suspect in several crashes and no
-prompt with it was answered after any of them.  Endpoints that end in one moment count
-once: what ends many of them at a time says little of what they were running.  Of several such parts the one with the
-fewest answers comes first, since sound prompts share the others; the crashes that it
-explains count against no other part any more.
+in that crash, and so is the digest of any request that was in progress.  A suspect is
+quarantined after several crashes if no request with it was answered after any of them.
+Endpoints that end in one moment count once: what ends many of them at a time says
+little of what they were running.  Of several such suspects the one with the fewest
+answers comes first, since sound requests share the others; the crashes that it
+explains count against no other suspect any more.
 
-A quarantine ends by itself.  After it the part is on probation: one more crash brings
-a quarantine twice as long, one answer clears it.  All that is remembered expires and
-is bounded in number.
+A request whose digest is a suspect in two crashes is on trial: one host at a time tries
+it, and the others wait for the outcome.
+
+A quarantine ends by itself.  After it the suspect is on probation: one more crash
+brings a quarantine twice as long, one answer clears it.  All that is remembered expires
+and is bounded in number.
 
 Example::
 
@@ -27,7 +31,7 @@
 
 import attrs
 
-from baobabturn.quarantine.evidence import Crash, PartEvidence
+from baobabturn.quarantine.evidence import Crash, PartEvidence, is_request
 
 # The crashes that bring a quarantine: of a part that was never answered, of one that
 # was, and of one on probation.
@@ -36,6 +40,8 @@
 MOMENT_MS = 25
 # With so many crashes a request isn't sent to another engine after a failure.
 SUSPECT_CRASHES = 2
+# A trial whose outcome isn't told ends by itself.
+MAX_TRIAL_S = 2.0
 MIN_QUARANTINE_S = 300.0
 MAX_QUARANTINE_S = 3600.0
 # A part without a quarantine is forgotten so long after its last crash, one on
@@ -46,7 +52,7 @@
 # The same at entries and schedulers, where a prompt has up to 64 parts.
 MAX_BLOCK_RECORDS = 4096
 MAX_CRASHES_PER_PART = 16
-# How many answered parts are remembered.
+# How many answered parts are remembered, and as many answered requests.
 MAX_ANSWERED_PARTS = 2048
 MS_PER_S = 1000
 
@@ -56,6 +62,7 @@
     """The evidence on one part; times are monotonic seconds.
 
     ``seen_at`` holds when each crash became known here, in the order of ``crashes``.
+    ``trial_until`` is when the newest trial ends at the latest.
     """
 
     part: str
@@ -67,6 +74,7 @@
     term: int = 0
     lifted: bool = False
     quarantined_until: float = 0.0
+    trial_until: float = 0.0
     changed_at: float = 0.0
 
     def is_quarantined(self, now: float) -> bool:
@@ -84,6 +92,7 @@
         self.crashes = [*self.crashes, crash][-MAX_CRASHES_PER_PART:]
         self.seen_at = [*self.seen_at, now][-MAX_CRASHES_PER_PART:]
         self.changed_at = now
+        self.trial_until = 0.0
         return True
 
     def forgive(self, forgiven: list[Crash]) -> bool:
@@ -96,6 +105,7 @@
         if not new:
             return False
         self.forgiven = [*self.forgiven, *new][-MAX_CRASHES_PER_PART:]
+        self.trial_until = 0.0
         kept = [
             (crash, seen_at)
             for crash, seen_at in zip(self.crashes, self.seen_at, strict=True)
@@ -124,6 +134,7 @@
         self.max_answered_parts = max_answered_parts
         self.records: dict[str, PartRecord] = {}
         self.answered: OrderedDict[str, int] = OrderedDict()
+        self.answered_requests: OrderedDict[str, int] = OrderedDict()
         self.quarantine_listeners: list[Callable[[PartRecord], None]] = []
 
     def record_crash(
@@ -140,7 +151,7 @@
         for depth, part in enumerate(parts):
             record = self.record_of(part, now)
             record.depth = max(record.depth, depth)
-            record.answers = max(record.answers, self.answered.get(part, 0))
+            record.answers = max(record.answers, self.counts_of(part).get(part, 0))
             if record.add_crash(crash, now):
                 changed.append(part)
         self.decide(now)
@@ -160,15 +171,23 @@
         return changed
 
     def count_answer(self, part: str) -> None:
-        """Count an answered prompt with a part."""
-        self.answered[part] = self.answered.get(part, 0) + 1
-        self.answered.move_to_end(part)
-        if len(self.answered) > self.max_answered_parts:
-            self.answered.popitem(last=False)
+        """Count an answered request with a suspect."""
+        counts = self.counts_of(part)
+        counts[part] = counts.get(part, 0) + 1
+        counts.move_to_end(part)
+        if len(counts) > self.max_answered_parts:
+            counts.popitem(last=False)
+
+    def counts_of(self, part: str) -> OrderedDict[str, int]:
+        """Return the counts of answers that a suspect belongs to.
+
+        Requests that come once must not make those of parts be forgotten.
+        """
+        return self.answered_requests if is_request(part) else self.answered
 
     def clear(self, record: PartRecord, began_at: float) -> bool:
         """Forgive the crashes before an answer; return whether others should know."""
-        record.answers = max(record.answers, self.answered[record.part])
+        record.answers = max(record.answers, self.counts_of(record.part)[record.part])
         earlier = [
             crash
             for crash, seen_at in zip(record.crashes, record.seen_at, strict=True)
@@ -201,6 +220,9 @@
         changed = record.forgive(item.forgiven)
         for crash in item.crashes:
             changed = record.add_crash(crash, now) or changed
+        if item.trial_ms and not changed:
+            trial_s = min(item.trial_ms / MS_PER_S, MAX_TRIAL_S)
+            record.trial_until = max(record.trial_until, now + trial_s)
         return self.merge_quarantine(record, item, now) or changed
 
     def merge_quarantine(
@@ -303,10 +325,30 @@
             record = self.records.get(part)
             if record is None or len(record.crashes) < SUSPECT_CRASHES:
                 continue
-            if count_moments(self.unexplained_crashes(record, now)) >= SUSPECT_CRASHES:
+            unexplained = self.unexplained_crashes(record, now)
+            if count_moments(unexplained) >= SUSPECT_CRASHES:
                 return True
         return False
 
+    def begin_trial(self, part: str, for_s: float) -> None:
+        """Record that this host tries a request with a suspect now."""
+        record = self.records.get(part)
+        if record is not None:
+            record.trial_until = self.clock() + min(for_s, MAX_TRIAL_S)
+
+    def is_on_trial(self, part: str) -> bool:
+        """Return whether a host tries a request with a suspect now."""
+        record = self.records.get(part)
+        return record is not None and self.clock() < record.trial_until
+
+    def has_crashes(self, parts: Iterable[str]) -> bool:
+        """Return whether any of some suspects has a crash behind it."""
+        return any(
+            bool(record.crashes)
+            for part in parts
+            if (record := self.records.get(part)) is not None
+        )
+
     def evidence(self, parts: Iterable[str]) -> list[PartEvidence]:
         """Return what is known of some parts, to tell other hosts."""
         now = self.clock()
@@ -391,4 +433,5 @@
         term=record.term,
         lifted=record.lifted,
         remaining_ms=int(remaining_s * MS_PER_S),
+        trial_ms=int(max(0.0, record.trial_until - now) * MS_PER_S),
     )
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -398,6 +398,7 @@
   term @5 :UInt32;         # number of quarantines of the part
   lifted @6 :Bool;         # whether the newest of them was ended by an answer
   remainingMs @7 :UInt32;  # until the newest of them ends
+  trialMs @8 :UInt32;      # for how long the sender may be trying a request with it
 }
 
 struct Crash {
