Quarantine: attempts one after the other are evidence each, however fast they crash

What callers saw: nothing; a test of the entries lost all six workers to one call. Cause: an endpoint that ends at once under a request, and a second one a few ms later under the same request, were counted as one moment. Change: a crash has the time since when its request was in progress; it belongs to the moment of an earlier one only if it was in progress then. Result: the new scenario failed before and passes.

--- a/features/crashledger.feature
+++ b/features/crashledger.feature
@@ -24,6 +24,12 @@
     When engines crash under "shared,popular" 1 times
     Then "shared,popular" is refused
 
+  # Guards against a request that ends endpoints so fast that it isn't blamed.
+  Scenario: Attempts one after the other are evidence each, however fast they crash
+    Given a ledger that knows answers to "shared"
+    When 3 engines crash under "shared,fast" within 9 ms, one after the other
+    Then "shared,fast" is refused
+
   Scenario: Prompts that had just begun beside the culprit are not blamed
     Given a ledger that knows answers to "shared"
     When engines crash under "shared,bad" 5 times, twice beside "shared,bystander"
--- a/features/steps/crashledger.py
+++ b/features/steps/crashledger.py
@@ -36,6 +36,20 @@
     context.clock.now += CRASH_INTERVAL_S
 
 
+@when('{count:d} engines crash under "{parts}" within {ms:d} ms, one after the other')
+def crash_in_turn(context, count, parts, ms):
+    began_ms = int(context.clock() * MS_PER_S)
+    for _ in range(count):
+        stamp_ms = began_ms + ms // count
+        context.ledger.record_crash(
+            f"e{next(context.engines)}",
+            parts.split(","),
+            stamp_ms=stamp_ms,
+            began_ms=began_ms,
+        )
+        began_ms = stamp_ms
+
+
 @when('{count:d} engines crash at once under "{parts}"')
 def crash_at_once(context, count, parts):
     context.clock.now += 1.0
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -39,6 +39,9 @@
 TRIAL_CHECK_INTERVAL_S = 0.01
 
 
+MS_PER_S = 1000
+
+
 class CrashWatch:
     """Watches for requests that crash endpoints, and refuses them.
 
@@ -138,7 +141,8 @@
             parts=part_ids(request),
         )
         if is_suspect:
-            self.record_crash(request, endpoint, broken_ms)
+            began_ms = broken_ms - int(began_s * MS_PER_S)
+            self.record_crash(request, endpoint, broken_ms, began_ms)
 
     async def has_ended(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's process has ended; probe it once at a time."""
@@ -153,11 +157,13 @@
         return await asyncio.shield(probe)
 
     def record_crash(
-        self, request: CallerRequest, endpoint: Endpoint, broken_ms: int
+        self, request: CallerRequest, endpoint: Endpoint, broken_ms: int, began_ms: int
     ) -> None:
         """Tell all gateways that a request may have crashed an endpoint."""
         parts = suspects(request)
-        changed = self.ledger.record_crash(endpoint.name, parts, stamp_ms=broken_ms)
+        changed = self.ledger.record_crash(
+            endpoint.name, parts, stamp_ms=broken_ms, began_ms=began_ms
+        )
         self.exchange.publish(changed)
         for record in self.ledger.quarantined(parts):
             self.store.save(record)
--- a/src/baobabturn/quarantine/evidence.py
+++ b/src/baobabturn/quarantine/evidence.py
@@ -26,10 +26,15 @@
 
 @attrs.define(kw_only=True, slots=True, frozen=True)
 class Crash:
-    """A crash of an endpoint, seen at ``stamp_ms`` of the hybrid clock."""
+    """A crash of an endpoint, seen at ``stamp_ms`` of the hybrid clock.
+
+    The suspect's request was in progress there since ``began_ms``, 0 if that isn't
+    known.
+    """
 
     endpoint: str = ""
     stamp_ms: int = 0
+    began_ms: int = 0
 
     def is_same(self, other: Crash) -> bool:
         """Return whether two sightings are of one crash."""
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -36,7 +36,8 @@
 # The crashes that bring a quarantine: of a part that was never answered, of one that
 # was, and of one on probation.
 NEW_PART_CRASHES, KNOWN_PART_CRASHES, PROBATION_CRASHES = 3, 5, 1
-# Crashes within this time of the first of them are one moment.
+# Crashes within this time of the first of them are one moment, if their requests were
+# in progress when that one came.
 MOMENT_MS = 25
 # With so many crashes a request isn't sent to another engine after a failure.
 SUSPECT_CRASHES = 2
@@ -138,15 +139,21 @@
         self.quarantine_listeners: list[Callable[[PartRecord], None]] = []
 
     def record_crash(
-        self, endpoint: str, parts: Iterable[str], *, stamp_ms: int
+        self,
+        endpoint: str,
+        parts: Iterable[str],
+        *,
+        stamp_ms: int,
+        began_ms: int = 0,
     ) -> list[str]:
         """Record a crash and its suspects; return the parts of which more is known.
 
-        ``stamp_ms`` is the time of the hybrid clock.
+        ``stamp_ms`` is the time of the hybrid clock, ``began_ms`` that since when the
+        suspects' request was in progress, 0 if that isn't known.
         """
         self.expire()
         now = self.clock()
-        crash = Crash(endpoint=endpoint, stamp_ms=stamp_ms)
+        crash = Crash(endpoint=endpoint, stamp_ms=stamp_ms, began_ms=began_ms)
         changed = []
         for depth, part in enumerate(parts):
             record = self.record_of(part, now)
@@ -398,13 +405,18 @@
 
 
 def count_moments(crashes: list[Crash]) -> int:
-    """Return how many moments there are in which some of the crashes happened."""
+    """Return how many moments there are in which some of the crashes happened.
+
+    A request that was sent after a crash, and crashed another endpoint, is evidence of
+    its own, however soon that was.
+    """
     count = 0
-    ends_ms = 0
-    for stamp_ms in sorted(crash.stamp_ms for crash in crashes):
-        if not count or stamp_ms > ends_ms:
+    first_ms = 0
+    for crash in sorted(crashes, key=lambda each: each.stamp_ms):
+        was_running = crash.began_ms < first_ms
+        if not count or not was_running or crash.stamp_ms > first_ms + MOMENT_MS:
             count += 1
-            ends_ms = stamp_ms + MOMENT_MS
+            first_ms = crash.stamp_ms
     return count
 
 
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -404,6 +404,7 @@
 struct Crash {
   endpoint @0 :Text;
   stampMs @1 :UInt64;      # time of the hybrid clock
+  beganMs @2 :UInt64;      # since when the suspect's request was in progress
 }
 
 # Limits on the rate of requests that endpoints name, and requests sent to those.
