Entries: calls of services that crash endpoints are kept from them

What callers saw: one call ended all six workers of a fleet, three or four at a time. Cause: entries watched for prompts that crash engines, not for calls. Change: the digest of a call is a suspect in the entries' ledger; every attempt asks before, a lost one probes its endpoint, and news go to all schedulers, as a service has no pool.

--- a/fakes/service.py
+++ b/fakes/service.py
@@ -16,7 +16,10 @@
 
 @attrs.define
 class Faults:
-    """Faults of a plain endpoint, set by name over ``POST /control``."""
+    """Faults of a plain endpoint, set by name over ``POST /control``.
+
+    A request whose tag contains ``crash_on`` ends the process as it begins to run.
+    """
 
     slow_s: float = 0.0
     refuse: bool = False
@@ -28,6 +31,7 @@
     body_bytes: int = 0
     redirect: bool = False
     leaving: bool = False
+    crash_on: str = ""
 
 
 class FakeService:
@@ -66,6 +70,8 @@
         try:
             tag = tag_of(request, body)
             self.ran[tag] = self.ran.get(tag, 0) + 1
+            if self.faults.crash_on and self.faults.crash_on in tag:
+                os._exit(1)
             if self.faults.slow_s:
                 await asyncio.sleep(self.faults.slow_s)
             if self.faults.hang_after_run:
--- a/features/entrycrashes.feature
+++ b/features/entrycrashes.feature
@@ -21,3 +21,11 @@
     When 12 streamed prompts that crash engines come at all entries
     And the <program> of a host starts again, for each of "entry, scheduler"
     Then a prompt that crashes engines is refused at all entries
+
+  # Guards against calls of a service that crash one worker after the other.
+  Scenario: Calls that crash workers are refused, and sound ones served
+    Given a "herd" fleet of 3 hosts, 1 engines and 6 workers that a call crashes
+    When 12 calls that crash workers come at all entries
+    Then at least 2 workers still run
+    And sound calls are answered at all entries
+    And a call that crashes workers is refused at all entries
--- a/features/steps/entrycrashes.py
+++ b/features/steps/entrycrashes.py
@@ -92,3 +92,63 @@
         answer = ask(context, entry, BAD)
         assert answer.status == NOT_RUN, answer
         assert answer.error["code"] == QUARANTINED, answer
+
+
+SERVICE = "corral"
+
+
+@given(
+    'a "{name}" fleet of {hosts:d} hosts, {engines:d} engines and {workers:d} workers'
+    " that a call crashes"
+)
+def crashing_workers(context, name, hosts, engines, workers):
+    start_fleet(context, name, False, hosts=hosts, engines=engines, workers=workers)
+    context.numbers = itertools.count(1)
+    for worker in worker_names(context):
+        context.fleet.control(worker, crash_on=BAD_MARK)
+
+
+def worker_names(context):
+    """Return the names of the plain endpoints."""
+    return [
+        each["name"] for each in context.fleet.endpoints if each["kind"] != "engine"
+    ]
+
+
+def call(context, entry, tag):
+    """Call an operation; equal tags make equal calls."""
+    url = f"{context.fleet.entry(entry)}/v1/services/{SERVICE}/checks"
+    return send(url, key="key-buyers", body={"tag": tag}, timeout_s=CALLER_TIMEOUT_S)
+
+
+@when("{count:d} calls that crash workers come at all entries")
+def bad_calls(context, count):
+    for number in range(count):
+        # A caller who gives up is no failure here.
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            call(context, number % len(context.fleet.hosts), BAD_MARK)
+
+
+@then("at least {count:d} workers still run")
+def workers_run(context, count):
+    running = [
+        name
+        for name in worker_names(context)
+        if context.fleet.processes[name].poll() is None
+    ]
+    assert len(running) >= count, running
+
+
+@then("sound calls are answered at all entries")
+def sound_calls(context):
+    for entry in range(len(context.fleet.hosts)):
+        answer = call(context, entry, f"c{next(context.numbers)}")
+        assert answer.status == SERVED, answer
+
+
+@then("a call that crashes workers is refused at all entries")
+def bad_call_refused(context):
+    for entry in range(len(context.fleet.hosts)):
+        answer = call(context, entry, BAD_MARK)
+        assert answer.status == NOT_RUN, answer
+        assert answer.error["code"] == QUARANTINED, answer
--- a/src/baobabturn/entry/promptwatch.py
+++ b/src/baobabturn/entry/promptwatch.py
@@ -1,9 +1,10 @@
-"""Keeps prompts from engines that they would crash, at an entry.
+"""Keeps requests from endpoints that they would crash, at an entry.
 
 The parts of a prompt are the hashes of its leading blocks.  An entry tells the
 scheduler of a pool which crash it has seen under which parts; the scheduler tells all
 entries.  Every generation, a restart and a hedge too, asks here before it is admitted,
-whether a scheduler is reached or not.
+whether a scheduler is reached or not.  So does every request to a plain service, by
+what requests that are alike have in common.
 """
 
 from __future__ import annotations
@@ -22,18 +23,27 @@
 # Each prompt has up to 64 parts.
 MAX_ANSWERED_PARTS = 16_384
 
+MS_PER_S = 1000
+
 Send = Callable[[str, PartNews], None]
 
 
 class PromptWatch:
-    """Watches for prompts that crash engines, and refuses them.
+    """Watches for requests that crash endpoints, and refuses them.
 
-    ``send`` sends news to the scheduler of a pool.
+    ``send`` sends news to the scheduler of a pool, ``send_everywhere`` to all.
     """
 
-    def __init__(self, *, program: Program, send: Send):
+    def __init__(
+        self,
+        *,
+        program: Program,
+        send: Send,
+        send_everywhere: Callable[[PartNews], None],
+    ):
         self.program = program
         self.send = send
+        self.send_everywhere = send_everywhere
         self.ledger = CrashLedger(
             max_records=MAX_BLOCK_RECORDS, max_answered_parts=MAX_ANSWERED_PARTS
         )
@@ -54,7 +64,8 @@
         """Record the crash of an engine that had just begun to answer a prompt."""
         self.report.log_crash(request_id, endpoint, began_s=began_s)
         stamp = stamp_ms(self.program.clock.now())
-        self.ledger.record_crash(endpoint, parts, stamp_ms=stamp)
+        began_ms = stamp - int(began_s * MS_PER_S)
+        self.ledger.record_crash(endpoint, parts, stamp_ms=stamp, began_ms=began_ms)
 
     def record_answer(self, parts: list[str], began_at: float) -> list[str]:
         """Record a prompt that was answered; return the parts that this clears."""
@@ -67,6 +78,11 @@
         if parts:
             self.send(pool, self.news(parts))
 
+    def publish_everywhere(self, parts: list[str]) -> None:
+        """Send what is known of requests to plain services, which have no pool."""
+        if parts:
+            self.send_everywhere(self.news(parts))
+
     def news(self, parts: list[str], *, wanted: bool = False) -> PartNews:
         """Return what is known of some parts."""
         return PartNews(
--- a/src/baobabturn/entry/schedulers.py
+++ b/src/baobabturn/entry/schedulers.py
@@ -63,7 +63,11 @@
         self.links_changed = asyncio.Event()
         self.hedge_callbacks: dict[str, Callable[[], None]] = {}
         self.learned_replicas = LearnedReplicas()
-        self.prompt_watch = PromptWatch(program=program, send=self.send_part_news)
+        self.prompt_watch = PromptWatch(
+            program=program,
+            send=self.send_part_news,
+            send_everywhere=self.send_news_everywhere,
+        )
 
     def handle_learned(self, link: Link, body: Learned) -> None:
         """Keep a replica of a scheduler's learned state for the pool's next owner."""
@@ -144,6 +148,11 @@
             if other.send(news):
                 return
 
+    def send_news_everywhere(self, news: PartNews) -> None:
+        """Send news of requests that crash endpoints to all schedulers."""
+        for client in self.links.values():
+            client.send(news)
+
     def send_reservations(self, pool: str) -> None:
         """Send a pool's scheduler all reservations that this entry has in it.
 
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -10,15 +10,18 @@
 
 import aiohttp
 import attrs
+import yarl
 
 from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Operation, Workspace
 from baobabturn.core.events import Event
+from baobabturn.core.probe import has_ended
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.endpointranking import EndpointRanking
 from baobabturn.entry.node import Node
 from baobabturn.entry.outcome import failure_from_exception, may_retry
 from baobabturn.entry.responses import send_bytes, send_failure
 from baobabturn.entry.streams import run_until_disconnect
+from baobabturn.quarantine.evidence import request_suspect
 from baobabturn.store.acquisition import Claim
 from baobabturn.store.claims import claim_name
 from baobabturn.store.claimvalues import Result
@@ -29,6 +32,7 @@
 # the recording goes on afterwards.
 RECORD_TIMEOUT_S = 1.0
 BUSY_STATUSES = (429, 503)
+HTTP_PORT = 80
 
 
 @attrs.frozen(kw_only=True)
@@ -56,6 +60,12 @@
         head = f"{self.method}\n{self.path}\n{self.query}\n".encode()
         return hashlib.sha256(head + self.body).hexdigest()
 
+    @property
+    def suspect(self) -> str:
+        """Return the suspect that stands for this request and those that are alike."""
+        texts = (self.workspace.name, self.service, self.digest)
+        return request_suspect(hashlib.sha256("\n".join(texts).encode()).hexdigest())
+
 
 class ServiceDispatcher:
     """Sends requests to the endpoints of plain services."""
@@ -63,6 +73,7 @@
     def __init__(self, *, node: Node):
         self.node = node
         self.ranking = EndpointRanking()
+        self.crash_watch = node.prompt_watch
 
     async def handle(self, request: ServiceRequest, receive: Any, send: Any) -> None:
         """Run a request and send its response.
@@ -202,6 +213,9 @@
             candidates = self.untried_endpoints(request.service, tried_names)
             if not candidates:
                 return result
+            refusal = self.crash_watch.refusal([request.suspect])
+            if refusal is not None:
+                return result if tried_names else refusal
             endpoint = candidates[0]
             tried_names.add(endpoint.name)
             result = await self.attempt(request, endpoint)
@@ -217,6 +231,9 @@
     ) -> bool:
         """Return whether a request may be sent to another endpoint after a result."""
         if isinstance(result, Failure):
+            if result.run is not Run.NOT_RUN:
+                if self.crash_watch.may_crash_engines([request.suspect]):
+                    return False
             return may_retry(result, request.operation.repeatable)
         return request.operation.repeatable and result.status in BUSY_STATUSES
 
@@ -241,12 +258,38 @@
                 isinstance(result, Failure) and result.code is Code.CONNECT_FAILED
             )
             reached = not not_connected
+            await self.record_outcome(request, endpoint, result, started_at)
             return result
         finally:
             self.ranking.record_end(
                 endpoint.name, time.monotonic() - started_at, reached
             )
 
+    async def record_outcome(
+        self,
+        request: ServiceRequest,
+        endpoint: Endpoint,
+        result: Result | Failure,
+        started_at: float,
+    ) -> None:
+        """Record a response, or that the endpoint has crashed under the request."""
+        if isinstance(result, Result):
+            cleared = self.crash_watch.record_answer([request.suspect], started_at)
+            self.crash_watch.publish_everywhere(cleared)
+            return
+        if result.run is Run.NOT_RUN or result.code is Code.DEADLINE_UNKNOWN:
+            return
+        url = yarl.URL(endpoint.url)
+        if not await has_ended(url.host or "", url.port or HTTP_PORT):
+            return
+        self.crash_watch.record_crash(
+            request.request_id,
+            [request.suspect],
+            endpoint.name,
+            began_s=time.monotonic() - started_at,
+        )
+        self.crash_watch.publish_everywhere([request.suspect])
+
     async def exchange(
         self, request: ServiceRequest, endpoint: Endpoint, remaining_s: float
     ) -> Result | Failure:
