Soak: the store returns from copies, beside all other faults

Cause: the soak had no store that goes back. Change: seeds from 1000 on draw this fault too, four times as often as others; earlier seeds keep theirs. What the operator and the endpoints lost is written again within 1.5 s, entries of endpoints that are gone expire.

--- a/features/soakseeds.feature
+++ b/features/soakseeds.feature
@@ -12,3 +12,4 @@
       | 57   | the same signal while the interpreter itself starts   |
       | 11   | all gateways killed twice while keys and routes change |
       | 13   | the store fails, forgets, and callers are cut off      |
+      | 1000 | the store returns from copies beside all other faults |
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,9 @@
 # Probability that SIGHUP announces a change of the settings file.
 SIGHUP_PROBABILITY = 0.5
 MIN_SERVING_ENDPOINTS = 2
+MAX_STORE_ABSENCE_S = 2.0
+# After a return of the store the operator and the endpoints write within this time.
+WRITTEN_AGAIN_S = 1.5
 SILENCED_DIRECTIONS = (
     (Direction.TO_TARGET, Direction.TO_CALLER),
     (Direction.TO_TARGET,),
@@ -103,6 +106,20 @@
     await asyncio.sleep(0)
 
 
+async def store_returns(site: SoakSite, duration_s: float) -> None:
+    """Make the store return from a copy; what is others' is written again later."""
+    copied = site.store.take_copy()
+    await asyncio.sleep(duration_s)
+    site.store.failing_status = 503
+    site.store.reset_connections()
+    await asyncio.sleep(site.rng.uniform(0.1, MAX_STORE_ABSENCE_S))
+    site.store.restore(copied)
+    site.store.failing_status = 0
+    await asyncio.sleep(site.rng.uniform(0.0, WRITTEN_AGAIN_S))
+    site.write_again()
+    site.record_store_disturbance()
+
+
 async def disturb_connections(
     proxies: list[Proxy], rng: random.Random, duration_s: float
 ) -> None:
@@ -242,26 +259,40 @@
 
 
 # The order of the entries is part of a seed: a fault is drawn by its position.
+FIRST_FAULTS = (
+    kill,
+    kill_all,
+    terminate,
+    pause,
+    change_settings,
+    store_fails,
+    store_silent,
+    store_forgets,
+    store_link,
+    caller_link,
+    endpoint_link,
+    endpoint_leaves,
+    endpoint_crashes,
+    spoilt_answers,
+    spoilt_entry,
+    new_configuration,
+    key_goes,
+    route_comes,
+)
+# Seeds from this one on draw from these too, each several times as often; earlier
+# seeds keep the faults that they have.
+LATER_FAULTS = (store_returns,)
+FIRST_SEED_OF_LATER_FAULTS = 1000
+LATER_FAULT_SHARE = 4
+
 FAULTS: dict[str, Fault] = {
-    fault.__name__: fault
-    for fault in (
-        kill,
-        kill_all,
-        terminate,
-        pause,
-        change_settings,
-        store_fails,
-        store_silent,
-        store_forgets,
-        store_link,
-        caller_link,
-        endpoint_link,
-        endpoint_leaves,
-        endpoint_crashes,
-        spoilt_answers,
-        spoilt_entry,
-        new_configuration,
-        key_goes,
-        route_comes,
-    )
+    fault.__name__: fault for fault in (*FIRST_FAULTS, *LATER_FAULTS)
 }
+
+
+def drawn_faults(seed: int) -> tuple[str, ...]:
+    """Return the names of the faults that a seed draws from."""
+    names = tuple(fault.__name__ for fault in FIRST_FAULTS)
+    if seed < FIRST_SEED_OF_LATER_FAULTS:
+        return names
+    return names + LATER_FAULT_SHARE * tuple(each.__name__ for each in LATER_FAULTS)
--- a/soak/main.py
+++ b/soak/main.py
@@ -17,7 +17,7 @@
 
 from fakes.callers import request_headers, send_request
 from fakes.siteconfig import ENGINE_SERVICE, PLAIN_SERVICE
-from soak.faults import FAULTS
+from soak.faults import FAULTS, drawn_faults
 from soak.invariants import InvariantChecker
 from soak.load import Caller, SentRequest
 from soak.process import GatewayProcess
@@ -96,7 +96,7 @@
         rng = self.site.rng
         started_at = time.monotonic()
         while (elapsed_s := time.monotonic() - started_at) < FAULT_PHASE_S:
-            fault_name = rng.choice(self.only or tuple(FAULTS))
+            fault_name = rng.choice(self.only or drawn_faults(self.result.seed))
             duration_s = rng.uniform(*FAULT_DURATION_RANGE_S)
             self.result.faults.append(f"{elapsed_s:.1f} {fault_name} {duration_s:.1f}")
             task = asyncio.create_task(FAULTS[fault_name](self.site, duration_s))
--- a/soak/site.py
+++ b/soak/site.py
@@ -60,6 +60,8 @@
         self.routes: list[dict] = []
         self.revoked_at: dict[str, float] = {}
         self.left_at: dict[str, float] = {}
+        self.crashed: set[str] = set()
+        self.newest_document: dict | None = None
         self.store_undisturbed_since = time.monotonic()
         self.endpoint_count = 0
 
@@ -129,6 +131,7 @@
     async def crash(self, name: str) -> None:
         """Stop an endpoint, reset its connections and remove its entry."""
         self.left_at[name] = time.monotonic()
+        self.crashed.add(name)
         await self.endpoints[name].stop()
         self.endpoint_proxies[name].reset_connections()
         self.store.remove("servers", name)
@@ -138,8 +141,23 @@
         self.version += self.rng.randint(1, 4)
         document = configuration(self.version, tuple(self.keys))
         document["routes"] += self.routes
+        self.newest_document = document
         self.store.write("config", "main", document)
 
+    def write_again(self) -> None:
+        """Write what the operator and the endpoints lost by a return of the store.
+
+        Entries of endpoints that are gone expire.
+        """
+        if self.newest_document is not None:
+            self.store.write("config", "main", self.newest_document)
+        for name, endpoint in self.endpoints.items():
+            if name in self.crashed:
+                self.store.remove("servers", name)
+                continue
+            state = "draining" if endpoint.leaving else "ready"
+            self.store.write("servers", name, endpoint.entry(state=state))
+
     def revoke_second_key(self) -> None:
         """Revoke the second API key, once."""
         if SECOND_KEY in self.keys:
