Reading the change: names, one copy, claims are remembered only where a store has eras

Cause: read again, a method spoke of engines that asks for any endpoint, constants stood apart, one step stood twice, and claims were remembered and the store was read once a second on platforms that name no era. Change: as said.

--- a/features/steps/gatewaycrashes.py
+++ b/features/steps/gatewaycrashes.py
@@ -164,11 +164,15 @@
     assert len(later) <= count, (len(later), len(fleet.crashed_at), later)
 
 
+def recent_outcomes(outcomes, seconds):
+    """Return the outcomes of the requests that were sent last."""
+    last = max(outcome.sent_at for outcome in outcomes)
+    return [each for each in outcomes if each.sent_at > last - seconds]
+
+
 @then("the sound ones of the last {seconds:d} seconds are served")
 def sound_served(context, seconds):
-    outcomes = context.traffic.outcomes
-    last = max(outcome.sent_at for outcome in outcomes)
-    recent = [each for each in outcomes if each.sent_at > last - seconds]
+    recent = recent_outcomes(context.traffic.outcomes, seconds)
     failed = [each for each in recent if not each.served]
     assert recent and not failed, (len(recent), len(failed))
 
--- a/features/steps/requestcrashes.py
+++ b/features/steps/requestcrashes.py
@@ -11,6 +11,7 @@
 from fakes.siteconfig import API_KEY, ENGINE_SERVICE, PLAIN_SERVICE, configuration
 from features.sitecase import eventually
 from features.steps.gateway import run, start
+from features.steps.gatewaycrashes import recent_outcomes
 
 OPTIONS = {"retry_slack": 10_000}
 BAD_INTERVAL_S, SOUND_INTERVAL_S = 0.15, 0.05
@@ -208,9 +209,7 @@
 
 @then("the sound requests of the last {seconds:d} seconds are served")
 def sound_served(context, seconds):
-    outcomes = context.callers.sound
-    last = max(outcome.sent_at for outcome in outcomes)
-    recent = [each for each in outcomes if each.sent_at > last - seconds]
+    recent = recent_outcomes(context.callers.sound, seconds)
     failed = [each for each in recent if each.status != 200]
     assert recent and not failed, (len(recent), len(failed), failed[:2])
 
--- a/src/baobabturn/entry/generations.py
+++ b/src/baobabturn/entry/generations.py
@@ -242,7 +242,7 @@
         self.excluded.append(self.location.endpoint)
         if time.monotonic() >= self.deadline or not self.untried_pools():
             return False
-        if self.node.prompt_watch.may_crash_engines(self.generation_request.parts):
+        if self.node.prompt_watch.may_crash_endpoints(self.generation_request.parts):
             return False
         allowed = may_retry(failure, repeatable=True)
         if not allowed and not (self.restart and may_restart(failure)):
--- a/src/baobabturn/entry/promptwatch.py
+++ b/src/baobabturn/entry/promptwatch.py
@@ -54,7 +54,7 @@
         remaining_s = self.ledger.remaining_s(parts)
         return quarantine_failure(remaining_s) if remaining_s else None
 
-    def may_crash_engines(self, parts: list[str]) -> bool:
+    def may_crash_endpoints(self, parts: list[str]) -> bool:
         """Return whether a prompt that failed shouldn't be sent to another engine."""
         return self.ledger.are_suspect(parts)
 
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -232,7 +232,7 @@
         """Return whether a request may be sent to another endpoint after a result."""
         if isinstance(result, Failure):
             if result.run is not Run.NOT_RUN:
-                if self.crash_watch.may_crash_engines([request.suspect]):
+                if self.crash_watch.may_crash_endpoints([request.suspect]):
                     return False
             return may_retry(result, request.operation.repeatable)
         return request.operation.repeatable and result.status in BUSY_STATUSES
--- a/src/baobabturn/gateway/crashwatch.py
+++ b/src/baobabturn/gateway/crashwatch.py
@@ -31,14 +31,10 @@
 SUSPECT_AGE_S = 1.0
 # An answer that has been under way for so long shows that its prompt is sound.
 SOUND_AGE_S = 2.0
-
-
 # How long a request waits for the outcome of another one's trial, as a part of its
 # time, and how often it looks.
 MAX_TRIAL_WAIT_RATIO = 0.5
 TRIAL_CHECK_INTERVAL_S = 0.01
-
-
 MS_PER_S = 1000
 
 
@@ -89,7 +85,7 @@
             self.exchange.publish([suspect])
         return None
 
-    def may_crash_engines(self, request: CallerRequest) -> bool:
+    def may_crash_endpoints(self, request: CallerRequest) -> bool:
         """Return whether a request that failed shouldn't be sent to another engine."""
         return self.ledger.are_suspect(suspects(request))
 
@@ -103,8 +99,10 @@
     ) -> None:
         """Record that a response broke off; find out whether its endpoint crashed.
 
-        ``began_at`` is the monotonic time at which the response's head arrived.  Wait
-        a little for the outcome, so that it counts for the request's next attempt.
+        ``began_at`` is the monotonic time at which the response's head arrived, or at
+        which the request was sent if none has.  Wait a little for the outcome of a
+        prompt, or of a request with a crash behind it, so that it counts for the next
+        attempt.
         """
         began_s = time.monotonic() - began_at
         has_just_begun = not event_count or began_s <= SUSPECT_AGE_S
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -144,7 +144,7 @@
             if attempt_state(result) in (AttemptState.UNSENT, AttemptState.REFUSED):
                 return True
             allowed = may_retry(result, request.route.repeatable)
-            if self.crash_watch.may_crash_engines(request):
+            if self.crash_watch.may_crash_endpoints(request):
                 return False
             return allowed and attempts_sent < request.route.attempt_limit
         if result.status not in SERVER_ERRORS:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -177,7 +177,7 @@
         """Return whether another engine may be tried after a failure."""
         if attempt_state(failure) in (AttemptState.UNSENT, AttemptState.REFUSED):
             return True
-        if self.parts.crash_watch.may_crash_engines(self.request):
+        if self.parts.crash_watch.may_crash_endpoints(self.request):
             return False
         repeatable = self.request.route.repeatable
         attempts_left = self.attempts_sent < self.request.route.attempt_limit
@@ -417,7 +417,7 @@
         route = self.request.route
         if not route.continuable or self.attempts_sent >= route.attempt_limit:
             return interruption
-        if self.parts.crash_watch.may_crash_engines(self.request):
+        if self.parts.crash_watch.may_crash_endpoints(self.request):
             return interruption
         if self.request.remaining_s() < MIN_REMAINING_S or not self.try_spend_retry():
             return interruption
--- a/src/baobabturn/store/claimmemory.py
+++ b/src/baobabturn/store/claimmemory.py
@@ -63,7 +63,12 @@
         self.is_checking = False
 
     def remember(self, name: str, value: ClaimValue) -> None:
-        """Remember a claim under which a request is sent, in its newest state."""
+        """Remember a claim under which a request is sent, in its newest state.
+
+        A store without eras never returns from a copy, as far as it says.
+        """
+        if not self.store.era:
+            return
         self.claims[name] = Remembered(value=value, at=self.clock())
         self.claims.move_to_end(name)
         if len(self.claims) > MAX_REMEMBERED:
