Quarantine: a trial is known in all failure domains of a large fleet

Cause: news of a trial alone weren't passed on within another domain, as they brought no crash; 152 of 195 gateways didn't know of it. Change: a trial that wasn't known is news.

--- a/features/gatewayfleet.feature
+++ b/features/gatewayfleet.feature
@@ -206,3 +206,22 @@
     And an endpoint names a limit of 6 a second, and 40 requests a second might go there for 20 seconds
     Then the endpoint gets at most one and a half times that, and 5, in any 4 seconds
     And it gets at least 0.8 of what it takes
+
+  # Guards against gateways that try a request at once which has crashed two endpoints.
+  Scenario Outline: A request with two crashes is tried at one gateway (<size>, <outcome>)
+    Given a fleet of <size> gateways in <domains> failure domains
+    When the fleet runs for 4 seconds
+    And 2 gateways see an endpoint crash under one request
+    Then the request is a suspect at all gateways, and on trial at none
+    When a gateway tries it
+    Then the request is on trial at all gateways
+    When the trial ends with <outcome>
+    Then the request is <state> at all gateways
+
+    Examples:
+      | size | domains | outcome  | state   |
+      | 2    | 1       | a crash  | refused |
+      | 9    | 3       | a crash  | refused |
+      | 195  | 5       | a crash  | refused |
+      | 9    | 3       | an answer | free   |
+      | 195  | 5       | an answer | free   |
--- a/src/baobabturn/quarantine/ledger.py
+++ b/src/baobabturn/quarantine/ledger.py
@@ -227,11 +227,17 @@
         changed = record.forgive(item.forgiven)
         for crash in item.crashes:
             changed = record.add_crash(crash, now) or changed
-        if item.trial_ms and not changed:
-            trial_s = min(item.trial_ms / MS_PER_S, MAX_TRIAL_S)
-            record.trial_until = max(record.trial_until, now + trial_s)
+        if not changed:
+            changed = self.merge_trial(record, item, now)
         return self.merge_quarantine(record, item, now) or changed
 
+    def merge_trial(self, record: PartRecord, item: PartEvidence, now: float) -> bool:
+        """Record that another host tries a request; return whether that was news."""
+        is_known = now < record.trial_until
+        trial_s = min(item.trial_ms / MS_PER_S, MAX_TRIAL_S)
+        record.trial_until = max(record.trial_until, now + trial_s)
+        return bool(item.trial_ms) and not is_known
+
     def merge_quarantine(
         self, record: PartRecord, item: PartEvidence, now: float
     ) -> bool:
