Controller: an engine's answer that can't be read doesn't end its polling

What callers saw: nothing known; an engine that isn't polled has no load report, and a pool with it never serves from it. Cause: the task that polls an engine ended with the first error and wasn't started again, for as long as its endpoint stayed the same. Change: it is started again after an error, with backoff and a log line. It may be what the listed scenarios of golden.feature saw; that isn't shown, so they stay listed.

--- a/src/baobabturn/controller/polling.py
+++ b/src/baobabturn/controller/polling.py
@@ -32,9 +32,14 @@
                 del self.tasks[name]
         for name, endpoint in wanted.items():
             if name not in self.tasks:
-                coroutine = self.poll(endpoint)
-                task = self.program.background.start(coroutine, f"poll-{name}")
-                self.tasks[name] = (endpoint, task)
+                self.tasks[name] = (endpoint, self.start(endpoint))
+
+    def start(self, endpoint: Endpoint) -> asyncio.Task:
+        """Start to poll an endpoint; an answer that can't be read doesn't end that."""
+        background = self.program.background
+        name = f"poll-{endpoint.name}"
+        poll = lambda: self.poll(endpoint)
+        return background.start(background.run_with_restarts(poll, name), name)
 
     def endpoints(self) -> list[Endpoint]:
         """Return the endpoints that are polled now."""
