--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -231,9 +231,9 @@
     ) -> bool:
         """Return whether a request may be sent to another endpoint after a result."""
         if isinstance(result, Failure):
-            if result.run is not Run.NOT_RUN:
-                if self.crash_watch.may_crash_endpoints([request.suspect]):
-                    return False
+            may_have_run = result.run is not Run.NOT_RUN
+            if may_have_run and self.crash_watch.may_crash_endpoints([request.suspect]):
+                return False
             return may_retry(result, request.operation.repeatable)
         return request.operation.repeatable and result.status in BUSY_STATUSES
 
--- a/src/baobabturn/gateway/catchup.py
+++ b/src/baobabturn/gateway/catchup.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 from collections.abc import Callable
 
@@ -38,12 +39,15 @@
 MAX_DEPARTED_PER_REPLY = 64
 MS_PER_S = 1000
 
+log = logging.getLogger("baobabturn.gateway.catchup")
+
 
 class CatchUp:
     """Exchanges what gateways know beyond the store's copy.
 
     ``is_open`` is false while others are asked, ``has_settled`` is true once this
-    gateway has asked after its start.  ``on_confirm`` gets the boot times at which the
+    gateway has asked after its start; ``replies`` says of each gateway that replied
+    whether that one has.  ``on_confirm`` gets the boot times at which the
     configuration was confirmed, those of a time of asking at its end.
     """
 
@@ -168,6 +172,12 @@
         encoded = encode_change(change)
         if len(encoded.value) > MAX_CONFIG_BYTES:
             self.peers.program.metrics.count("configs_too_large")
+            log.warning(
+                "event=config-too-large revision=%d bytes=%d limit=%d",
+                self.config.revision,
+                len(encoded.value),
+                MAX_CONFIG_BYTES,
+            )
             return []
         return [encoded]
 
--- a/src/baobabturn/gateway/departures.py
+++ b/src/baobabturn/gateway/departures.py
@@ -20,7 +20,14 @@
 MAX_DEPARTURES = 256
 MS_PER_S = 1000
 
-Identity = tuple[str, str, int]
+
+@attrs.frozen(kw_only=True)
+class Identity:
+    """What tells an incarnation of an endpoint from all others."""
+
+    name: str
+    address: str
+    incarnation: int
 
 
 @attrs.frozen(kw_only=True)
@@ -73,13 +80,13 @@
         newest = list(self.by_identity.items())[-limit:]
         return [
             DepartedEndpoint(
-                name=name,
-                address=address,
-                incarnation=incarnation,
+                name=identity.name,
+                address=identity.address,
+                incarnation=identity.incarnation,
                 era=departure.era,
                 age_ms=int((now - departure.left_at) * MS_PER_S),
             )
-            for (name, address, incarnation), departure in newest
+            for identity, departure in newest
             if self.is_recent(departure)
         ]
 
@@ -88,10 +95,14 @@
         now = self.clock()
         for each in departed:
             departure = Departure(era=each.era, left_at=now - each.age_ms / MS_PER_S)
-            identity = (each.name, each.address, each.incarnation)
+            identity = Identity(
+                name=each.name, address=each.address, incarnation=each.incarnation
+            )
             self.remember(identity, departure)
 
 
 def identity_of(record: EndpointRecord) -> Identity:
-    """Return what tells an incarnation of an endpoint from all others."""
-    return record.name, record.address, record.incarnation
+    """Return the identity of a recorded endpoint."""
+    return Identity(
+        name=record.name, address=record.address, incarnation=record.incarnation
+    )
--- a/src/baobabturn/gateway/quarantinestore.py
+++ b/src/baobabturn/gateway/quarantinestore.py
@@ -18,11 +18,10 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.platforminterface import ObjectCodec, QuarantineRecord
 from baobabturn.quarantine.evidence import PartEvidence
-from baobabturn.quarantine.ledger import (
+from baobabturn.quarantine.ledger import MAX_RECORDS, CrashLedger
+from baobabturn.quarantine.record import (
     MAX_QUARANTINE_S,
-    MAX_RECORDS,
     PROBATION_EXPIRY_S,
-    CrashLedger,
     PartRecord,
 )
 from baobabturn.store.interface import ObjectStore
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -231,7 +231,10 @@
             changes=[encode_change(change) for change in snapshot.changes],
             full=True,
         )
-        return [update] if value_bytes(update) <= MAX_UPDATE_BYTES else []
+        if value_bytes(update) > MAX_UPDATE_BYTES:
+            # The asking gateway lists the store instead.
+            return []
+        return [update]
 
     def handle_update(self, update: StoreNews, peer: Peer) -> None:
         """Apply a watcher's update; list the store if an earlier one was missed.
--- a/src/baobabturn/gateway/streaming.py
+++ b/src/baobabturn/gateway/streaming.py
@@ -16,7 +16,7 @@
 from baobabturn.gateway.relayedstream import RelayedStream, Send
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.streamparts import StreamParts
-from baobabturn.quarantine.ledger import PartRecord
+from baobabturn.quarantine.record import PartRecord
 
 
 class Streams:
--- a/src/baobabturn/quarantine/report.py
+++ b/src/baobabturn/quarantine/report.py
@@ -4,7 +4,8 @@
 
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
-from baobabturn.quarantine.ledger import CrashLedger, PartRecord
+from baobabturn.quarantine.ledger import CrashLedger
+from baobabturn.quarantine.record import PartRecord
 
 MS_PER_S = 1000
 
--- a/src/baobabturn/store/claimmemory.py
+++ b/src/baobabturn/store/claimmemory.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -32,6 +33,8 @@
 MAX_WRITE_TRIES = 20
 WRITE_PAUSE_S = 0.005
 
+log = logging.getLogger("baobabturn.store.claimmemory")
+
 
 @attrs.frozen(kw_only=True)
 class Remembered:
@@ -111,6 +114,7 @@
         while self.claims:
             await asyncio.sleep(CHECK_INTERVAL_S)
             newest = next(reversed(self.claims), "")
+            # Whatever the answer, it states the store's era.
             await self.store.get(CLAIM_KIND, newest)
             self.record_era()
             self.expire()
@@ -123,6 +127,12 @@
                 if await self.write(name):
                     break
                 await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                log.warning(
+                    "event=claim-not-written-again claim=%s tries=%d",
+                    name,
+                    MAX_WRITE_TRIES,
+                )
             await asyncio.sleep(WRITE_PAUSE_S)
 
     async def write(self, name: str) -> bool:
