--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 from fakes.callers import request_headers, send_request
 from fakes.site import SiteEndpoint
 from fakes.siteconfig import PLAIN_SERVICE, configuration
-from review.standins.case import Site, main
+from review.casesite import Site, main
 
 WORKER_COUNT = 6
 GATEWAY_COUNT = 3
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from fakes.siteconfig import configuration
-from review.standins.case import Site, main
-from review.standins.engines import Engine
-from review.standins.streams import read_stream
+from review.casesite import Site, main
+from review.engines import Engine
+from review.streams import read_stream
 
 ENGINE_COUNT = 6
 GATEWAY_COUNT = 3
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 # dependencies that the build of the deploy file puts under target/deps.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export PYTHONPYCACHEPREFIX="target/review-pycache"
 python3 -m compileall -q fakes review
--- a/review/standins/case.py
+++ b/review/casesite.py
@@ -12,8 +12,8 @@
 from collections.abc import Awaitable, Callable
 
 from fakes.site import SiteStore
-from review.standins.gateway import Gateway
-from review.standins.record import Record
+from review.gateway import Gateway
+from review.record import Record
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 MAX_DURATION_S = 110.0
@@ -76,9 +76,9 @@
     """Run a case with the record beside its script, and exit with its code."""
     record = Record(pathlib.Path(script).resolve().parent / "record.txt")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-    site = Site(
-        folder=folder, record=record, trouble=os.environ.get("TROUBLE", "1") != "0"
-    )
+    # The script passes on TROUBLE; without it the disruption takes place.
+    trouble = sys.argv[1:2] != ["0"]
+    site = Site(folder=folder, record=record, trouble=trouble)
     record.add("with the disruption" if site.trouble else "without the disruption")
     try:
         code = asyncio.run(play(case, site))
--- a/review/standins/engines.py
+++ b/review/engines.py
@@ -9,7 +9,7 @@
 from fakes.rawhttp import Request, chunk_bytes, response_bytes
 from fakes.site import SiteEndpoint
 from fakes.siteconfig import ENGINE_SERVICE
-from review.standins.record import Record
+from review.record import Record
 
 # The value of SO_LINGER with which a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/review/standins/gateway.py
+++ b/review/gateway.py
@@ -13,9 +13,9 @@
 
 from fakes.callers import send_request
 from fakes.ports import free_port
-from review.standins.template import render
+from review.template import render
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 ADDRESS = "127.0.0.1"
 READY_PATH = "/baobabturn/readyz"
 READY_TIMEOUT_S = 15.0
--- a/review/standins/streams.py
+++ b/review/streams.py
@@ -8,7 +8,7 @@
 import attrs
 
 from fakes.callers import request_bytes, request_headers
-from review.standins.record import Record
+from review.record import Record
 
 EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 READ_BYTES = 65_536
