A stream without a length that is moved or loses its engine isn't whole

Cause: such a response ends with its connection, and the close was taken for its end unless the engine, not leaving, refused connections right afterwards. The move itself makes the engine close the stream, and nothing asked whether a move was in progress; an engine that leaves was trusted to end after its last response; one that had started again at its address, or that a probe didn't reach, counted as alive.

Change: a stream that a migration has asked to stop is whole only if the engine says that it had no such run; any other that ends with its connection only if its process still takes connections, here or from another gateway, and its report names the incarnation of its entry. HEAD, 204, 304 and other transfer codings are told apart too.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -234,7 +234,9 @@
     the connection is closed; without one the response is complete and has the
     response stamp.  ``ran`` holds the requests that ran.  An engine streams
     ``event_count`` events with ``event_interval_s`` between them and takes
-    ``final_copy_s`` for the final copy of a generation that it has stopped.  If
+    ``final_copy_s`` for the final copy of a generation that it has stopped; with
+    ``loses_copies`` that copy fails.  Streams that aren't ``framed`` have neither a
+    length nor chunks.  If
     ``advertised_address`` is set, the endpoint's entry has this address, that of a
     proxy, in place of its own.  ``rate_limit_per_s`` is the limit that its answers
     name, 0 for none.  ``version`` is that of its software, which the entry names unless
@@ -263,6 +265,8 @@
         self.migration_status = 200
         self.final_copy_s = 0.0
         self.stopped: set[str] = set()
+        self.framed = True
+        self.loses_copies = False
         self.cut_after_events = 0
         self.rate_limit_per_s = 0.0
         self.more_headers: dict[str, str] = {}
@@ -341,6 +345,8 @@
         if body["last"]:
             self.stopped.add(attempt_id)
             await asyncio.sleep(self.final_copy_s)
+            if self.loses_copies:
+                return 500, {}
         self.peers[body["target"]].kv_copies[attempt_id] = last_event
         return 200, {"handle": attempt_id, "createRevision": last_event}
 
@@ -360,8 +366,10 @@
         headers = {
             **self.answer_headers(request),
             "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
         }
+        frame = chunk_bytes if self.framed else bytes
+        if self.framed:
+            headers["Transfer-Encoding"] = "chunked"
         writer.write(response_bytes(200, b"", headers, length=False))
         disconnect_watch = asyncio.create_task(reader.read(1))
         self.running[request.attempt_id] = first
@@ -373,7 +381,7 @@
                     self.cancelled.append(request.attempt_id)
                     return
                 if self.cut_after_events and event_id > self.cut_after_events:
-                    writer.write(chunk_bytes(b"id: %d\ndata: h" % event_id))
+                    writer.write(frame(b"id: %d\ndata: h" % event_id))
                     writer.transport.abort()
                     return
                 text = b"id: %d\ndata: %s-%d\n\n" % (
@@ -381,12 +389,13 @@
                     self.name.encode(),
                     event_id,
                 )
-                writer.write(chunk_bytes(text))
+                writer.write(frame(text))
                 await writer.drain()
                 self.running[request.attempt_id] = event_id
                 await asyncio.sleep(self.event_interval_s)
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
+            if self.framed:
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
         finally:
             self.running.pop(request.attempt_id, None)
             disconnect_watch.cancel()
--- a/src/baobabturn/core/probe.py
+++ b/src/baobabturn/core/probe.py
@@ -39,6 +39,17 @@
     return False
 
 
+async def keeps_accepting(host: str, port: int) -> bool:
+    """Return whether a port takes connections, now and a little later.
+
+    That shows that its process hasn't ended, whereas a refusal may come from the way.
+    """
+    if not await can_connect(host, port):
+        return False
+    await asyncio.sleep(REPEAT_DELAY_S)
+    return await can_connect(host, port)
+
+
 async def can_connect(host: str, port: int) -> bool:
     """Return whether a port of a host takes a connection."""
     try:
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -17,6 +17,7 @@
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.httpheaders import is_framed
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.platforminterface import (
@@ -30,7 +31,6 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Up to this size a body isn't counted towards the memory for bodies.
 UNCOUNTED_BYTES = 65_536
-FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -52,12 +52,8 @@
 
     @property
     def framed(self) -> bool:
-        """Return whether the response's own bytes show where it ends.
-
-        Otherwise it ends with its connection, whether or not it is complete.
-        """
-        names = {key for key, _ in self.headers}
-        return not names.isdisjoint(FRAMING_HEADERS)
+        """Return whether the response's own bytes show where it ends."""
+        return is_framed(self.response.method, self.status, self.headers)
 
     def close(self) -> None:
         """Close the connection, which cancels the request at most endpoints."""
--- a/src/baobabturn/gateway/incarnations.py
+++ b/src/baobabturn/gateway/incarnations.py
@@ -10,7 +10,7 @@
 from baobabturn.core.events import Event, EventLog
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint
-from baobabturn.gateway.platforminterface import CacheCopier
+from baobabturn.gateway.platforminterface import CacheCopier, EngineReport
 
 REPORT_TIMEOUT_S = 0.4
 
@@ -36,13 +36,32 @@
         if isinstance(report, Failure):
             reason = f"{endpoint.name} doesn't say which process it is: {report.reason}"
             return Failure(Code.NO_ENDPOINT, reason)
-        if report.incarnation in (0, expected):
+        if not self.is_other(endpoint, report):
             return None
+        reason = f"{endpoint.name} has started again since its entry was written"
+        return Failure(Code.NO_ENDPOINT, reason)
+
+    async def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine's report shows that it has started again.
+
+        An engine that gives no report may still be the same.
+        """
+        if not endpoint.record.incarnation:
+            return False
+        report = await self.cache_copier.report(
+            endpoint.record.address, REPORT_TIMEOUT_S
+        )
+        return isinstance(report, EngineReport) and self.is_other(endpoint, report)
+
+    def is_other(self, endpoint: Endpoint, report: EngineReport) -> bool:
+        """Return whether a report is of another incarnation than an entry; log it."""
+        expected = endpoint.record.incarnation
+        if report.incarnation in (0, expected):
+            return False
         self.events.emit(
             Event.ENTRY_OUTDATED,
             endpoint=endpoint.name,
             entry=expected,
             report=report.incarnation,
         )
-        reason = f"{endpoint.name} has started again since its entry was written"
-        return Failure(Code.NO_ENDPOINT, reason)
+        return True
--- a/src/baobabturn/gateway/migration.py
+++ b/src/baobabturn/gateway/migration.py
@@ -173,6 +173,7 @@
             asyncio.get_running_loop().create_future()
         )
         stream.continuation_future = continuation_future
+        was_asked, stream.stop_asked = stream.stop_asked, True
         final_copy = await self.copy_cache(stream, source, target, final=True)
         if continuation_future.done():
             # The caller disconnected meanwhile, so nothing continues from the copy.
@@ -183,6 +184,9 @@
             self.pools.release(target, ABANDONED)
             return None
         if isinstance(final_copy, Failure):
+            if final_copy.code is Code.GENERATION_GONE:
+                # The generation had ended before, unless an earlier call stopped it.
+                stream.stop_asked = was_asked
             continuation_future.set_result(None)
             return self.log_failure(stream, source, target, final_copy)
         continuation_future.set_result(
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -43,6 +43,7 @@
 from baobabturn.gateway.relay import PeerRelay
 from baobabturn.gateway.reportpoller import ReportPoller
 from baobabturn.gateway.request import Headers
+from baobabturn.gateway.responseend import ResponseEndCheck
 from baobabturn.gateway.resumption import ResumedStreams
 from baobabturn.gateway.routes import RouteTable
 from baobabturn.gateway.slotroom import SlotRoom
@@ -151,7 +152,13 @@
             limit_bytes=settings.body_memory_bytes,
             wait_s=program.settings.entry.body_wait_s,
         )
-        self.crash_watch = self.make_crash_watch(store)
+        opinions = PathOpinions(
+            program=program, peers=self.peers, endpoints=self.endpoints
+        )
+        incarnations = IncarnationCheck(
+            cache_copier=cache_copier, events=program.events
+        )
+        self.crash_watch = self.make_crash_watch(store, opinions)
         self.rate_limits = LimitExchange(
             program=program,
             peers=self.peers,
@@ -219,8 +226,9 @@
                     recorder=self.version_recorder,
                     contact=self.contact,
                 ),
-                incarnations=IncarnationCheck(
-                    cache_copier=cache_copier, events=program.events
+                incarnations=incarnations,
+                end_check=ResponseEndCheck(
+                    opinions=opinions, incarnations=incarnations
                 ),
                 paths=self.paths,
                 table=lambda: self.table,
@@ -277,7 +285,9 @@
             watchers=self.watchers,
         )
 
-    def make_crash_watch(self, store: ObjectStore) -> CrashWatch:
+    def make_crash_watch(
+        self, store: ObjectStore, opinions: PathOpinions
+    ) -> CrashWatch:
         """Return the watch for prompts that crash engines, and what it needs."""
         ledger = CrashLedger()
         exchange = PartNewsExchange(
@@ -295,9 +305,7 @@
             ledger=ledger,
             exchange=exchange,
             store=self.quarantine_store,
-            opinions=PathOpinions(
-                program=self.program, peers=self.peers, endpoints=self.endpoints
-            ),
+            opinions=opinions,
         )
 
     async def start(self) -> None:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -61,6 +61,8 @@
     ``last_event_id`` is the id of the last event that the caller has.  A migration
     sets ``continuation_future`` to the reservation and the copied KV cache with
     which the generation continues, or to None if the migration failed.
+    ``stop_asked`` says that a migration has asked the engine to stop the generation,
+    after which the response's end may not be that of the answer.
     ``software_version`` is that of the engine that wrote the first event which the
     caller has, empty before it; only engines of that version may go on.
     """
@@ -75,6 +77,7 @@
         self.endpoint: Endpoint | None = None
         self.response: OpenResponse | None = None
         self.continuation_future: ContinuationFuture | None = None
+        self.stop_asked = False
         self.excluded: list[str] = []
         self.abort_scope = asyncio.timeout(None)
         resumption = request.resumption
@@ -83,7 +86,9 @@
         )
         self.software_version = ""
         self.attempts_sent = 0
-        self.responses = ResponseWatch(crash_watch=parts.crash_watch, request=request)
+        self.responses = ResponseWatch(
+            crash_watch=parts.crash_watch, end_check=parts.end_check, request=request
+        )
         self.head_sent = False
         self.ended = False
         self.progress_recorded_at = 0.0
@@ -262,6 +267,7 @@
             self.record_refusal(reservation, response)
             return response
         self.response = response
+        self.stop_asked = False
         self.responses.begin(endpoint, response)
         self.attempts_sent += 1
         return await self.send_head(response)
@@ -334,13 +340,31 @@
             # The time that a slow caller takes isn't counted.
             if not all(event.is_comment for event in events):
                 reader.restart_stall_timer()
-        failure = await self.responses.check_end(self.times.event_count)
+        failure = await self.check_end()
         if failure is not None:
             return failure
         self.responses.record_answer()
         self.finish(FINISHED)
         return None
 
+    async def check_end(self) -> Failure | None:
+        """Return why a response that has ended is incomplete, None if it isn't.
+
+        An engine that a migration has asked to stop ends a response without a length
+        or chunks as a complete one, unless it says that it had ended it before.
+        """
+        if self.response is not None and not self.response.framed:
+            await self.wait_for_migration()
+            if self.stop_asked:
+                return Failure(Code.GENERATION_CUT, "its migration has stopped it")
+        return await self.responses.check_end(self.times.event_count)
+
+    async def wait_for_migration(self) -> None:
+        """Wait for the outcome of a migration, if there is one, until the deadline."""
+        if self.continuation_future is not None:
+            timeout_s = max(0.0, self.request.remaining_s())
+            await asyncio.wait({self.continuation_future}, timeout=timeout_s)
+
     async def relay_body(self, response: OpenResponse) -> Failure | None:
         """Pass on a response that is not a stream."""
         try:
@@ -427,10 +451,10 @@
 
     async def await_migration(self) -> tuple[HeldReservation, Continuation] | None:
         """Return what a migration provides to continue, None if there is none."""
+        await self.wait_for_migration()
         future = self.continuation_future
         if future is None:
             return None
-        await asyncio.wait({future}, timeout=max(0.0, self.request.remaining_s()))
         if not future.done():
             self.drop_continuation()
             return None
--- /dev/null
+++ b/src/baobabturn/gateway/responseend.py
@@ -0,0 +1,49 @@
+"""Finds out whether a response that ended with its connection is whole.
+
+One with neither a length nor chunks ends with its connection, and the connections of a
+process that ends are closed as after a whole response.  So such a response is whole
+only if the process that wrote it still runs.
+"""
+
+from __future__ import annotations
+
+from baobabturn.core.probe import keeps_accepting
+from baobabturn.core.results import Code, Failure
+from baobabturn.gateway.endpointclient import OpenResponse
+from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.incarnations import IncarnationCheck
+from baobabturn.gateway.pathopinions import PathOpinions
+from baobabturn.gateway.peer import parse_address
+
+
+class ResponseEndCheck:
+    """Judges whether responses without a length or chunks are whole.
+
+    The process still runs if it takes connections of this gateway or, as the path to
+    it may be cut, of another one.  An engine may have started again at its address
+    meanwhile, which its own report shows.
+    """
+
+    def __init__(self, *, opinions: PathOpinions, incarnations: IncarnationCheck):
+        self.opinions = opinions
+        self.incarnations = incarnations
+
+    async def failure(
+        self, endpoint: Endpoint, response: OpenResponse
+    ) -> Failure | None:
+        """Return why a response that has ended isn't whole, None if it is."""
+        if response.framed:
+            return None
+        if not await self.is_running(endpoint):
+            reason = f"{endpoint.name} doesn't run any more after its response"
+            return Failure(Code.GENERATION_CUT, reason)
+        if await self.incarnations.is_replaced(endpoint):
+            reason = f"{endpoint.name} has started again since its response began"
+            return Failure(Code.GENERATION_CUT, reason)
+        return None
+
+    async def is_running(self, endpoint: Endpoint) -> bool:
+        """Return whether a process takes connections at an endpoint's address."""
+        if await keeps_accepting(*parse_address(endpoint.record.address)):
+            return True
+        return await self.opinions.reached_elsewhere(endpoint)
--- a/src/baobabturn/gateway/responsewatch.py
+++ b/src/baobabturn/gateway/responsewatch.py
@@ -4,13 +4,12 @@
 
 import time
 
-from baobabturn.core.probe import has_ended
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.crashwatch import SOUND_AGE_S, CrashWatch
 from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
-from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.responseend import ResponseEndCheck
 
 MS_PER_S = 1000
 
@@ -22,8 +21,15 @@
     ``answered`` says that it has shown the prompt to be sound.
     """
 
-    def __init__(self, *, crash_watch: CrashWatch, request: CallerRequest):
+    def __init__(
+        self,
+        *,
+        crash_watch: CrashWatch,
+        end_check: ResponseEndCheck,
+        request: CallerRequest,
+    ):
         self.crash_watch = crash_watch
+        self.end_check = end_check
         self.request = request
         self.endpoint: Endpoint | None = None
         self.response: OpenResponse | None = None
@@ -64,19 +70,10 @@
             )
 
     async def check_end(self, event_count: int) -> Failure | None:
-        """Return why a response that has ended is incomplete, None if it isn't.
-
-        One without a length ends with its connection, and the connections of a process
-        that crashes are closed as after a whole response.  A process that is leaving
-        may end after its last response.
-        """
+        """Return why a response that has ended is incomplete, None if it isn't."""
         response, endpoint = self.response, self.endpoint
         if response is None or endpoint is None or response.framed:
             return None
         if not event_count:
             return Failure(Code.GENERATION_CUT, "the response had no event")
-        if endpoint.leaving:
-            return None
-        if await has_ended(*parse_address(endpoint.record.address)):
-            return Failure(Code.GENERATION_CUT, "the engine ended with its response")
-        return None
+        return await self.end_check.failure(endpoint, response)
