A plain answer without a length that ends with its endpoint isn't whole

Plain answers, engines' errors and calls of services at entries had no check at all; at entries such a half could become a claim's result.

Change: whatever reads a body also checks its end; a request that may be repeated goes to another endpoint, any other fails as one that may have run. An answer without a length from another gateway counts as cut, as gateways frame theirs.

--- a/fakes/service.py
+++ b/fakes/service.py
@@ -18,7 +18,8 @@
 class Faults:
     """Faults of a plain endpoint, set by name over ``POST /control``.
 
-    A request whose tag contains ``crash_on`` ends the process as it begins to run.
+    A request whose tag contains ``crash_on`` ends the process as it begins to run, any
+    with ``end_within_answer`` after half of an answer without a length or chunks.
     """
 
     slow_s: float = 0.0
@@ -32,6 +33,7 @@
     redirect: bool = False
     leaving: bool = False
     crash_on: str = ""
+    end_within_answer: bool = False
 
 
 class FakeService:
@@ -83,6 +85,8 @@
             answer = {"ok": True, "tag": tag, "worker": self.name, "path": request.path}
             if self.faults.body_bytes:
                 answer["filling"] = "x" * self.faults.body_bytes
+            if self.faults.end_within_answer:
+                await end_within_answer(request, json.dumps(answer).encode())
             if self.faults.truncate:
                 return await truncated(request, json.dumps(answer).encode())
             return web.json_response(answer, status=self.faults.status)
@@ -135,3 +139,11 @@
     await response.prepare(request)
     await response.write(body[: len(body) // 2])
     return abort(request)
+
+
+async def end_within_answer(request: web.Request, body: bytes) -> None:
+    """Send half of a body that has neither a length nor chunks, and exit."""
+    assert request.transport is not None
+    request.transport.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[: len(body) // 2])
+    await asyncio.sleep(DEATH_S)
+    os._exit(1)
--- a/features/entrycrashes.feature
+++ b/features/entrycrashes.feature
@@ -29,3 +29,9 @@
     Then at least 2 workers still run
     And sound calls are answered at all entries
     And a call that crashes workers is refused at all entries
+
+  # Guards against half of an answer that ends with its worker and is passed on as whole.
+  Scenario: An answer without a length whose worker ends with it isn't whole
+    Given a "herd" fleet of 3 hosts, 1 engines and 3 workers that end in the middle of answers
+    When a call comes whose answer has no length
+    Then the call is answered whole, or as one that may have run
--- a/features/gatewayunframed.feature
+++ b/features/gatewayunframed.feature
@@ -1,5 +1,5 @@
-Feature: Streams with neither a length nor chunks
-  Such a stream ends with its connection, so its end alone doesn't show that it is
+Feature: Answers with neither a length nor chunks
+  Such an answer ends with its connection, so its end alone doesn't show that it is
   whole.
 
   Scenario: A stream without a length passes whole
@@ -76,3 +76,44 @@
     And no stream has a length
     When a stream runs at an engine that has started again
     Then the caller's stream has no end
+
+  # Guards against half of a plain answer that ends with its endpoint and looks whole.
+  Scenario Outline: A plain answer without a length whose endpoint <fate> isn't whole
+    Given a site with 1 plain endpoints
+    And the first answer has no length, and in the middle of it the endpoint <fate>
+    When a caller sends a <kind> request
+    Then the answer is 502
+
+    Examples:
+      | kind   | fate                  |
+      | safe   | is killed             |
+      | unsafe | is killed             |
+      | safe   | leaves and then ends  |
+      | unsafe | leaves and then ends  |
+
+  # Guards against an answer given up that another endpoint would have given.
+  Scenario: A safe request whose answer without a length is cut short is sent once more
+    Given a site with 2 plain endpoints
+    And the first answer has no length, and in the middle of it the endpoint is killed
+    When a caller sends a safe request
+    Then the answer is 200, signed and whole
+
+  # Guards against whole answers that count as cut while the gateway's new paths are.
+  Scenario Outline: Answers without a length pass whole while <cause>
+    Given a site with 1 plain endpoints, 0 engines and 3 gateways
+    And answers have no length, and while they are written <cause>
+    When a caller sends a safe request
+    Then the answer is 200, signed and whole
+
+    Examples:
+      | cause                          |
+      | the endpoint leaves            |
+      | one gateway loses its new path |
+
+  # Guards against an error's text cut short in an answer that looks whole.
+  Scenario: An engine's error without a length that ends with the engine isn't whole
+    Given a site with 1 engines of 10 events
+    And the first answer has no length, and in the middle of it the endpoint is killed
+    When a caller streams /draft/x
+    Then the caller's stream has no end
+
--- a/features/steps/entrycrashes.py
+++ b/features/steps/entrycrashes.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import itertools
+import json
 
 from behave import given, then, when
 from helper import send, start_fleet
@@ -152,3 +153,27 @@
         answer = call(context, entry, BAD_MARK)
         assert answer.status == NOT_RUN, answer
         assert answer.error["code"] == QUARANTINED, answer
+
+
+@given(
+    'a "{name}" fleet of {hosts:d} hosts, {engines:d} engines and {workers:d} workers'
+    " that end in the middle of answers"
+)
+def ending_workers(context, name, hosts, engines, workers):
+    start_fleet(context, name, False, hosts=hosts, engines=engines, workers=workers)
+    for worker in worker_names(context):
+        context.fleet.control(worker, end_within_answer=True)
+
+
+@when("a call comes whose answer has no length")
+def unframed_call(context):
+    context.answer = call(context, 0, "unframed")
+
+
+@then("the call is answered whole, or as one that may have run")
+def whole_or_unknown(context):
+    answer = context.answer
+    if answer.status == SERVED:
+        assert json.loads(answer.body)["tag"] == "unframed", answer
+        return
+    assert answer.error["run"] == "unknown", answer
--- a/features/steps/gatewayunframed.py
+++ b/features/steps/gatewayunframed.py
@@ -5,11 +5,16 @@
 from behave import given, then, when
 
 from baobabturn.core.events import Event
+from fakes.rawhttp import response_bytes
 from fakes.unframed import UnframedEngine
 from features.sitecase import eventually
 from features.steps.gateway import run, start
+from features.steps.gatewaypaths import cut_off
 
 EVENT_COUNT = 20
+# In the middle of an answer this much time passes.
+HALF_ANSWER_S = 0.1
+ENGINE_ERROR = 500
 SERVED = 200
 # Unix milliseconds of two starts of an engine.
 FIRST_START_MS, SECOND_START_MS = 1_000, 2_000
@@ -146,3 +151,74 @@
 @then("the caller's stream has an end")
 def has_end(context):
     assert context.reply.whole, context.reply
+
+
+async def be_killed(context, endpoint):
+    """End an endpoint's process at once."""
+    await end_with_stream(context, endpoint)
+
+
+async def leave_and_end(context, endpoint):
+    """Let an endpoint say that it leaves, and end its process."""
+    await leave(context, endpoint)
+    await end_with_stream(context, endpoint)
+
+
+async def leave(context, endpoint):
+    """Let an endpoint say that it leaves, and all gateways hear of it."""
+    context.case.leave(endpoint.name)
+    for gateway in context.case.gateways:
+        await eventually(
+            lambda gateway=gateway: gateway.logged(Event.ENDPOINT_LEAVING), "the notice"
+        )
+
+
+async def lose_new_path(context, endpoint):
+    """Have all new connections of the gateway that is asked refused."""
+    cut_off(context, "one", "are refused")
+
+
+MEANWHILE = {
+    "is killed": be_killed,
+    "leaves and then ends": leave_and_end,
+    "the endpoint leaves": leave,
+    "one gateway loses its new path": lose_new_path,
+}
+
+
+def answer_unframed(context, meanwhile, *, count):
+    """Let the first answers have no length, and something happen in their middle."""
+    asked = []
+
+    async def handle(request, reader, writer, endpoint, usual):
+        asked.append(endpoint.name)
+        if len(asked) > count:
+            return await usual(request, reader, writer)
+        status = ENGINE_ERROR if endpoint.event_count else SERVED
+        headers = endpoint.answer_headers(request)
+        writer.write(response_bytes(status, b"do", headers, length=False))
+        await writer.drain()
+        await asyncio.sleep(HALF_ANSWER_S)
+        await MEANWHILE[meanwhile](context, endpoint)
+        if not writer.is_closing():
+            writer.write(b"ne")
+        return False
+
+    for endpoint in context.case.endpoints.values():
+
+        async def answer(
+            request, reader, writer, endpoint=endpoint, usual=endpoint.handle
+        ):
+            return await handle(request, reader, writer, endpoint, usual)
+
+        endpoint.handle = answer
+
+
+@given("the first answer has no length, and in the middle of it the endpoint {fate}")
+def first_cut(context, fate):
+    answer_unframed(context, fate, count=1)
+
+
+@given("answers have no length, and while they are written {cause}")
+def whole_meanwhile(context, cause):
+    answer_unframed(context, cause, count=1)
--- a/src/baobabturn/core/httpclient.py
+++ b/src/baobabturn/core/httpclient.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 from aiohttp import (
@@ -23,6 +24,8 @@
 )
 
 READ_CHUNK_BYTES = 65_536
+NO_BODY_STATUSES = frozenset((204, 304))
+CHUNKED = b"chunked"
 
 
 def unpooled_session(**options: Any) -> ClientSession:
@@ -38,6 +41,26 @@
     )
 
 
+def is_framed(method: str, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a response's own bytes show where it ends.
+
+    Any other ends with its connection, whether or not it is complete.  Source: RFC
+    9112, section 6.3.
+
+    Example::
+
+        >>> is_framed("GET", 200, [(b"Content-Length", b"4")])
+        True
+    """
+    if method == "HEAD" or status in NO_BODY_STATUSES:
+        return True
+    values = [(name.lower(), value) for name, value in headers]
+    codings = [value for name, value in values if name == b"transfer-encoding"]
+    if codings:
+        return codings[-1].rpartition(b",")[2].strip().lower() == CHUNKED
+    return any(name == b"content-length" for name, _ in values)
+
+
 class ResponseTooLarge(ClientError):
     """A response's body is larger than its reader accepts."""
 
--- a/src/baobabturn/entry/services.py
+++ b/src/baobabturn/entry/services.py
@@ -14,7 +14,8 @@
 
 from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Operation, Workspace
 from baobabturn.core.events import Event
-from baobabturn.core.probe import has_ended
+from baobabturn.core.httpclient import is_framed
+from baobabturn.core.probe import has_ended, keeps_accepting
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.endpointranking import EndpointRanking
 from baobabturn.entry.node import Node
@@ -312,7 +313,8 @@
                     sock_connect=self.node.settings.entry.connect_timeout_s,
                 ),
             ) as response:
-                return await read_response(response, request.operation)
+                result = await read_response(response, request.operation)
+                return await self.check_end(endpoint, response, result)
         except aiohttp.ConnectionTimeoutError as error:
             return failure_from_exception(error)
         except TimeoutError:
@@ -325,6 +327,25 @@
         except (aiohttp.ClientError, OSError) as error:
             return failure_from_exception(error)
 
+    async def check_end(
+        self,
+        endpoint: Endpoint,
+        response: aiohttp.ClientResponse,
+        result: Result | Failure,
+    ) -> Result | Failure:
+        """Return a result, or a failure if it may have been cut short.
+
+        A response with neither a length nor chunks ends with its connection, as does
+        any other of a process that ends.
+        """
+        if is_framed(response.method, response.status, response.raw_headers):
+            return result
+        url = yarl.URL(endpoint.url)
+        if await keeps_accepting(url.host or "", url.port or HTTP_PORT):
+            return result
+        reason = f"{endpoint.name} doesn't run any more after its response"
+        return Failure(Code.OUTCOME_UNKNOWN, reason)
+
 
 async def as_awaitable(failure: Failure) -> Failure:
     """Return a failure as an awaitable result."""
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -10,14 +10,13 @@
 import yarl
 from multidict import CIMultiDict
 
-from baobabturn.core.httpclient import READ_CHUNK_BYTES
+from baobabturn.core.httpclient import READ_CHUNK_BYTES, is_framed
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
-from baobabturn.gateway.httpheaders import is_framed
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.platforminterface import (
@@ -26,6 +25,7 @@
     ResponseMetadata,
 )
 from baobabturn.gateway.request import CallerRequest, Headers
+from baobabturn.gateway.responseend import ResponseEndCheck
 from baobabturn.gateway.transport import Transport
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -82,6 +82,7 @@
         rate_limits: LimitExchange,
         paths: Paths,
         conditions: EndpointConditions,
+        end_check: ResponseEndCheck,
     ):
         self.transport = transport
         self.header_translator = header_translator
@@ -90,6 +91,7 @@
         self.rate_limits = rate_limits
         self.paths = paths
         self.conditions = conditions
+        self.end_check = end_check
 
     async def open(
         self,
@@ -190,24 +192,27 @@
     ) -> CompleteResponse | Failure:
         """Send a request and return the complete response, or a failure."""
         open_response: OpenResponse | Failure | None = None
+        body: bytes | Failure
         try:
             async with asyncio.timeout(timeout_s):
                 open_response = await self.open(request, endpoint, timeout_s=timeout_s)
                 if isinstance(open_response, Failure):
                     return open_response
-                body = await self.read_body(request, open_response)
+                body = await self.read_body(request, endpoint, open_response)
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, f"no response in {timeout_s:.3g} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            if isinstance(open_response, OpenResponse):
-                await self.crash_watch.record_broken(
-                    request, endpoint, began_at=open_response.began_at, event_count=0
-                )
-            return failure_from_exception(error)
+            body = failure_from_exception(error)
+            if not isinstance(open_response, OpenResponse):
+                return body
         finally:
             if isinstance(open_response, OpenResponse):
                 open_response.close()
+        assert isinstance(open_response, OpenResponse)
         if isinstance(body, Failure):
+            await self.crash_watch.record_broken(
+                request, endpoint, began_at=open_response.began_at, event_count=0
+            )
             return body
         self.crash_watch.record_answer(request, began_at=open_response.began_at)
         return CompleteResponse(
@@ -215,11 +220,12 @@
         )
 
     async def read_body(
-        self, request: CallerRequest, open_response: OpenResponse
+        self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
     ) -> bytes | Failure:
-        """Return a response's body, or a failure that names the limit it exceeds.
+        """Return a response's whole body.
 
-        Raise the errors of aiohttp.  Memory is held while the body is read.
+        Return a failure if it exceeds a limit or ended with its endpoint's process, and
+        raise the errors of aiohttp.  Memory is held while the body is read.
         """
         body = bytearray()
         acquired_bytes = 0
@@ -236,11 +242,21 @@
                 if failure is not None:
                     return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
                 acquired_bytes += len(data)
-            return bytes(body)
+            failure = await self.check_end(request, endpoint, open_response)
+            return bytes(body) if failure is None else failure
         finally:
             if acquired_bytes:
                 self.body_memory.release(request.workspace, acquired_bytes)
 
+    async def check_end(
+        self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
+    ) -> Failure | None:
+        """Return why a response that has ended isn't whole, None if it is."""
+        if open_response.framed:
+            return None
+        is_engine = request.service.engine is not None
+        return await self.end_check.failure(endpoint, is_engine=is_engine)
+
 
 def to_multidict(headers: Headers) -> CIMultiDict[str]:
     """Return headers in the type that aiohttp takes."""
--- a/src/baobabturn/gateway/httpheaders.py
+++ b/src/baobabturn/gateway/httpheaders.py
@@ -20,8 +20,6 @@
         b"expect",
     )
 )
-NO_BODY_STATUSES = frozenset((204, 304))
-CHUNKED = b"chunked"
 BEARER_PREFIX = b"bearer "
 CONNECTION_CLOSE = (b"connection", b"close")
 
@@ -50,20 +48,6 @@
     ]
 
 
-def is_framed(method: str, status: int, headers: Headers) -> bool:
-    """Return whether a response's own bytes show where it ends.
-
-    Any other ends with its connection, whether or not it is complete.  Header names
-    are in lower case.  Source: RFC 9112, section 6.3.
-    """
-    if method == "HEAD" or status in NO_BODY_STATUSES:
-        return True
-    codings = [value for key, value in headers if key == b"transfer-encoding"]
-    if codings:
-        return codings[-1].rpartition(b",")[2].strip().lower() == CHUNKED
-    return any(key == b"content-length" for key, _ in headers)
-
-
 def bearer_key(headers: Headers) -> str:
     """Return the bearer key of the ``Authorization`` header.
 
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -191,6 +191,7 @@
             rate_limits=self.rate_limits,
             paths=self.paths,
             conditions=conditions,
+            end_check=ResponseEndCheck(opinions=opinions, incarnations=incarnations),
         )
         self.plain = PlainForwarder(
             program=program,
@@ -227,9 +228,6 @@
                     contact=self.contact,
                 ),
                 incarnations=incarnations,
-                end_check=ResponseEndCheck(
-                    opinions=opinions, incarnations=incarnations
-                ),
                 paths=self.paths,
                 table=lambda: self.table,
                 connection_headers=self.connection_headers,
--- a/src/baobabturn/gateway/relay.py
+++ b/src/baobabturn/gateway/relay.py
@@ -18,6 +18,7 @@
 import yarl
 
 from baobabturn.core.events import Event
+from baobabturn.core.httpclient import is_framed
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.outcome import failure_from_exception
@@ -205,5 +206,9 @@
             return attrs.evolve(failure_from_exception(error), tokens=1)
         finally:
             answer.response.close()
+        if not is_framed(request.method, answer.response.status, answer.headers):
+            # Gateways frame all their responses, so nothing shows that it is whole.
+            reason = "the other gateway's response has no length"
+            return Failure(Code.OUTCOME_UNKNOWN, reason, tokens=1)
         await send({"type": "http.response.body", "body": b""})
         return None
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -87,7 +87,9 @@
         self.software_version = ""
         self.attempts_sent = 0
         self.responses = ResponseWatch(
-            crash_watch=parts.crash_watch, end_check=parts.end_check, request=request
+            crash_watch=parts.crash_watch,
+            endpoint_client=parts.endpoint_client,
+            request=request,
         )
         self.head_sent = False
         self.ended = False
@@ -322,9 +324,9 @@
 
     async def relay_events(self) -> Failure | None:
         """Pass events on until the response ends; return how it was interrupted."""
-        assert self.response is not None
+        assert self.response is not None and self.endpoint is not None
         if self.response.status != 200:
-            return await self.relay_body(self.response)
+            return await self.relay_body(self.endpoint, self.response)
         reader = EventReader(
             response=self.response.response,
             remaining_s=self.request.remaining_s(),
@@ -365,12 +367,14 @@
             timeout_s = max(0.0, self.request.remaining_s())
             await asyncio.wait({self.continuation_future}, timeout=timeout_s)
 
-    async def relay_body(self, response: OpenResponse) -> Failure | None:
+    async def relay_body(
+        self, endpoint: Endpoint, response: OpenResponse
+    ) -> Failure | None:
         """Pass on a response that is not a stream."""
         try:
             async with asyncio.timeout(max(0.0, self.request.remaining_s())):
                 body = await self.parts.endpoint_client.read_body(
-                    self.request, response
+                    self.request, endpoint, response
                 )
         except TimeoutError:
             return Failure(Code.DEADLINE_UNKNOWN, "the deadline passed")
--- a/src/baobabturn/gateway/responseend.py
+++ b/src/baobabturn/gateway/responseend.py
@@ -9,7 +9,6 @@
 
 from baobabturn.core.probe import keeps_accepting
 from baobabturn.core.results import Code, Failure
-from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.incarnations import IncarnationCheck
 from baobabturn.gateway.pathopinions import PathOpinions
@@ -28,18 +27,17 @@
         self.opinions = opinions
         self.incarnations = incarnations
 
-    async def failure(
-        self, endpoint: Endpoint, response: OpenResponse
-    ) -> Failure | None:
-        """Return why a response that has ended isn't whole, None if it is."""
-        if response.framed:
-            return None
+    async def failure(self, endpoint: Endpoint, *, is_engine: bool) -> Failure | None:
+        """Return why a response that ended with its connection isn't whole.
+
+        Return None if it is.  Only engines say in reports when they started.
+        """
         if not await self.is_running(endpoint):
             reason = f"{endpoint.name} doesn't run any more after its response"
-            return Failure(Code.GENERATION_CUT, reason)
-        if await self.incarnations.is_replaced(endpoint):
+            return Failure(Code.OUTCOME_UNKNOWN, reason)
+        if is_engine and await self.incarnations.is_replaced(endpoint):
             reason = f"{endpoint.name} has started again since its response began"
-            return Failure(Code.GENERATION_CUT, reason)
+            return Failure(Code.OUTCOME_UNKNOWN, reason)
         return None
 
     async def is_running(self, endpoint: Endpoint) -> bool:
--- a/src/baobabturn/gateway/responsewatch.py
+++ b/src/baobabturn/gateway/responsewatch.py
@@ -6,10 +6,9 @@
 
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.crashwatch import SOUND_AGE_S, CrashWatch
-from baobabturn.gateway.endpointclient import OpenResponse
+from baobabturn.gateway.endpointclient import EndpointClient, OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.request import CallerRequest
-from baobabturn.gateway.responseend import ResponseEndCheck
 
 MS_PER_S = 1000
 
@@ -25,11 +24,11 @@
         self,
         *,
         crash_watch: CrashWatch,
-        end_check: ResponseEndCheck,
+        endpoint_client: EndpointClient,
         request: CallerRequest,
     ):
         self.crash_watch = crash_watch
-        self.end_check = end_check
+        self.endpoint_client = endpoint_client
         self.request = request
         self.endpoint: Endpoint | None = None
         self.response: OpenResponse | None = None
@@ -76,4 +75,4 @@
             return None
         if not event_count:
             return Failure(Code.GENERATION_CUT, "the response had no event")
-        return await self.end_check.failure(endpoint, response)
+        return await self.endpoint_client.check_end(self.request, endpoint, response)
--- a/src/baobabturn/gateway/streamparts.py
+++ b/src/baobabturn/gateway/streamparts.py
@@ -15,7 +15,6 @@
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.request import CallerRequest, Headers
-from baobabturn.gateway.responseend import ResponseEndCheck
 from baobabturn.gateway.resumption import ResumedStreams
 from baobabturn.gateway.routes import RouteTable
 
@@ -32,7 +31,6 @@
     crash_watch: CrashWatch
     resumed_streams: ResumedStreams
     incarnations: IncarnationCheck
-    end_check: ResponseEndCheck
     paths: Paths
     table: Callable[[], RouteTable | None]
     connection_headers: Callable[[], Headers]
