A gateway's own end doesn't make a cut answer whole

What callers would have seen: a 200 with what had come so far, framed as whole, for an answer with neither a length nor chunks that was under way as the gateway's time to stop ran out.

Cause: at its end a gateway closes its connections to endpoints, and aiohttp feeds the end of the body to whoever reads it, as if the endpoint had closed the connection.

Change: a body that is cut off by the gateway's own close or abort fails as broken off.

--- a/features/gatewayunframed.feature
+++ b/features/gatewayunframed.feature
@@ -117,3 +117,15 @@
     When a caller streams /draft/x
     Then the caller's stream has no end
 
+
+  # Guards against a gateway that ends and takes its own close for the end of an answer.
+  Scenario Outline: An answer without a length within which the gateway ends isn't whole
+    Given a site with gateways that end 1.5 seconds after their stop, and an answer within which they do
+    When a caller sends a <kind> request whose gateway stops
+    Then the caller's answer isn't whole
+
+    Examples:
+      | kind   |
+      | safe   |
+      | unsafe |
+      | stream |
--- a/features/steps/gatewayunframed.py
+++ b/features/steps/gatewayunframed.py
@@ -6,6 +6,7 @@
 
 from baobabturn.core.events import Event
 from fakes.rawhttp import response_bytes
+from fakes.site import RESPONSE_STAMP
 from fakes.unframed import UnframedEngine
 from features.sitecase import eventually
 from features.steps.gateway import run, start
@@ -222,3 +223,44 @@
 @given("answers have no length, and while they are written {cause}")
 def whole_meanwhile(context, cause):
     answer_unframed(context, cause, count=1)
+
+
+@given(
+    "a site with gateways that end {seconds:g} seconds after their stop, and an answer"
+    " within which they do"
+)
+def ending_gateway(context, seconds):
+    start(context, plain=1, engines=1, events=500, options={"grace_s": seconds})
+    context.case.endpoints["e0"].framed = False
+    context.case.endpoints["w0"].handle = half_answer
+
+
+async def half_answer(request, reader, writer):
+    """Send half of an answer without a length, and go on only after an hour."""
+    headers = {"X-Attempt-Id": request.attempt_id, "X-Response-Stamp": RESPONSE_STAMP}
+    writer.write(response_bytes(SERVED, b"do", headers, length=False))
+    await writer.drain()
+    await asyncio.sleep(3600)
+
+
+@when("a caller sends a {kind} request whose gateway stops")
+def stop_within(context, kind):
+    path = {"safe": "/read/x", "unsafe": "/post/x", "stream": "/draft/x"}[kind]
+    method = "GET" if kind == "safe" else "POST"
+    gateway = context.case.gateways[0]
+
+    async def play():
+        task = asyncio.create_task(context.case.call(path, method, b""))
+        await eventually(lambda: gateway.logged(Event.ATTEMPT_SENT), "the attempt")
+        await asyncio.sleep(HALF_ANSWER_S)
+        gateway.program.stopping.set()
+        return (await asyncio.gather(task, return_exceptions=True))[0]
+
+    context.reply = run(context, play())
+
+
+@then("the caller's answer isn't whole")
+def not_whole(context):
+    reply = context.reply
+    if not isinstance(reply, asyncio.IncompleteReadError | ConnectionError):
+        assert not (reply.whole and reply.status == SERVED), reply
--- a/src/baobabturn/gateway/transport.py
+++ b/src/baobabturn/gateway/transport.py
@@ -47,9 +47,9 @@
 
     Bytes beyond the declared length belong to no request and are dropped; aiohttp
     would discard the whole response because of them.  A response without a declared
-    length is complete only if the connection was closed cleanly; aiohttp would
-    accept a reset as its end.  Bytes that never become part of a body, as endless
-    early responses or chunk sizes, end the connection.
+    length is complete only if the endpoint closed the connection cleanly; aiohttp would
+    accept a reset, or this gateway's own close, as its end.  Bytes that never become
+    part of a body, as endless early responses or chunk sizes, end the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -79,8 +79,7 @@
     def fail(self, reason: str) -> None:
         """Fail the response and reset the connection."""
         error = aiohttp.ClientPayloadError(reason)
-        if self._payload is not None:
-            self._payload.set_exception(error)
+        self.fail_payload(reason)
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
@@ -103,11 +102,25 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the response being read if the connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        if exc is not None:
+            self.fail_payload("connection reset")
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close the connection; a response that is being read fails."""
+        self.fail_payload("closed by this gateway")
+        super().close()
+
+    def abort(self) -> None:
+        """Reset the connection; a response that is being read fails."""
+        self.fail_payload("reset by this gateway")
+        super().abort()
+
+    def fail_payload(self, reason: str) -> None:
+        """Fail the body that is being read, unless all of it has come."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(aiohttp.ClientPayloadError(reason))
+
 
 class SingleResponseConnector(aiohttp.TCPConnector):
     """A connector whose connections use ``SingleResponseHandler``."""
