Any bytes in one entry of the store cost that entry alone

Cause: the whole answer of the store went through one JSON decoder, and the list and the watch were decoded in one expression, so that the worst entry decided for all. Large numbers and deep nesting had been dealt with by their spelling.

An entry that can't be read has no value and counts as missing; without a readable name it is left out, and a watch reads the list again. Revisions above the store's own, names that no header holds, and endless names are refused; a name's path no longer leads to another object.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -40,7 +40,8 @@
     ``failing_status`` is a status that every call gets (0 for none); with ``silent``
     calls get no answer.  ``repeat_after_s`` is the time after which each answer is
     sent a second time (0 for never).  With ``endless_lists`` the answer to a list
-    has no end.  In answers each text of ``raw_values`` is replaced by its bytes.
+    has no end.  In answers each text of ``raw_values`` is replaced by its bytes, and
+    the endpoint's entry with a name of ``raw_entries`` as a whole.
     """
 
     def __init__(self, *, page: int = 500):
@@ -57,6 +58,7 @@
         self.repeat_after_s = 0.0
         self.endless_lists = False
         self.raw_values: dict[str, bytes] = {}
+        self.raw_entries: dict[str, bytes] = {}
         self.calls: list[str] = []
 
     def write(self, kind: str, name: str, spec: Any) -> int:
@@ -121,9 +123,7 @@
             status, body = self.failing_status, {}
         if self.endless_lists and request.method == "GET":
             await send_endless_list(writer)
-        data = json.dumps(body).encode()
-        for text, raw in self.raw_values.items():
-            data = data.replace(json.dumps(text).encode(), raw)
+        data = self.with_raw_bytes(json.dumps(body).encode())
         headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
         answer = response_bytes(status, data, headers)
         writer.write(answer)
@@ -133,6 +133,15 @@
             loop.call_later(self.repeat_after_s, write_if_open, writer, answer)
         return True
 
+    def with_raw_bytes(self, data: bytes) -> bytes:
+        """Return an answer's bytes with those that no JSON value can hold."""
+        for name, raw in self.raw_entries.items():
+            entry = self.objects.get("servers", {}).get(name)
+            data = data.replace(json.dumps(entry).encode(), raw)
+        for text, raw in self.raw_values.items():
+            data = data.replace(json.dumps(text).encode(), raw)
+        return data
+
     async def execute(self, request: Request) -> tuple[int, Any]:
         """Return status and body of one call."""
         url = urllib.parse.urlsplit(request.target)
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -9,6 +12,7 @@
 from baobabturn.core.boundedjson import load_bounded
 from baobabturn.core.events import Event, EventLog
 from baobabturn.core.httpclient import read_limited
+from baobabturn.core.jsonlist import UnreadableItem, load_list
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.gateway.transport import Transport
 from baobabturn.store.answer import StoreAnswer, decode_era
@@ -33,6 +37,12 @@
 CALL_TIMEOUT_S = 1.0
 # A page of a list has about 1 MB; a watch may return more.
 MAX_RESPONSE_BYTES = 8_388_608
+# An object with a longer name isn't one that a process of the platform wrote.
+MAX_NAME_BYTES = 512
+# Messages between gateways hold no larger ones.
+MAX_REVISION = 2**63 - 1
+# Names that a path can't hold.
+PATH_NAMES = frozenset((".", ".."))
 # Rises by one each time the store returns from a copy that is some seconds old.
 ERA_HEADER = "Store-Era"
 # A watch times out this long after the wait that it asked the store for.
@@ -69,8 +79,9 @@
         params: dict[str, str] | None = None,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        load: Callable[[bytes], Any] = load_bounded,
     ) -> StoreAnswer | Failure:
-        """Return the answer to one call, or a failure."""
+        """Return the answer to one call, whose body ``load`` reads, or a failure."""
         self.calls += 1
         try:
             async with self.transport.store_session.request(
@@ -94,7 +105,7 @@
         if status >= 300:
             return Failure(Code.WRITE_UNRESOLVED, f"status {status}")
         try:
-            body = load_bounded(data or b"null")
+            body = load(data or b"null")
             return StoreAnswer(status=status, body=body, era=era)
         except ValueError as error:
             return Failure(Code.WRITE_UNRESOLVED, f"not JSON: {error}")
@@ -109,7 +120,7 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Return an object, or ``OBJECT_MISSING`` if it doesn't exist."""
-        answer = await self.call("GET", f"{kind}/{name}")
+        answer = await self.call("GET", object_path(kind, name))
         return answer if isinstance(answer, Failure) else stored_object(kind, answer)
 
     async def put(
@@ -126,7 +137,7 @@
         else:
             if is_condition(expect):
                 metadata["revision"] = expect.revision
-            answer = await self.write("PUT", f"{kind}/{name}", expect, body=body)
+            answer = await self.write("PUT", object_path(kind, name), expect, body=body)
         return answer if isinstance(answer, Failure) else stored_object(kind, answer)
 
     async def delete(
@@ -134,7 +145,9 @@
     ) -> None | Failure:
         """Delete an object if its version is ``expect`` (or for ``ANY_VERSION``)."""
         params = None if expect == ANY_VERSION else {"revision": str(expect.revision)}
-        answer = await self.write("DELETE", f"{kind}/{name}", expect, params=params)
+        answer = await self.write(
+            "DELETE", object_path(kind, name), expect, params=params
+        )
         return answer if isinstance(answer, Failure) else None
 
     async def write(
@@ -165,7 +178,11 @@
     async def watch(
         self, kind: str, since: StoreVersion, wait_s: float
     ) -> Changes | Failure:
-        """Wait up to ``wait_s`` for changes of a kind since a version."""
+        """Wait up to ``wait_s`` for changes of a kind since a version.
+
+        An object that can't be read counts as removed.  If its name can't be read
+        either, return ``VERSION_TOO_OLD``, as a list shows which objects are left.
+        """
         answer = await self.call(
             "GET",
             kind,
@@ -174,6 +191,7 @@
                 "waitMs": str(int(wait_s * MS_PER_S)),
             },
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+            load=load_events,
         )
         if isinstance(answer, Failure):
             return answer
@@ -181,11 +199,21 @@
             reason = f"since {since}, the store is in era {answer.era}"
             return Failure(Code.VERSION_TOO_OLD, reason)
         try:
+            version = current_version(answer)
             events = answer.body["events"]
-            changes = tuple(decode_event(kind, event, answer.era) for event in events)
-            return Changes(changes=changes, version=current_version(answer))
+            changes = [decode_event(kind, event, version) for event in events]
         except (KeyError, TypeError, ValueError) as error:
             return Failure(Code.WRITE_UNRESOLVED, f"watch of {kind}: {error!r}")
+        named = tuple(change for change in changes if change is not None)
+        if len(named) < len(changes):
+            self.log_unreadable(kind, len(changes) - len(named))
+            return Failure(Code.VERSION_TOO_OLD, f"an unreadable change of {kind}")
+        return Changes(changes=named, version=version)
+
+    def log_unreadable(self, kind: str, count: int) -> None:
+        """Log objects of which not even the name can be read."""
+        reason = f"{count} of kind {kind} without a readable name"
+        self.events.emit(Event.ENTRY_UNREADABLE, reason=reason)
 
     async def snapshot(self, kind: str) -> Changes | Failure:
         """Return all objects of a kind and the version to watch from."""
@@ -205,21 +233,22 @@
         """Return all objects of a kind and the version of the first page.
 
         Changes between two pages are then returned by a watch from that version.  A
-        list whose pages are of two eras fails with ``VERSION_TOO_OLD``.
+        list whose pages are of two eras fails with ``VERSION_TOO_OLD``.  An object that
+        can't be read has no value, one whose name can't be read is left out.
         """
         objects: list[StoredObject] = []
         version = NO_VERSION
         last_name = ""
         while True:
             params = {"after": last_name} if last_name else None
-            answer = await self.call("GET", kind, params=params)
+            answer = await self.call("GET", kind, params=params, load=load_items)
             if isinstance(answer, Failure):
                 return answer
             try:
-                items = answer.body["items"]
-                page = [decode_object(kind, item, answer.era) for item in items]
-                version = version if last_name else current_version(answer)
-                has_more = answer.body.get("truncated") and page
+                newest = current_version(answer)
+                page = self.decode_page(kind, answer.body["items"], newest)
+                version = version if last_name else newest
+                has_more = answer.body.get("truncated")
             except (KeyError, TypeError, ValueError) as error:
                 return Failure(Code.WRITE_UNRESOLVED, f"list of {kind}: {error!r}")
             if answer.era != version.era:
@@ -228,8 +257,32 @@
             objects += page
             if not has_more:
                 return objects, version
+            if not page:
+                # The next page is asked for by the last name of this one.
+                reason = f"a page of {kind} has no readable name"
+                return Failure(Code.WRITE_UNRESOLVED, reason)
             last_name = page[-1].name
 
+    def decode_page(
+        self, kind: str, items: list[Any], version: StoreVersion
+    ) -> list[StoredObject]:
+        """Return the objects of a page that have a name, each name once.
+
+        ``version`` is that of the store.
+        """
+        decoded = [
+            decode_object(kind, item, version.era, version.revision) for item in items
+        ]
+        named = [stored for stored in decoded if stored is not None]
+        if len(named) < len(items):
+            self.log_unreadable(kind, len(items) - len(named))
+        readable = {stored.name for stored in named if stored.value is not None}
+        return [
+            stored
+            for stored in named
+            if stored.value is not None or stored.name not in readable
+        ]
+
     async def hosts(self) -> list[PlatformHost] | Failure:
         """Return no hosts, because this platform has no list of them."""
         return []
@@ -240,24 +293,73 @@
     return answer.version(answer.body["currentRev"])
 
 
-def stored_object(kind: str, answer: StoreAnswer) -> StoredObject:
-    """Return the object that an answer holds."""
-    return decode_object(kind, answer.body, answer.era)
+def object_path(kind: str, name: str) -> str:
+    """Return the path of an object, whose name may hold any characters."""
+    return f"{kind}/{urllib.parse.quote(name, safe='')}"
+
+
+def is_object(value: Any) -> bool:
+    """Return whether a value has the form of an object."""
+    return isinstance(value, dict) and isinstance(value.get("metadata"), dict)
+
+
+def is_event(value: Any) -> bool:
+    """Return whether a value has the form of an event of a watch."""
+    return isinstance(value, dict) and is_object(value.get("object"))
 
 
-def decode_object(kind: str, item: Any, era: int) -> StoredObject:
-    """Return an object; raise ``KeyError`` or ``TypeError`` for a malformed one."""
-    metadata = item["metadata"]
+load_items = functools.partial(load_list, key="items", is_item=is_object)
+load_events = functools.partial(load_list, key="events", is_item=is_event)
+
+
+def stored_object(kind: str, answer: StoreAnswer) -> StoredObject | Failure:
+    """Return the object that an answer holds, or why it can't be read."""
+    stored = decode_object(kind, answer.body, answer.era)
+    if stored is None:
+        return Failure(Code.WRITE_UNRESOLVED, f"an object of {kind} without a name")
+    return stored
+
+
+def decode_object(
+    kind: str, item: Any, era: int, newest: int = MAX_REVISION
+) -> StoredObject | None:
+    """Return an object, None if its name or revision can't be read.
+
+    A revision over ``newest``, that of the store itself, isn't the object's.  One that
+    can't be read otherwise has no value.
+    """
+    if isinstance(item, UnreadableItem):
+        metadata, value = item.find_object("metadata"), None
+    elif is_object(item):
+        metadata, value = item["metadata"], item.get("spec")
+    else:
+        return None
+    if not isinstance(metadata, dict):
+        return None
+    name, revision = decode_name(metadata.get("name")), metadata.get("revision")
+    if not name or not isinstance(revision, int) or not 0 <= revision <= newest:
+        return None
     return StoredObject(
-        kind=kind,
-        name=metadata["name"],
-        version=StoreVersion(era, metadata["revision"]),
-        value=item.get("spec"),
+        kind=kind, name=name, version=StoreVersion(era, revision), value=value
     )
 
 
-def decode_event(kind: str, event: Any, era: int) -> Change:
-    """Return one event of a watch as a change."""
-    stored = decode_object(kind, event["object"], era)
-    value = None if event.get("removed") else stored.value
+def decode_name(value: Any) -> str:
+    """Return a name that paths, headers and messages can hold, empty for any other."""
+    if not isinstance(value, str) or not value.isprintable() or value in PATH_NAMES:
+        return ""
+    return value if len(value.encode()) <= MAX_NAME_BYTES else ""
+
+
+def decode_event(kind: str, event: Any, version: StoreVersion) -> Change | None:
+    """Return one event of a watch as a change, None if its name can't be read.
+
+    ``version`` is that of the store.
+    """
+    item = event["object"] if is_event(event) else event
+    stored = decode_object(kind, item, version.era, version.revision)
+    if stored is None:
+        return None
+    is_removed = is_event(event) and event.get("removed")
+    value = None if is_removed else stored.value
     return Change(name=stored.name, version=stored.version, value=value)
