One odd item costs itself alone at the first interface, too

What callers would have seen: entries, schedulers and controllers that miss all changes of a kind, or all hosts, for as long as one object or host in the list can't be read; expired claims that stay for good.

Evidence: six scenarios of platformclient.feature fail on the code before: an item in another encoding, cut off, without a name, named with a number, a number; a claim that is a text.

Change: these answers are read by core/jsonlist.py and decoded item by item; what can't be read is logged and left out, a claim like that is kept.

--- a/features/platformclient.feature
+++ b/features/platformclient.feature
@@ -45,3 +45,23 @@
     When the client's platform takes 1 s for each answer
     Then a write succeeds within 2 s of it
     And the client did not log "platform-down"
+
+  # Guards against a list, watch or list of hosts that is lost over one odd item in it.
+  Scenario Outline: One item of a list is <odd>, and the others are read
+    Given a client of a platform whose lists have an item that is <odd>
+    When it lists, finds and watches objects, and lists the hosts
+    Then it gets all the other objects and hosts
+
+    Examples:
+      | odd                  |
+      | in another encoding  |
+      | cut off in a text    |
+      | without a name       |
+      | named with a number  |
+      | a number             |
+
+  # Guards against a sweep that ends at one claim which can't be read.
+  Scenario: A sweep leaves a claim that can't be read, and deletes the others
+    Given a client of a platform of its own
+    When expired claims are swept, one of which is a text
+    Then only the claim that is a text is left
--- a/features/steps/platformclient.py
+++ b/features/steps/platformclient.py
@@ -11,7 +11,9 @@
 from baobabturn.core.events import EventLog
 from baobabturn.core.results import Failure
 from baobabturn.store.httpstore import HttpStore
-from baobabturn.store.version import ABSENT
+from baobabturn.store.objects import CLAIM_KIND
+from baobabturn.store.sweep import ClaimSweep
+from baobabturn.store.version import ABSENT, StoreVersion
 from bench.members import settings_for
 from fakes.platform import FakePlatform
 
@@ -269,3 +271,96 @@
                 f"{event} at {name}",
                 10,
             )
+
+
+ODD_ITEMS = {
+    "in another encoding": b'{"name": "odd", "version": 2, "value": "Tarraz\xfa"}',
+    "cut off in a text": b'{"name": "odd", "version": 2, "value": "cut',
+    "without a name": b'{"version": 2, "value": 1}',
+    "named with a number": b'{"name": 7, "version": 2, "value": 1}',
+    "a number": b"7",
+}
+SOUND_NAMES = ["a", "z"]
+
+
+def sound_items(path):
+    """Return the sound items that a path's list has."""
+    if path.startswith("/hosts"):
+        fields = ("address", "failure_domain", "region", "role", "state")
+        return [{"name": n, **dict.fromkeys(fields, "x")} for n in SOUND_NAMES]
+    return [{"name": name, "version": 2, "value": {}} for name in SOUND_NAMES]
+
+
+def odd_list(path, odd):
+    """Return the bytes of a list with an odd item in its middle."""
+    first, last = (json.dumps(item).encode() for item in sound_items(path))
+    key = "hosts" if path.startswith("/hosts") else "objects"
+    key = "changes" if "watch=" in path else key
+    return b'{"%s": [%s, %s, %s], "version": 3}' % (key.encode(), first, odd, last)
+
+
+@given("a client of a platform whose lists have an item that is {what}")
+def odd_platform(context, what):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        body = odd_list(head.split(b" ")[1].decode(), ODD_ITEMS[what])
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        writer.write(body)
+        writer.close()
+
+    async def begin():
+        context.server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = context.server.sockets[0].getsockname()[:2]
+        flags = [f"platform.url=http://{host}:{port}"]
+        return HttpStore(settings=settings_for(0, 1, 0, flags).platform, seed=3)
+
+    context.client = run(context, begin())
+    context.add_cleanup(context.server.close)
+    context.add_cleanup(lambda: run(context, context.client.close()))
+
+
+@when("it lists, finds and watches objects, and lists the hosts")
+def read_all(context):
+    client = context.client
+
+    async def play():
+        snapshot = await client.snapshot(KIND)
+        found = await client.find(KIND, "")
+        watched = await client.watch(KIND, StoreVersion(0, 1), 0.1)
+        hosts = await client.hosts()
+        return [snapshot.changes, found, watched.changes, hosts]
+
+    context.lists = run(context, play())
+
+
+@then("it gets all the other objects and hosts")
+def all_others(context):
+    for each in context.lists:
+        names = [item.name for item in each if item.name != "odd"]
+        assert names == SOUND_NAMES, each
+
+
+@when("expired claims are swept, one of which is a text")
+def sweep_with_odd(context):
+    async def play():
+        claim = {"nonce": "n", "state": "done", "request": "r"}
+        for name, value in (("ca", claim), ("cb", "a text"), ("cc", claim)):
+            await context.client.put(CLAIM_KIND, name, value, ABSENT)
+        sweep = ClaimSweep(
+            store=context.client,
+            lifetime_s=0,
+            interval_s=1,
+            owns_prefix=lambda prefix: True,
+        )
+        await sweep.sweep("c")
+        return await context.client.find(CLAIM_KIND, "c")
+
+    context.found = run(context, play())
+
+
+@then("only the claim that is a text is left")
+def odd_claim_left(context):
+    assert [each.name for each in context.found] == ["cb"], context.found
--- a/src/baobabturn/store/httpstore.py
+++ b/src/baobabturn/store/httpstore.py
@@ -8,14 +8,19 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import logging
 import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 
 from baobabturn.core.background import Background
+from baobabturn.core.boundedjson import load_bounded
 from baobabturn.core.events import EventLog
 from baobabturn.core.httpclient import unpooled_session
+from baobabturn.core.jsonlist import load_list
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.settings.model import Platform
 from baobabturn.store.answer import StoreAnswer, decode_era
@@ -38,6 +43,7 @@
 WATCH_SLACK_S = 5.0
 # Rises by one each time the store returns from a copy that is some seconds old.
 ERA_HEADER = "Store-Era"
+log = logging.getLogger("baobabturn.store.httpstore")
 PROBE_PATH = f"/objects/{STATUS_KIND}/probe"
 
 
@@ -71,14 +77,21 @@
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
         body: Any = None,
+        load: Callable[[bytes], Any] = load_bounded,
     ) -> StoreAnswer | Failure:
-        """Make one call within the budget; return the answer."""
+        """Make one call within the budget; return the answer as ``load`` reads it."""
         refusal = await self.wait_for_budget()
         if refusal is not None:
             self.ensure_probing()
             return refusal
         return await self.send(
-            method, path, timeout_s=timeout_s, headers=headers, params=params, body=body
+            method,
+            path,
+            timeout_s=timeout_s,
+            headers=headers,
+            params=params,
+            body=body,
+            load=load,
         )
 
     async def wait_for_budget(self) -> Failure | None:
@@ -121,6 +134,7 @@
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
         body: Any = None,
+        load: Callable[[bytes], Any] = load_bounded,
     ) -> StoreAnswer | Failure:
         """Make one call without spending from the budget."""
         self.calls += 1
@@ -138,7 +152,7 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=total_timeout_s),
             ) as response:
-                values = await response.json(content_type=None)
+                values = load(await response.read() or b"null")
                 status = response.status
                 era = decode_era(response.headers.get(ERA_HEADER, ""))
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
@@ -204,12 +218,12 @@
 
     async def find(self, kind: str, prefix: str) -> list[StoredObject] | Failure:
         """Return the objects of a kind whose names start with a prefix."""
-        answer = await self.read(f"/objects/{kind}", params={"prefix": prefix})
+        answer = await self.read(
+            f"/objects/{kind}", params={"prefix": prefix}, load=load_objects
+        )
         if isinstance(answer, Failure):
             return answer
-        return [
-            decode_object(kind, item, answer.era) for item in answer.body["objects"]
-        ]
+        return decode_objects(kind, answer, "objects")
 
     async def watch(
         self, kind: str, since: StoreVersion, wait_s: float
@@ -223,27 +237,29 @@
                 "wait": f"{wait_s:g}",
             },
             timeout_s=wait_s + WATCH_SLACK_S,
+            load=load_changes,
         )
         if isinstance(answer, Failure):
             return answer
         if answer.status == 410 or answer.era != since.era:
             reason = f"since {since}, the store is in era {answer.era}"
             return Failure(Code.VERSION_TOO_OLD, reason)
-        return decode_changes(answer, "changes")
+        return decode_changes(kind, answer, "changes")
 
     async def snapshot(self, kind: str) -> Changes | Failure:
         """Return all objects of a kind and the version to watch from."""
-        answer = await self.read(f"/objects/{kind}")
-        return (
-            answer if isinstance(answer, Failure) else decode_changes(answer, "objects")
-        )
+        answer = await self.read(f"/objects/{kind}", load=load_objects)
+        if isinstance(answer, Failure):
+            return answer
+        return decode_changes(kind, answer, "objects")
 
     async def hosts(self) -> list[PlatformHost] | Failure:
         """Return the platform's list of live and leaving hosts."""
-        response = await self.read("/hosts")
+        response = await self.read("/hosts", load=load_hosts)
         if isinstance(response, Failure):
             return response
-        return [PlatformHost(**fields) for fields in response.body["hosts"]]
+        hosts = [decode_host(fields) for fields in response.body["hosts"]]
+        return [host for host in hosts if host is not None]
 
     async def close(self) -> None:
         """Stop probing and close the connections."""
@@ -278,24 +294,55 @@
     return decode_object(kind, answer.body, answer.era)
 
 
+def is_object(value: Any) -> bool:
+    """Return whether a value has the form of an object."""
+    return isinstance(value, dict) and "name" in value and "version" in value
+
+
+def is_host(value: Any) -> bool:
+    """Return whether a value has the form of a host."""
+    return isinstance(value, dict) and "name" in value
+
+
+load_objects = functools.partial(load_list, key="objects", is_item=is_object)
+load_changes = functools.partial(load_list, key="changes", is_item=is_object)
+load_hosts = functools.partial(load_list, key="hosts", is_item=is_host)
+
+
 def decode_object(kind: str, item: Any, era: int) -> StoredObject:
-    """Return an object of an answer."""
+    """Return an object; raise ``KeyError`` or ``TypeError`` for a malformed one."""
+    name, version = item["name"], item["version"]
+    if not isinstance(name, str) or not isinstance(version, int):
+        raise TypeError(f"name {name!r}, version {version!r}")
     return StoredObject(
-        kind=kind,
-        name=item["name"],
-        version=StoreVersion(era, item["version"]),
-        value=item["value"],
+        kind=kind, name=name, version=StoreVersion(era, version), value=item["value"]
     )
 
 
-def decode_changes(answer: StoreAnswer, field: str) -> Changes:
+def decode_objects(kind: str, answer: StoreAnswer, field: str) -> list[StoredObject]:
+    """Return the objects in a field of an answer that can be read, log the others."""
+    objects = []
+    for item in answer.body[field]:
+        try:
+            objects.append(decode_object(kind, item, answer.era))
+        except (KeyError, TypeError) as error:
+            log.warning("event=object-unreadable kind=%s error=%r", kind, error)
+    return objects
+
+
+def decode_host(fields: Any) -> PlatformHost | None:
+    """Return a host, None for one that can't be read, which is logged."""
+    try:
+        return PlatformHost(**fields)
+    except TypeError as error:
+        log.warning("event=host-unreadable error=%r", error)
+        return None
+
+
+def decode_changes(kind: str, answer: StoreAnswer, field: str) -> Changes:
     """Return the changes or objects in a field of an answer, and its version."""
     changes = tuple(
-        Change(
-            name=item["name"],
-            version=answer.version(item["version"]),
-            value=item["value"],
-        )
-        for item in answer.body[field]
+        Change(name=stored.name, version=stored.version, value=stored.value)
+        for stored in decode_objects(kind, answer, field)
     )
     return Changes(changes=changes, version=answer.version(answer.body["version"]))
--- a/src/baobabturn/store/sweep.py
+++ b/src/baobabturn/store/sweep.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
 MAX_DELETES_PER_SWEEP = 20
 DELETE_PAUSE_S = 0.05
 
+log = logging.getLogger("baobabturn.store.sweep")
+
 
 class ClaimSweep:
     """Sweeps the prefixes of claim names that one host owns.
@@ -73,6 +76,14 @@
         return count
 
     def is_expired(self, claim: StoredObject) -> bool:
-        """Return whether a claim's request ended longer than the lifetime ago."""
-        value = decode_claim(claim.value)
-        return time.time() > max(value.at, value.until) + self.lifetime_s
+        """Return whether a claim's request ended longer than the lifetime ago.
+
+        A claim that can't be read is kept.
+        """
+        try:
+            value = decode_claim(claim.value)
+            ended_at = max(value.at, value.until)
+        except (AttributeError, TypeError) as error:
+            log.warning("event=claim-unreadable name=%s error=%r", claim.name, error)
+            return False
+        return time.time() > ended_at + self.lifetime_s
