A gateway out of step joins no stream to a version by mistake

Cause: a take-up of an unknown stream went to the only version that the gateway knew or the records in the store named, though both may be older than the engines.

Change: such a take-up first reads which engines the store lists; their versions count.

--- a/features/gatewayversions.feature
+++ b/features/gatewayversions.feature
@@ -117,3 +117,25 @@
     And the first engine breaks off whatever it is sent
     And their callers take them up
     Then every run since then began where its caller was
+
+  # Guards against a gateway that doesn't know of a version and joins its streams to others.
+  Scenario Outline: A gateway that <how> while a version joins takes up none of its streams
+    Given engines of versions "v1,v1" and 3 gateways
+    And the record of versions is written, and can't be written any more
+    When the last gateway <how> while an engine of v2 joins and begins streams of the others
+    And their callers take them up
+    Then no stream holds events of two versions
+    And at least 3 streams of v2 were taken up
+
+    Examples:
+      | how                        |
+      | is cut off from the others |
+      | stands still               |
+
+  # Guards against a refusal of all take-ups wherever the records can't tell.
+  Scenario: A take-up of the only version is served though the gateway doesn't know it
+    Given engines of versions "v1,v1" and 3 gateways
+    And the record of versions is written, and can't be written any more
+    When the last gateway is cut off from the others while streams begin there
+    And their callers take them up
+    Then all streams are complete
--- a/features/steps/gatewayversions.py
+++ b/features/steps/gatewayversions.py
@@ -8,9 +8,12 @@
 import attrs
 from behave import given, then, when
 
+from baobabturn.gateway.endpoints import Endpoints
+from baobabturn.gateway.peers import Peers
+from baobabturn.gateway.versionrecords import VersionRecorder
 from fakes.callers import Reply, read_reply, request_bytes, request_headers
 from fakes.siteconfig import ENGINE_SERVICE, OTHER_API_KEY
-from features.sitecase import eventually
+from features.sitecase import CURRENT_GATEWAY, eventually
 from features.steps.gateway import run, start
 
 PATH = "/check/x"
@@ -404,3 +407,96 @@
     assert len(runs) > len(context.taken_up), len(runs)
     began_at = [request.headers.get("last-event-id", "") for request in runs]
     assert all(began_at), began_at
+
+
+@given("the record of versions is written, and can't be written any more")
+def no_records(context):
+    store = context.case.store
+    run(
+        context,
+        eventually(lambda: store.objects.get("baobabturn-versions"), "the record"),
+    )
+    apply_write = store.apply_write
+
+    def refuse(method, kind, name, body, query):
+        if kind == "baobabturn-versions":
+            return NOT_RUN, {}
+        return apply_write(method, kind, name, body, query)
+
+    store.apply_write = refuse
+
+
+# What a gateway out of step doesn't do.
+OUT_OF_STEP = {
+    "is cut off from the others": [
+        (Peers, "datagram_received"),
+        (Peers, "send_message"),
+    ],
+    "stands still": [
+        (Peers, "datagram_received"),
+        (Peers, "send_message"),
+        (Endpoints, "apply_list"),
+        (Endpoints, "apply_change"),
+        (VersionRecorder, "observe"),
+    ],
+}
+
+
+def put_out_of_step(context, gateway, how):
+    """Let one gateway of this process do nothing of some things."""
+    for owner, name in OUT_OF_STEP[how]:
+        method = getattr(owner, name)
+
+        def unless_out(self, *args, method=method):
+            if CURRENT_GATEWAY.get() == gateway.name:
+                return None
+            return method(self, *args)
+
+        setattr(owner, name, unless_out)
+        context.add_cleanup(setattr, owner, name, method)
+
+
+async def begin_at_others(context, version):
+    """Begin streams at the other gateways until a few have events of a version."""
+    context.tasks = []
+
+    def found():
+        return [each for each in context.streams if version in each.versions]
+
+    for number in range(24):
+        stream = CallerStream(number=next(context.numbers), gateway=number % 2)
+        context.streams.append(stream)
+        context.tasks.append(asyncio.create_task(open_stream(context, stream)))
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        if len(found()) >= 4:
+            break
+    context.killed, context.lost_gateways = [], range(2)
+    await eventually(lambda: all(each.events for each in context.streams), "events")
+    await leave_lost(context)
+
+
+@when(
+    "the last gateway {how} while an engine of v2 joins and begins streams of the"
+    " others"
+)
+def out_of_step(context, how):
+    put_out_of_step(context, context.case.gateways[-1], how)
+
+    async def play():
+        await add_engine(context, 9, "v2")
+        await begin_at_others(context, "v2")
+
+    run(context, play())
+
+
+@when("the last gateway is cut off from the others while streams begin there")
+def cut_off_alone(context):
+    how = "is cut off from the others"
+    put_out_of_step(context, context.case.gateways[-1], how)
+    run(context, begin_at_others(context, "v1"))
+
+
+@then("at least {count:d} streams of v2 were taken up")
+def v2_taken_up(context, count):
+    begun = [each for each in context.taken_up if "v2" in each.versions]
+    assert len(begun) >= count, context.taken_up
--- a/src/baobabturn/gateway/resumption.py
+++ b/src/baobabturn/gateway/resumption.py
@@ -1,8 +1,9 @@
 """Finds out which software version began a stream that its caller resumes.
 
 A gateway that has heard of the stream knows it.  Otherwise the store may tell: by the
-stream's own record, or because only one version can have begun it.  A stream whose
-version nobody can show isn't joined to any.
+stream's own record, or because only one version can have begun it.  This gateway may be
+behind the others, and the records behind the engines, so the engines count that the
+store lists now.  A stream whose version nobody can show isn't joined to any.
 """
 
 from __future__ import annotations
@@ -83,7 +84,7 @@
         """Return what the store says now, at least as new as the request."""
         if self.read_task is None or self.read_at < request.arrived_at:
             self.read_at = time.monotonic()
-            self.read_task = asyncio.create_task(self.recorder.read())
+            self.read_task = asyncio.create_task(self.read_store())
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 return await asyncio.shield(self.read_task)
@@ -92,6 +93,14 @@
                 Code.PLATFORM_UNREACHABLE, f"no answer in {READ_TIMEOUT_S:g} s"
             )
 
+    async def read_store(self) -> list[VersionsRecord] | Failure:
+        """Return the records, after the versions that the store lists are known.
+
+        A version that leaves the list meanwhile is still in the records.
+        """
+        failure = await self.recorder.observe_listed()
+        return failure or await self.recorder.read()
+
 
 def unknown_origin(reason: str) -> Failure:
     """Return the refusal of a stream that can't be joined to any version."""
--- a/src/baobabturn/gateway/versionrecords.py
+++ b/src/baobabturn/gateway/versionrecords.py
@@ -126,6 +126,20 @@
                 records.append(record)
         return records
 
+    async def observe_listed(self) -> Failure | None:
+        """Record the versions of the engines that the store lists now.
+
+        They may be newer than what this gateway has heard, and than the records.
+        """
+        listed = await self.store.snapshot(self.object_codec.endpoint_kind)
+        if isinstance(listed, Failure):
+            return listed
+        for change in listed.changes:
+            record = self.object_codec.decode_endpoint(change.name, change.value)
+            if not isinstance(record, Failure):
+                self.versions.observe(record.service, record.software_version.key)
+        return None
+
     def write_again(self) -> None:
         """Write all anew, as the store may have lost what was written."""
         self.written = None
