An offer to switch protocols leaves a request as it is

Cause: the HTTP parser supports such a switch and ends the message at its head; the server library has no such protocol, drops what came with the head and reads on.

Evidence: ten scenarios of gatewayoffers.feature failed on the code before and one ended with an error: h2c, websocket, TLS, with the body in the same write, later, byte by byte, in chunks; requests behind it. Three passed: a tunnel, the HTTP/2 preface, half a body.

Change: a request whose head has an offer isn't started; its head is parsed again without the offer, followed by the bytes behind it. A CONNECT is refused, its connection closed. A declared length is compared with the body that came.

--- a/src/baobabturn/entry/bodies.py
+++ b/src/baobabturn/entry/bodies.py
@@ -140,6 +140,9 @@
                     return failure
             chunks.append(chunk)
             if not message.get("more_body", False):
+                if self.length >= 0 and size_bytes != self.length:
+                    reason = f"{size_bytes} bytes of a body of {self.length}"
+                    return Failure(Code.MALFORMED, reason)
                 return b"".join(chunks)
 
     async def receive_message(self, receive: Any) -> Any:
--- a/src/baobabturn/entry/protocol.py
+++ b/src/baobabturn/entry/protocol.py
@@ -2,21 +2,35 @@
 
 The HTTP server bounds neither the size of a request's headers nor the time they
 take; a connection that exceeds a limit gets a coded error and is closed.
+
+A caller may offer to switch to another protocol.  The offer is ignored, and the request
+served as it is.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import logging
 from typing import Any
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from baobabturn.core.results import Code, Failure
 from baobabturn.entry.responses import error_body, error_headers
 from baobabturn.settings.model import Entry
 
-REASON_PHRASES = {408: "Request Timeout", 431: "Request Header Fields Too Large"}
+REASON_PHRASES = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+}
+# The headers with which a caller offers another protocol, and the option that does.
+UPGRADE, CONNECTION = b"upgrade", b"connection"
+TUNNEL_METHOD = b"CONNECT"
+
+log = logging.getLogger("baobabturn.entry.protocol")
 
 
 def raw_response(failure: Failure) -> bytes:
@@ -29,6 +43,30 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+def without_offer(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """Return a request's headers without an offer to switch protocols.
+
+    Names are in lower case.  Source: RFC 9110, section 7.8.
+    """
+    kept = []
+    for name, value in headers:
+        if name == CONNECTION:
+            options = [option.strip() for option in value.split(b",")]
+            value = b", ".join(each for each in options if each.lower() != UPGRADE)
+        if name != UPGRADE:
+            kept.append((name, value))
+    return kept
+
+
+def head_bytes(
+    method: bytes, target: bytes, version: str, headers: list[tuple[bytes, bytes]]
+) -> bytes:
+    """Return the bytes of a request's head."""
+    lines = [b" ".join((method, target, b"HTTP/" + version.encode()))]
+    lines += [name + b": " + value for name, value in headers]
+    return b"\r\n".join([*lines, b"", b""])
+
+
 def limited_protocol(entry: Entry) -> type[HttpToolsProtocol]:
     """Return a protocol class with an entry's limits."""
 
@@ -41,6 +79,7 @@
             self.header_count = 0
             self.header_timer: asyncio.TimerHandle | None = None
             self.refused = False
+            self.has_offer = False
 
         def connection_made(self, transport: Any) -> None:
             """Start the timer for the first request's headers."""
@@ -72,11 +111,43 @@
             if self.refused:
                 return
             in_headers = self.header_timer is not None
-            super().data_received(data)
+            self.parse(data)
             if in_headers and self.header_timer is not None:
                 self.header_bytes += len(data)
                 self.check_size()
 
+        def parse(self, data: bytes) -> None:
+            """Parse received bytes, an offer to switch protocols without it.
+
+            At such an offer the parser stops after the head.
+            """
+            self._unset_keepalive_if_required()
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as stop:
+                self.parse_without_offer(data[stop.args[0] :])
+            except httptools.HttpParserError as error:
+                log.info("event=not-http error=%r", error)
+                self.send_400_response("Invalid HTTP request received.")
+
+        def parse_without_offer(self, rest: bytes) -> None:
+            """Parse a head again without its offer, and then the bytes after it."""
+            self.has_offer = False
+            method = self.parser.get_method()
+            if method == TUNNEL_METHOD:
+                self.refuse(Failure(Code.MALFORMED, "no tunnels here"))
+                return
+            head = head_bytes(
+                method,
+                self.url,
+                self.parser.get_http_version(),
+                without_offer(self.headers),
+            )
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            self.start_header_timer()
+            self.parse(head + rest)
+
         def on_message_begin(self) -> None:
             """Start the timer for the next request on a kept-alive connection."""
             super().on_message_begin()
@@ -90,7 +161,13 @@
                 super().on_header(name, value)
 
         def on_headers_complete(self) -> None:
-            """Start the request if its headers are within the limits."""
+            """Start the request if its headers are within the limits.
+
+            One with an offer to switch protocols is parsed again first.
+            """
+            self.has_offer = self.parser.should_upgrade()
+            if self.has_offer:
+                return
             self.stop_header_timer()
             parsed_bytes = sum(len(name) + len(value) for name, value in self.headers)
             self.header_bytes = max(self.header_bytes, parsed_bytes + len(self.url))
@@ -105,7 +182,7 @@
 
         def on_message_complete(self) -> None:
             """Pass on the end of the body unless the request is refused."""
-            if not self.refused:
+            if not self.refused and not self.has_offer:
                 super().on_message_complete()
 
         def check_size(self) -> None:
