Streams of an engine that started again unseen keep to it

Cause: streams were booked under the version of the entry that the gateway held, and when the new entry came, the old incarnation counted as leaving, so that what ran at its address was moved to engines of the old version. Take-ups followed the booked version.

Evidence: two scenarios of gatewayversions.feature failed on the code before (the store comes back; callers take the streams up elsewhere), a third against the reverse passed.

Change: reports that are read while the store is silent show a new start, which makes a new incarnation with a version of its own. Streams that still get events from a replaced one's address are not moved; their version is unknown, to all gateways.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -242,10 +242,10 @@
     ``response_script`` returns the bytes of the response to a request, after which
     the connection is closed; without one the response is complete and has the
     response stamp.  ``ran`` holds the requests that ran.  An engine streams
-    ``event_count`` events with ``event_interval_s`` between them and takes
-    ``final_copy_s`` for the final copy of a generation that it has stopped; with
-    ``loses_copies`` that copy fails.  Streams that aren't ``framed`` have neither a
-    length nor chunks.  If
+    ``event_count`` events with ``event_interval_s`` between them, each of which has its
+    ``event_name``.  The final copy of a generation that it has stopped takes
+    ``final_copy_s`` and, with ``loses_copies``, fails.  Streams that aren't ``framed``
+    have neither a length nor chunks.  If
     ``advertised_address`` is set, the endpoint's entry has this address, that of a
     proxy, in place of its own.  ``rate_limit_per_s`` is the limit that its answers
     name, 0 for none.  ``version`` is that of its software, which the entry names unless
@@ -274,6 +274,7 @@
         self.migration_status = 200
         self.final_copy_s = 0.0
         self.stopped: set[str] = set()
+        self.event_name = name
         self.framed = True
         self.loses_copies = False
         self.cut_after_events = 0
@@ -395,7 +396,7 @@
                     return
                 text = b"id: %d\ndata: %s-%d\n\n" % (
                     event_id,
-                    self.name.encode(),
+                    self.event_name.encode(),
                     event_id,
                 )
                 writer.write(frame(text))
--- a/features/gatewayversions.feature
+++ b/features/gatewayversions.feature
@@ -139,3 +139,25 @@
     When the last gateway is cut off from the others while streams begin there
     And their callers take them up
     Then all streams are complete
+
+  # Guards against streams of a process that the entry of its engine doesn't describe yet.
+  Scenario Outline: An engine starts again with v2 while the store is down, and <then>
+    Given engines of versions "v1,v1,v1" and 3 gateways
+    And the entry of the last engine says when it started
+    When the store is down, and the last engine starts again with v2
+    And 12 streams begin, and <then>
+    Then no stream holds events of two versions
+    And at least 3 streams began at v2
+
+    Examples:
+      | then                                          |
+      | the store comes back with its new entry       |
+      | its callers take them up at the first gateway |
+
+  # Guards against a refusal to continue streams of an engine that runs what it ran before.
+  Scenario: An engine whose entry lapses and returns goes on with its streams
+    Given engines of versions "v1,v1,v1" and 3 gateways
+    And the entry of the last engine says when it started
+    When 12 streams have begun, and the last engine's entry goes and returns
+    Then all streams are complete
+
--- a/features/steps/gatewayversions.py
+++ b/features/steps/gatewayversions.py
@@ -18,6 +18,7 @@
 
 PATH = "/check/x"
 EVENT_COUNT = 60
+LONG_EVENT_COUNT = 120
 EVENT_INTERVAL_S = 0.05
 # Later than this an engine's crash isn't blamed on a prompt that it runs.
 RUN_BEFORE_CRASH_S = 1.3
@@ -500,3 +501,75 @@
 def v2_taken_up(context, count):
     begun = [each for each in context.taken_up if "v2" in each.versions]
     assert len(begun) >= count, context.taken_up
+
+
+@when("the store is down, and the last engine starts again with v2")
+def starts_in_outage(context):
+    engine, store = last_engine(context), context.case.store
+    for each in context.case.endpoints.values():
+        each.event_count = LONG_EVENT_COUNT
+    store.failing_status = NOT_RUN
+    store.reset_connections()
+    context.restarted_born = BORN_MS + 2
+    engine.report_fields["born"] = context.restarted_born
+    engine.version, engine.event_name = "v2", engine.name.replace("v1", "v2")
+
+
+@when("{count:d} streams begin, and {then}")
+def begin_in_outage(context, count, then):
+    endings = {
+        "the store comes back with its new entry": store_returns,
+        "its callers take them up at the first gateway": taken_up_elsewhere,
+    }
+
+    async def play():
+        context.tasks = begin(context, count)
+        # By then the gateways know that the store is silent.
+        await asyncio.sleep(2.6)
+        await endings[then](context)
+        await asyncio.gather(*context.tasks, return_exceptions=True)
+
+    run(context, play())
+
+
+async def store_returns(context):
+    """Let the store answer again, and the engine write its entry."""
+    engine = last_engine(context)
+    context.case.store.failing_status = 0
+    entry = engine.entry(born=context.restarted_born)
+    context.case.store.write("servers", engine.name, entry)
+
+
+async def taken_up_elsewhere(context):
+    """Let callers of other gateways lose them, and resume at the first one."""
+    context.lost_gateways = [1, 2]
+    await leave_lost(context)
+    for stream in context.streams:
+        if stream.gateway in context.lost_gateways:
+            stream.gateway = 0
+            more = {"Resumes": stream.first_attempt}
+            work = open_stream(
+                context, stream, Last_Event_Id=str(max(stream.events)), **more
+            )
+            context.tasks.append(asyncio.create_task(work))
+
+
+@then("at least {count:d} streams began at v2")
+def began_at_v2(context, count):
+    begun = [each for each in context.streams if each.events.get(1, "")[:2] == "v2"]
+    assert len(begun) >= count, [each.events.get(1) for each in context.streams]
+
+
+@when("{count:d} streams have begun, and the last engine's entry goes and returns")
+def lapses(context, count):
+    engine, store = last_engine(context), context.case.store
+
+    async def play():
+        tasks = begin(context, count)
+        await asyncio.sleep(0.5)
+        store.remove("servers", engine.name)
+        await asyncio.sleep(0.5)
+        store.write("servers", engine.name, engine.entry(born=BORN_MS))
+        await asyncio.gather(*tasks)
+
+    run(context, play())
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -14,6 +14,7 @@
 from baobabturn.gateway.departures import Departures, Identity, identity_of
 from baobabturn.gateway.mirror import StoreContact, boot_time_s
 from baobabturn.gateway.platforminterface import EndpointRecord, ObjectCodec
+from baobabturn.gateway.softwareversion import SoftwareVersion
 from baobabturn.store.interface import Change
 from baobabturn.wire.gatewaymessages import DepartedEndpoint
 
@@ -30,10 +31,13 @@
     """One incarnation of an endpoint.
 
     ``leaving_since`` is in monotonic seconds, 0 while the endpoint isn't leaving.
+    ``replaced`` says that another incarnation runs under its name, so that this one has
+    ended.
     """
 
     record: EndpointRecord
     leaving_since: float = 0.0
+    replaced: bool = False
 
     @property
     def name(self) -> str:
@@ -154,20 +158,44 @@
             self.events.emit(Event.ENTRY_IGNORED, endpoint=name)
             return
         if endpoint is None or is_other_incarnation(endpoint, record):
-            if endpoint is not None:
-                self.mark_leaving(endpoint, "replaced by a new incarnation")
-            endpoint = self.by_name[name] = Endpoint(record=record)
-            self.events.emit(
-                Event.ENDPOINT_SEEN,
-                endpoint=name,
-                service=record.service,
-                address=record.address,
-                version=record.software_version.key,
-            )
+            endpoint = self.add(record)
         endpoint.record = record
         if record.leaving:
             self.mark_leaving(endpoint, "its entry says that it is leaving")
 
+    def add(self, record: EndpointRecord) -> Endpoint:
+        """Add a new incarnation, which replaces one of its name."""
+        old = self.by_name.get(record.name)
+        if old is not None:
+            old.replaced = identity_of(old.record) != identity_of(record)
+            self.mark_leaving(old, "replaced by a new incarnation")
+        endpoint = self.by_name[record.name] = Endpoint(record=record)
+        self.events.emit(
+            Event.ENDPOINT_SEEN,
+            endpoint=record.name,
+            service=record.service,
+            address=record.address,
+            version=record.software_version.key,
+        )
+        return endpoint
+
+    def apply_report(self, endpoint: Endpoint, incarnation: int) -> None:
+        """Apply what an endpoint's own report says of its incarnation.
+
+        It may have started again with other software, whose version its entry will
+        name.  Until then it has a version of its own.
+        """
+        record = endpoint.record
+        if incarnation in (0, record.incarnation) or not record.incarnation:
+            return
+        if self.by_name.get(endpoint.name) is not endpoint:
+            return
+        version = SoftwareVersion(endpoint=record.name, incarnation=incarnation)
+        self.add(
+            attrs.evolve(record, incarnation=incarnation, software_version=version)
+        )
+        self.notify()
+
     def handle_missing(self, name: str) -> None:
         """Mark an endpoint without an entry as leaving.
 
--- a/src/baobabturn/gateway/migration.py
+++ b/src/baobabturn/gateway/migration.py
@@ -64,8 +64,11 @@
         """Start to migrate the generations of an endpoint that is leaving.
 
         A generation that the plan leaves out isn't migrated: it is expected to end
-        in time.
+        in time.  What still runs at an engine that has been replaced has begun at the
+        next incarnation, whose software may be another.
         """
+        if endpoint.replaced:
+            return
         service = endpoint.record.service
         traits = self.pools.traits.get(service)
         if traits is None or not traits.supports_migration:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -307,6 +307,17 @@
         self.on_reserved(reservation.pool, reservation.holding)
         return reservation
 
+    def record_software_version(
+        self, reservation: HeldReservation, software_version: str
+    ) -> None:
+        """Record that another version than was thought has begun a generation.
+
+        Whoever knows it under two versions joins it to none.
+        """
+        reservation.holding.software_version = software_version
+        self.record_origin(reservation.pool, reservation.holding)
+        self.on_reserved(reservation.pool, reservation.holding)
+
     def record_progress(self, reservation: HeldReservation, produced: int) -> None:
         """Record how many tokens a generation has produced.
 
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -51,6 +51,9 @@
 # connect to hasn't refused it, and others may reach it.
 RELEASE_OUTCOMES = {AttemptState.UNSENT: ABANDONED, AttemptState.REFUSED: REFUSED}
 
+# Begins a version that no engine has.
+DOUBTED_VERSION = "doubted"
+
 Send = Callable[[Any], Any]
 ContinuationFuture = asyncio.Future[tuple[HeldReservation, Continuation] | None]
 
@@ -85,6 +88,7 @@
             resumption.last_event_id.encode("latin-1") if resumption else b""
         )
         self.software_version = ""
+        self.version_doubted = False
         self.attempts_sent = 0
         self.responses = ResponseWatch(
             crash_watch=parts.crash_watch,
@@ -423,6 +427,24 @@
             produced = times.event_count * tokens_per_event(self.request)
             self.pools.record_progress(self.reservation, produced)
         self.responses.record_event(times.last_event_at)
+        self.check_incarnation()
+
+    def check_incarnation(self) -> None:
+        """Forget the software version if the engine had started again by the start.
+
+        Events that still come after that was learned are those of the next incarnation,
+        and so were the first ones.
+        """
+        endpoint = self.endpoint
+        if endpoint is None or not endpoint.replaced or self.version_doubted:
+            return
+        successor = self.parts.endpoints.by_name.get(endpoint.name)
+        is_same = successor is not None and has_same_version(endpoint, successor)
+        if is_same or self.reservation is None:
+            return
+        self.version_doubted = True
+        self.software_version = f"{DOUBTED_VERSION}:{self.request.request_id}"
+        self.pools.record_software_version(self.reservation, self.software_version)
 
     def record_software_version(self) -> None:
         """Record which version wrote the first event, unless the caller had some."""
@@ -548,6 +570,11 @@
     return continuation is None or not continuation.cache_handle
 
 
+def has_same_version(one: Endpoint, other: Endpoint) -> bool:
+    """Return whether two endpoints run the same version of their software."""
+    return one.record.software_version.key == other.record.software_version.key
+
+
 def endpoint_name(stream: RelayedStream) -> str:
     """Return the name of the endpoint where a generation runs or ran last."""
     return stream.endpoint.name if stream.endpoint is not None else ""
--- a/src/baobabturn/gateway/reportpoller.py
+++ b/src/baobabturn/gateway/reportpoller.py
@@ -1,4 +1,7 @@
-"""Polls engines' reports for leaving engines while the store answers no gateway."""
+"""Polls engines' reports while the store answers no gateway.
+
+They show which engines are leaving or have started again.
+"""
 
 from __future__ import annotations
 
@@ -57,7 +60,7 @@
             await asyncio.gather(*(self.poll(endpoint) for endpoint in polled))
 
     async def poll(self, endpoint: Endpoint) -> None:
-        """Read one engine's report and mark the engine if it is leaving.
+        """Read one engine's report, and apply that it is leaving or has started again.
 
         An engine that doesn't answer is left as it is.
         """
@@ -65,7 +68,10 @@
             endpoint.record.address, REPORT_TIMEOUT_S
         )
         self.program.metrics.count("reports_read")
-        if isinstance(report, Failure) or not report.leaving:
+        if isinstance(report, Failure):
+            return
+        self.endpoints.apply_report(endpoint, report.incarnation)
+        if not report.leaving:
             return
         self.endpoints.mark_announced_leaving(
             endpoint, "its report says that it is leaving"
