--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -138,3 +138,22 @@
     Given a site with 1 engines of 40 events
     When a caller streams /draft/x and reads it byte by byte with pauses
     Then the caller gets events 1 to 40 and the end
+
+  # Guards against header values that reach endpoints in another encoding.
+  Scenario Outline: A caller sends a <kind> request with headers that aren't ASCII
+    Given a site with 1 plain endpoints, 1 engines and 1 gateways
+    And a workspace has a name that isn't ASCII
+    When a caller sends a <kind> request with a model that isn't ASCII
+    Then the endpoint got the model's bytes and the workspace's name as they are
+
+    Examples:
+      | kind   |
+      | safe   |
+      | stream |
+
+  # Guards against a request that runs with another value than its caller sent.
+  Scenario: A header value that isn't UTF-8 is refused
+    Given a site with 1 plain endpoints
+    When a caller sends a safe request with a model that isn't UTF-8
+    Then the answer is 400 and nothing has run
+
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from baobabturn.core.events import Event
 from fakes.callers import read_reply, request_bytes, request_headers
 from fakes.rawhttp import response_bytes
 from fakes.site import RESPONSE_STAMP
@@ -417,6 +418,47 @@
     assert float(context.reply.headers["retry-after"]) > 0, context.reply
 
 
+ODD_MODELS = {"ASCII": "mod\u00e8le".encode(), "UTF-8": "mod\u00e8le".encode("latin-1")}
+ODD_WORKSPACE = "Tarraz\u00fa"
+
+
+@given("a workspace has a name that isn't ASCII")
+def odd_workspace(context):
+    config = configuration(version=2)
+    config["tenants"][0]["name"] = ODD_WORKSPACE
+    context.case.store.write("config", "main", config)
+    gateway = context.case.gateways[0]
+    probe = lambda: len(gateway.logged(Event.CONFIG_IN_FORCE)) > 1
+    run(context, eventually(probe, "the configuration"))
+
+
+@when("a caller sends a {kind} request with a model that isn't {encoding}")
+def odd_model(context, kind, encoding):
+    path, method = {"safe": ("/read/x", "GET"), "stream": ("/draft/x", "POST")}[kind]
+    address = context.case.gateways[0].addresses["callers"]
+    data = request_bytes(method, path, request_headers(path, {"X-Model": "M"}), b"")
+    data = data.replace(b"X-Model: M", b"X-Model: " + ODD_MODELS[encoding])
+
+    async def play():
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        context.reply = await read_reply(reader)
+        writer.close()
+
+    run(context, play())
+
+
+@then("the endpoint got the model's bytes and the workspace's name as they are")
+def same_bytes(context):
+    assert context.reply.status == 200, context.reply
+    ran = [each for e in context.case.endpoints.values() for each in e.ran]
+    assert len(ran) == 1, ran
+    model, tenant = ran[0].headers["x-model"], ran[0].headers["x-tenant"]
+    assert model.encode("latin-1") == ODD_MODELS["ASCII"], model
+    assert tenant.encode("latin-1") == ODD_WORKSPACE.encode(), tenant
+
+
 @then("{count:d} endpoints were asked")
 def asked(context, count):
     assert len(context.asked) == count, context.asked
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -269,8 +269,11 @@
 
 
 def to_multidict(headers: Headers) -> CIMultiDict[str]:
-    """Return headers in the type that aiohttp takes."""
-    return CIMultiDict((k.decode("latin-1"), v.decode("latin-1")) for k, v in headers)
+    """Return headers in the type that aiohttp takes, which sends text as UTF-8.
+
+    Raise ``ValueError`` for a value in another encoding.
+    """
+    return CIMultiDict((k.decode("latin-1"), v.decode()) for k, v in headers)
 
 
 def head_failure(
--- a/src/baobabturn/gateway/httpheaders.py
+++ b/src/baobabturn/gateway/httpheaders.py
@@ -43,6 +43,19 @@
     return names
 
 
+def odd_header(headers: Headers) -> bytes:
+    """Return the name of a header whose value isn't UTF-8, empty for none.
+
+    Such a value can't be passed on as it is.
+    """
+    for name, value in headers:
+        try:
+            value.isascii() or value.decode()
+        except UnicodeDecodeError:
+            return name
+    return b""
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers without those that concern a single connection."""
     listed = connection_header_names(headers)
--- a/src/baobabturn/platform/headers.py
+++ b/src/baobabturn/platform/headers.py
@@ -147,7 +147,8 @@
         if engine_priority is not None:
             headers.append((REQUEST_PRIORITY, str(engine_priority).encode()))
         if continuation is not None and continuation.last_event_id:
-            headers.append((LAST_EVENT_ID, continuation.last_event_id.encode()))
+            last_event_id = continuation.last_event_id.encode("latin-1")
+            headers.append((LAST_EVENT_ID, last_event_id))
         if continuation is not None and continuation.cache_handle:
             headers.append((KV_COPY, continuation.cache_handle.encode()))
         return headers
