Limits hold for heads with an offer; a stream's version has a class

An offer to switch protocols with more headers than the limit lost those beyond it when its head was parsed again, and was served (one new scenario of gatewayoffers.feature failed: 200 where 431 is due). The limits are checked before the offer now.

What a stream knows of its software version moves out of relayedstream.py into streamversion.py; no decision changes.

--- a/features/gatewayoffers.feature
+++ b/features/gatewayoffers.feature
@@ -43,3 +43,9 @@
     Given a site with 2 plain endpoints
     When a caller posts half a body and closes its side
     Then no endpoint has run anything
+
+  # Guards against limits that a head with an offer passes.
+  Scenario: An offer with more headers than the limit is refused
+    Given a site with 2 plain endpoints
+    When a caller posts with an offer of h2c and 500 more headers
+    Then the answer is 431 and nothing has run
--- a/features/steps/gatewayoffers.py
+++ b/features/steps/gatewayoffers.py
@@ -146,3 +146,11 @@
 @then("no endpoint has run anything")
 def none_ran(context):
     assert not runs(context), runs(context)
+
+
+@when("a caller posts with an offer of {offer} and {count:d} more headers")
+def many_headers(context, offer, count):
+    more = [(f"X-More-{number}", "1") for number in range(count)]
+    length = ("Content-Length", str(len(BODY)))
+    pieces = [head([*more, *OFFERS[offer]], length) + BODY]
+    context.reply = run(context, send_parts(context, pieces))[0]
--- a/src/baobabturn/entry/protocol.py
+++ b/src/baobabturn/entry/protocol.py
@@ -133,6 +133,8 @@
         def parse_without_offer(self, rest: bytes) -> None:
             """Parse a head again without its offer, and then the bytes after it."""
             self.has_offer = False
+            if self.refused:
+                return
             method = self.parser.get_method()
             if method == TUNNEL_METHOD:
                 self.refuse(Failure(Code.MALFORMED, "no tunnels here"))
@@ -165,14 +167,12 @@
 
             One with an offer to switch protocols is parsed again first.
             """
-            self.has_offer = self.parser.should_upgrade()
-            if self.has_offer:
-                return
             self.stop_header_timer()
             parsed_bytes = sum(len(name) + len(value) for name, value in self.headers)
             self.header_bytes = max(self.header_bytes, parsed_bytes + len(self.url))
             self.check_size()
-            if not self.refused:
+            self.has_offer = self.parser.should_upgrade()
+            if not self.refused and not self.has_offer:
                 super().on_headers_complete()
 
         def on_body(self, body: bytes) -> None:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -29,6 +29,7 @@
 from baobabturn.gateway.sse import SseEvent
 from baobabturn.gateway.streamparts import StreamParts, tokens_per_event
 from baobabturn.gateway.streamtimes import StreamTimes
+from baobabturn.gateway.streamversion import StreamVersion
 from baobabturn.quarantine.refusal import is_quarantined
 from baobabturn.wire.words import ABANDONED, FAILED, FINISHED, REFUSED
 
@@ -51,9 +52,6 @@
 # connect to hasn't refused it, and others may reach it.
 RELEASE_OUTCOMES = {AttemptState.UNSENT: ABANDONED, AttemptState.REFUSED: REFUSED}
 
-# Begins a version that no engine has.
-DOUBTED_VERSION = "doubted"
-
 Send = Callable[[Any], Any]
 ContinuationFuture = asyncio.Future[tuple[HeldReservation, Continuation] | None]
 
@@ -66,8 +64,7 @@
     which the generation continues, or to None if the migration failed.
     ``stop_asked`` says that a migration has asked the engine to stop the generation,
     after which the response's end may not be that of the answer.
-    ``software_version`` is that of the engine that wrote the first event which the
-    caller has, empty before it; only engines of that version may go on.
+    ``version`` is the software version that began the stream.
     """
 
     def __init__(self, *, parts: StreamParts, request: CallerRequest, send: Send):
@@ -87,8 +84,7 @@
         self.last_event_id = (
             resumption.last_event_id.encode("latin-1") if resumption else b""
         )
-        self.software_version = ""
-        self.version_doubted = False
+        self.version = StreamVersion(endpoints=parts.endpoints, pools=parts.pools)
         self.attempts_sent = 0
         self.responses = ResponseWatch(
             crash_watch=parts.crash_watch,
@@ -171,7 +167,7 @@
                 queue_timeout_s=queue_timeout_s,
                 excluded=self.excluded,
                 attempt=attempt + 1,
-                software_version=self.software_version,
+                software_version=self.version.key,
             )
             if isinstance(reservation, Failure):
                 return failure or to_caller_failure(reservation)
@@ -205,7 +201,7 @@
             reason = f"the route doesn't lead to {origin.service} any more"
             return Failure(Code.STREAM_ORIGIN_UNKNOWN, reason)
         self.request.service = service
-        self.software_version = origin.software_version
+        self.version.key = origin.software_version
         return None
 
     def queue_timeout_s(self) -> float:
@@ -236,12 +232,8 @@
         if endpoint is None:
             self.pools.release(reservation, REFUSED)
             return Failure(Code.NO_ENDPOINT, f"{reservation.endpoint} is unknown")
-        refusal = self.version_refusal(endpoint)
-        if (
-            refusal is None
-            and self.software_version
-            and continuation_is_rerun(continuation)
-        ):
+        refusal = self.version.refusal(endpoint)
+        if refusal is None and self.version.key and continuation_is_rerun(continuation):
             refusal = await self.parts.incarnations.refusal(
                 endpoint, self.request.remaining_s()
             )
@@ -278,14 +270,6 @@
         self.attempts_sent += 1
         return await self.send_head(response)
 
-    def version_refusal(self, endpoint: Endpoint) -> Failure | None:
-        """Return why a begun stream can't go on at an endpoint, None if it can."""
-        version = endpoint.record.software_version.key
-        if self.software_version in ("", version):
-            return None
-        reason = f"{endpoint.name} has version {version}, not {self.software_version}"
-        return Failure(Code.NO_ENDPOINT, reason)
-
     def record_refusal(self, reservation: HeldReservation, failure: Failure) -> None:
         """Release a failed attempt's reservation, exclude its engine, and log it."""
         self.excluded.append(reservation.endpoint)
@@ -412,7 +396,7 @@
         times.record_event(endpoint_name(self))
         is_first = times.event_count == 1
         if is_first:
-            self.record_software_version()
+            self.version.record_first(self.reservation)
             self.program.events.emit(
                 Event.FIRST_TOKEN,
                 request=self.request.request_id,
@@ -427,29 +411,7 @@
             produced = times.event_count * tokens_per_event(self.request)
             self.pools.record_progress(self.reservation, produced)
         self.responses.record_event(times.last_event_at)
-        self.check_incarnation()
-
-    def check_incarnation(self) -> None:
-        """Forget the software version if the engine had started again by the start.
-
-        Events that still come after that was learned are those of the next incarnation,
-        and so were the first ones.
-        """
-        endpoint = self.endpoint
-        if endpoint is None or not endpoint.replaced or self.version_doubted:
-            return
-        successor = self.parts.endpoints.by_name.get(endpoint.name)
-        is_same = successor is not None and has_same_version(endpoint, successor)
-        if is_same or self.reservation is None:
-            return
-        self.version_doubted = True
-        self.software_version = f"{DOUBTED_VERSION}:{self.request.request_id}"
-        self.pools.record_software_version(self.reservation, self.software_version)
-
-    def record_software_version(self) -> None:
-        """Record which version wrote the first event, unless the caller had some."""
-        if not self.software_version and self.reservation is not None:
-            self.software_version = self.reservation.holding.software_version
+        self.version.check_incarnation(self.endpoint, self.reservation)
 
     async def continue_elsewhere(self, interruption: Failure) -> Failure | None:
         """Continue an interrupted stream at another engine; return why that failed."""
@@ -554,7 +516,7 @@
             queue_timeout_s=min(MAX_QUEUE_TIMEOUT_S, self.request.remaining_s()),
             excluded=self.excluded,
             attempt=self.attempts_sent + 1,
-            software_version=self.software_version,
+            software_version=self.version.key,
         )
         if isinstance(reservation, Failure):
             return interruption
@@ -570,11 +532,6 @@
     return continuation is None or not continuation.cache_handle
 
 
-def has_same_version(one: Endpoint, other: Endpoint) -> bool:
-    """Return whether two endpoints run the same version of their software."""
-    return one.record.software_version.key == other.record.software_version.key
-
-
 def endpoint_name(stream: RelayedStream) -> str:
     """Return the name of the endpoint where a generation runs or ran last."""
     return stream.endpoint.name if stream.endpoint is not None else ""
