A leaving process has a moment to close its listener after its connections

Evidence: a row of gatewayunframed.feature (the listener closes 0.1 s after the stream's connection) failed before.

Change: at an endpoint that is leaving the second look comes 0.25 s after the first.

--- a/features/gatewayunframed.feature
+++ b/features/gatewayunframed.feature
@@ -67,6 +67,7 @@
     Examples:
       | fate              | has    |
       | ends with it      | has no |
+      | ends soon after it | has no |
       | has started again | has no |
       | ends after it     | has an |
 
--- a/features/steps/gatewayunframed.py
+++ b/features/steps/gatewayunframed.py
@@ -15,6 +15,7 @@
 EVENT_COUNT = 20
 # In the middle of an answer this much time passes.
 HALF_ANSWER_S = 0.1
+SHUTDOWN_S = 0.1
 ENGINE_ERROR = 500
 SERVED = 200
 # Unix milliseconds of two starts of an engine.
@@ -86,6 +87,13 @@
         writer.close()
 
 
+async def end_soon_after(context, engine):
+    """Close a process's connections, and its listener a moment later."""
+    for writer in list(engine.writers):
+        writer.close()
+    asyncio.get_running_loop().call_later(SHUTDOWN_S, engine.server.close)
+
+
 async def start_again(context, engine):
     """Let an engine's process end and start again at once, its entry late."""
     await end_with_stream(context, engine)
@@ -100,6 +108,7 @@
 
 FATES = {
     "ends with it": end_with_stream,
+    "ends soon after it": end_soon_after,
     "has started again": start_again,
     "ends after it": live_on,
 }
--- a/src/baobabturn/core/probe.py
+++ b/src/baobabturn/core/probe.py
@@ -39,14 +39,16 @@
     return False
 
 
-async def keeps_accepting(host: str, port: int) -> bool:
-    """Return whether a port takes connections, now and a little later.
+async def keeps_accepting(
+    host: str, port: int, *, for_s: float = REPEAT_DELAY_S
+) -> bool:
+    """Return whether a port takes connections, now and ``for_s`` seconds later.
 
     That shows that its process hasn't ended, whereas a refusal may come from the way.
     """
     if not await can_connect(host, port):
         return False
-    await asyncio.sleep(REPEAT_DELAY_S)
+    await asyncio.sleep(for_s)
     return await can_connect(host, port)
 
 
--- a/src/baobabturn/gateway/responseend.py
+++ b/src/baobabturn/gateway/responseend.py
@@ -7,13 +7,16 @@
 
 from __future__ import annotations
 
-from baobabturn.core.probe import keeps_accepting
+from baobabturn.core.probe import REPEAT_DELAY_S, keeps_accepting
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.incarnations import IncarnationCheck
 from baobabturn.gateway.pathopinions import PathOpinions
 from baobabturn.gateway.peer import parse_address
 
+# A process that shuts down may close its connections before its listener.
+SHUTDOWN_S = 0.25
+
 
 class ResponseEndCheck:
     """Judges whether responses without a length or chunks are whole.
@@ -42,6 +45,8 @@
 
     async def is_running(self, endpoint: Endpoint) -> bool:
         """Return whether a process takes connections at an endpoint's address."""
-        if await keeps_accepting(*parse_address(endpoint.record.address)):
+        host, port = parse_address(endpoint.record.address)
+        for_s = SHUTDOWN_S if endpoint.leaving else REPEAT_DELAY_S
+        if await keeps_accepting(host, port, for_s=for_s):
             return True
         return await self.opinions.reached_elsewhere(endpoint)
