--- a/src/baobabturn/core/jsonlist.py
+++ b/src/baobabturn/core/jsonlist.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import re
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -24,6 +25,8 @@
 TOLERANT = json.JSONDecoder(strict=False, parse_int=bounded_int)
 VALUE_ERRORS = (ValueError, RecursionError)
 
+log = logging.getLogger("baobabturn.jsonlist")
+
 
 @attrs.frozen
 class UnreadableItem:
@@ -58,8 +61,8 @@
     if SURROGATE.search(data) is None:
         try:
             return load_bounded(data)
-        except VALUE_ERRORS:
-            pass
+        except VALUE_ERRORS as error:
+            log.info("event=list-read-by-item key=%s error=%r", key, error)
     return ListReader(data, key, is_item).load()
 
 
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -20,7 +20,7 @@
     bearer_key,
     end_to_end_headers,
     first_value,
-    odd_header,
+    non_utf8_header,
 )
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.peer import parse_address
@@ -139,9 +139,9 @@
         table = self.node.table
         if table is None:
             return Failure(Code.NO_CONFIGURATION, "", retry_after_s=RETRY_AFTER_S)
-        odd_name = odd_header(headers)
-        if odd_name:
-            reason = f"the header {odd_name.decode('latin-1')} isn't UTF-8"
+        name = non_utf8_header(headers)
+        if name:
+            reason = f"the header {name.decode('latin-1')} isn't UTF-8"
             return Failure(Code.MALFORMED, reason)
         authorized = self.authorize(table, scope, headers)
         if isinstance(authorized, Failure):
--- a/src/baobabturn/gateway/httpheaders.py
+++ b/src/baobabturn/gateway/httpheaders.py
@@ -43,17 +43,21 @@
     return names
 
 
-def odd_header(headers: Headers) -> bytes:
+def non_utf8_header(headers: Headers) -> bytes:
     """Return the name of a header whose value isn't UTF-8, empty for none.
 
-    Such a value can't be passed on as it is.
+    The HTTP client sends text as UTF-8 and can't pass such a value on as it is.
     """
-    for name, value in headers:
-        try:
-            value.isascii() or value.decode()
-        except UnicodeDecodeError:
-            return name
-    return b""
+    return next((name for name, value in headers if not is_utf8(value)), b"")
+
+
+def is_utf8(value: bytes) -> bool:
+    """Return whether some bytes are text in UTF-8."""
+    try:
+        value.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
--- a/src/baobabturn/gateway/versionrecords.py
+++ b/src/baobabturn/gateway/versionrecords.py
@@ -136,8 +136,10 @@
             return listed
         for change in listed.changes:
             record = self.object_codec.decode_endpoint(change.name, change.value)
-            if not isinstance(record, Failure):
-                self.versions.observe(record.service, record.software_version.key)
+            if isinstance(record, Failure):
+                log.info("event=endpoint-not-counted reason=%s", record.reason)
+                continue
+            self.versions.observe(record.service, record.software_version.key)
         return None
 
     def write_again(self) -> None:
