--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -12,6 +12,31 @@
     When news bring an endpoint's end, and the watch then brings its older entry
     Then the mirror has applied the end alone
 
+  # One lost datagram made every gateway of a failure domain list the store.
+  Scenario: A change that was lost between gateways is asked for
+    Given a gateway that knows the store up to revision 5
+    When its watcher's update from 7 to 8 shows that one was lost
+    Then it asks the watcher for changes since 5
+    When the updates from 5 to 7 and from 7 to 8 come
+    Then after 0.3 seconds it knows revision 8 and hasn't listed the store
+
+  Scenario: A lost change that nobody sends again is listed
+    Given a gateway that knows the store up to revision 5
+    When its watcher's update from 7 to 8 shows that one was lost
+    Then after 0.3 seconds it lists the store
+
+  Scenario: A confirmation that shows a lost change has it asked for
+    Given a gateway that knows the store up to revision 5
+    When its watcher confirms revision 8
+    Then it asks the watcher for changes since 5
+
+  # Guards against sending the whole configuration to each gateway twice a second.
+  Scenario: Changes of other kinds aren't sent as missed ones
+    Given a gateway that knows the store up to revision 5
+    When a watch shows that the store is at revision 9 without a change of the kind
+    Then a gateway that knows revision 5 has missed nothing
+    And a gateway that knows revision 4 has missed all objects
+
   Scenario: One gateway of a domain watches for three
     Given a site with 1 plain endpoints and 3 gateways
     Then after 3 seconds one gateway alone calls the store
--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -9,8 +10,10 @@
 from baobabturn.core.events import Event, EventLog
 from baobabturn.gateway.mirror import Mirror, StoreContact
 from baobabturn.gateway.peers import Peer
+from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.store.interface import Change, Changes
 from baobabturn.store.version import StoreVersion
+from baobabturn.wire.gatewaymessages import StoreAsk, StoreNews, StoreState, StoreVouch
 from fakes.proxy import Direction
 from features.sitecase import eventually
 from features.steps.gateway import begins_to_leave, run, start, status_of
@@ -109,6 +112,117 @@
     assert context.mirror.last_change_version == at(12)
 
 
+class OnlyWatched:
+    """The election as a gateway sees it that watches for nobody."""
+
+    def is_watcher(self):
+        """Return that another gateway is the watcher."""
+        return False
+
+
+@given("a gateway that knows the store up to revision {revision:d}")
+def knows_revision(context, revision):
+    events = EventLog(node="n", role="r", failure_domain="d", clock=HybridClock())
+    context.sent = []
+    record = SimpleNamespace(name="g1", failure_domain="d")
+    peers = SimpleNamespace(
+        record=record,
+        handlers={},
+        send_message=lambda message, to: context.sent.append((message, to)),
+    )
+    contact = StoreContact(events=events)
+    context.mirror = Mirror(
+        store=None,
+        contact=contact,
+        kind="things",
+        wait_s=1.0,
+        on_list=lambda changes: None,
+        on_change=lambda change: None,
+    )
+    context.mirror.apply_snapshot(Changes(changes=(), version=at(revision)))
+    context.updates = StoreUpdates(
+        peers=peers, watchers=OnlyWatched(), contact=contact, mirrors=[context.mirror]
+    )
+    context.watcher = Peer(name="g0", address=("10.0.0.1", 7200))
+    context.watcher.failure_domain = "d"
+
+
+def take_update(context, before, version):
+    """Let the gateway take an update of its watcher."""
+    update = StoreNews(
+        node="g0", kind="things", before=at(before), version=at(version), changes=[]
+    )
+    context.updates.handle_update(update, context.watcher)
+
+
+@when("its watcher's update from {before:d} to {version:d} shows that one was lost")
+def update_after_gap(context, before, version):
+    async def play():
+        take_update(context, before, version)
+
+    run(context, play())
+
+
+@when("its watcher confirms revision {version:d}")
+def confirms_newer(context, version):
+    async def play():
+        item = StoreState(kind="things", version=at(version))
+        vouch = StoreVouch(node="g0", stamp=1, items=[item])
+        context.updates.handle_confirmation(vouch, context.watcher)
+
+    run(context, play())
+
+
+@then("it asks the watcher for changes since {revision:d}")
+def asks_watcher(context, revision):
+    (ask, to), *others = context.sent
+    assert isinstance(ask, StoreAsk) and not others, context.sent
+    assert to == [context.watcher], to
+    assert [each.version for each in ask.known] == [at(revision)], ask
+
+
+@when("the updates from {a:d} to {b:d} and from {c:d} to {d:d} come")
+def updates_come(context, a, b, c, d):
+    take_update(context, a, b)
+    take_update(context, c, d)
+
+
+@then(
+    "after {seconds:g} seconds it knows revision {version:d} and hasn't listed the store"
+)
+def knows_without_list(context, seconds, version):
+    run(context, asyncio.sleep(seconds))
+    assert context.mirror.complete_version == at(version)
+    assert context.mirror.watch_version is not None
+
+
+@then("after {seconds:g} seconds it lists the store")
+def lists_store(context, seconds):
+    assert context.mirror.watch_version is not None
+    run(context, asyncio.sleep(seconds))
+    assert context.mirror.watch_version is None
+
+
+@when(
+    "a watch shows that the store is at revision {version:d} without a change of the"
+    " kind"
+)
+def watch_without_change(context, version):
+    context.mirror.complete_version = context.mirror.watch_version = at(version)
+
+
+@then("a gateway that knows revision {version:d} has missed nothing")
+def missed_nothing(context, version):
+    known = StoreState(kind="things", version=at(version))
+    assert not context.updates.missed_updates(known)
+
+
+@then("a gateway that knows revision {version:d} has missed all objects")
+def missed_all(context, version):
+    known = StoreState(kind="things", version=at(version))
+    assert [each.full for each in context.updates.missed_updates(known)] == [True]
+
+
 @then("after {seconds:g} seconds one gateway alone calls the store")
 def one_alone(context, seconds):
     run(context, asyncio.sleep(seconds))
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -62,6 +62,9 @@
 FAR_WATCHER_COUNT, CUT_OFF_FAR_WATCHER_COUNT = 1, 2
 # For this long after an outage a watcher's updates say that the store has returned.
 OUTAGE_END_PUBLISHED_S = 2.0
+# A watcher that is asked for a missed change answers within this time; otherwise the
+# store is listed.
+GAP_REPLY_S = 0.2
 # Longer ages are sent as this one.
 MAX_AGE_MS = 3_600_000
 
@@ -71,7 +74,8 @@
 
     Times are boot times: ``confirmed_at`` is the newest at which others say that the
     store had nothing newer than is known here, ``answered_at`` that of the newest
-    question that they have answered so.
+    question that they have answered so.  ``gaps`` holds for each kind of which a
+    change was missed the version up to which it is asked for.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         self.answered_at = 0.0
         self.root_asked_at = 0.0
         self.kept: dict[str, deque[StoreNews]] = {}
+        self.gaps: dict[str, StoreVersion] = {}
         for mirror in mirrors:
             mirror.is_active = self.should_watch
             mirror.on_watch_changes = self.publish
@@ -155,14 +160,14 @@
         while True:
             await asyncio.sleep(ASK_INTERVAL_S)
             if not self.watchers.is_root() or self.is_cut_off():
-                self.ask()
+                self.ask(self.watchers_to_ask())
 
     def staleness_s(self) -> float:
         """Return the seconds since the store was last known to have nothing newer."""
         newest = max(mirror.confirmed_at for mirror in self.mirrors.values())
         return boot_time_s() - newest
 
-    def ask(self) -> None:
+    def ask(self, peers: list[Peer]) -> None:
         """Ask watchers for a confirmation and for the updates missed here."""
         known = [
             StoreState(kind=mirror.kind, version=mirror.complete_version)
@@ -170,7 +175,7 @@
         ]
         stamp = int(boot_time_s() * US_PER_S)
         ask = StoreAsk(node=self.peers.record.name, stamp=stamp, known=known)
-        self.peers.send_message(ask, self.watchers_to_ask())
+        self.peers.send_message(ask, peers)
 
     def publish(self, mirror: Mirror, before: StoreVersion, result: Changes) -> None:
         """Send the changes of a watch to the gateways that rely on this one.
@@ -246,7 +251,9 @@
         ]
         if newer and newer[0].before <= known.version:
             return newer
-        is_behind = known.version < mirror.complete_version
+        # The store's version, up to which a mirror is complete, rises with the changes
+        # of other kinds as well; those aren't missed.
+        is_behind = known.version < mirror.last_change_version
         return self.full_updates(mirror) if is_behind else []
 
     def full_updates(self, mirror: Mirror) -> list[StoreNews]:
@@ -265,7 +272,7 @@
         return [update]
 
     def handle_update(self, update: StoreNews, peer: Peer) -> None:
-        """Apply a watcher's update; list the store if an earlier one was missed.
+        """Apply a watcher's update; ask for an earlier one that was missed.
 
         A watcher forwards the updates that come from another domain.
         """
@@ -287,7 +294,29 @@
             mirror.apply_snapshot(Changes(changes=changes, version=update.version))
         elif mirror.apply_update(update.before, update.version, changes):
             self.keep_update(update)
+        elif update.before == update.version:
+            # Its changes were too large to send.
+            mirror.invalidate()
         else:
+            self.repair_gap(mirror, update.version, peer)
+
+    def repair_gap(self, mirror: Mirror, version: StoreVersion, peer: Peer) -> None:
+        """Ask a watcher for the changes missed before a version.
+
+        If they don't come, the store is listed.  One lost datagram of the root would
+        otherwise make all gateways of a failure domain list it at once.
+        """
+        is_asked = mirror.kind in self.gaps
+        self.gaps[mirror.kind] = max(version, self.gaps.get(mirror.kind, version))
+        if is_asked:
+            return
+        self.ask([peer])
+        asyncio.get_running_loop().call_later(GAP_REPLY_S, self.close_gap, mirror)
+
+    def close_gap(self, mirror: Mirror) -> None:
+        """List the store if the changes that were asked for haven't come."""
+        version = self.gaps.pop(mirror.kind)
+        if mirror.complete_version < version:
             mirror.invalidate()
 
     def log_old_update(self, update: StoreNews, mirror: Mirror) -> None:
@@ -348,7 +377,7 @@
             if mirror is None:
                 continue
             if item.version > mirror.complete_version:
-                mirror.invalidate()
+                self.repair_gap(mirror, item.version, peer)
             elif item.version.era == mirror.complete_version.era:
                 at = asked_at - item.age_ms / MS_PER_S
                 mirror.confirm(at)
