--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -188,7 +188,8 @@
 
 
 @then(
-    "after {seconds:g} seconds it knows revision {version:d} and hasn't listed the store"
+    "after {seconds:g} seconds it knows revision {version:d}"
+    " and hasn't listed the store"
 )
 def knows_without_list(context, seconds, version):
     run(context, asyncio.sleep(seconds))
