--- a/fakes/site.py
+++ b/fakes/site.py
@@ -261,6 +261,7 @@
         self.name = name
         self.service = service
         self.version = version
+        self.failure_domain = "z1"
         self.event_count = events
         self.event_interval_s = EVENT_INTERVAL_S
         self.response_script: ResponseScript | None = None
@@ -291,7 +292,7 @@
         return {
             "service": self.service,
             "address": self.advertised_address or self.address,
-            "zone": "z1",
+            "zone": self.failure_domain,
             **version,
             "slots": 4,
             "state": state,
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -102,6 +102,10 @@
     RUN_MOVED = "run-moved"
     STREAM_FINISHED = "stream-finished"
     STREAM_CUT = "stream-cut"
+    DOMAIN_CLOSED = "domain-closed"
+    DOMAIN_OPENED = "domain-opened"
+    DOMAIN_UNKNOWN = "domain-unknown"
+    EVACUATIONS_UNCONFIRMED = "evacuations-unconfirmed"
     SERVICE_UNREACHABLE = "service-unreachable"
     SERVICE_REACHED = "service-reached"
     REQUEST_RELAYED = "request-relayed"
@@ -259,6 +263,18 @@
     Event.STREAM_FINISHED: (
         "A stream is complete; `gap_at` is the engine and event of its longest pause."
     ),
+    Event.DOMAIN_CLOSED: (
+        "A failure domain is evacuated: its endpoints get nothing more, and the"
+        " generations that run there run to their end."
+    ),
+    Event.DOMAIN_OPENED: "The endpoints of a failure domain get requests again.",
+    Event.DOMAIN_UNKNOWN: (
+        "An evacuation names no failure domain that has endpoints, and closes nothing."
+    ),
+    Event.EVACUATIONS_UNCONFIRMED: (
+        "After a long pause nobody confirmed the evacuations in time, and the gateway"
+        " goes by those that it knew."
+    ),
     Event.SERVICE_UNREACHABLE: (
         "This gateway can connect to no endpoint of a service; others may."
     ),
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -22,6 +22,7 @@
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
+from baobabturn.gateway.evacuations import EvacuationWatch
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.platforminterface import (
@@ -93,6 +94,7 @@
         paths: Paths,
         conditions: EndpointConditions,
         end_check: ResponseEndCheck,
+        evacuation_watch: EvacuationWatch | None,
     ):
         self.transport = transport
         self.header_translator = header_translator
@@ -102,6 +104,7 @@
         self.paths = paths
         self.conditions = conditions
         self.end_check = end_check
+        self.evacuation_watch = evacuation_watch
 
     async def open(
         self,
@@ -127,6 +130,9 @@
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
+                refusal = await self.closed_refusal(endpoint)
+                if refusal is not None:
+                    return refusal
                 response = await self.transport.endpoint_session.request(
                     request.method,
                     yarl.URL(
@@ -155,6 +161,14 @@
         self.paths.record_reached(endpoint)
         return self.check_head(request, endpoint, response)
 
+    async def closed_refusal(self, endpoint: Endpoint) -> Failure | None:
+        """Return the refusal of a request whose endpoint has been closed meanwhile."""
+        if self.evacuation_watch is not None:
+            await self.evacuation_watch.wait_current()
+        if not self.conditions.endpoints.is_closed(endpoint):
+            return None
+        return Failure(Code.NO_ENDPOINT, f"{endpoint.name} is evacuated")
+
     def check_head(
         self,
         request: CallerRequest,
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -56,7 +56,9 @@
     ``leaving_listeners`` are called once for each endpoint that begins to leave,
     ``change_listeners`` after any change.  ``missing_timers`` holds the timers of
     endpoints whose entry is missing since an outage of the store, ``departures`` the
-    endpoints that left lately.  ``announced_leaving`` holds when endpoints announced
+    endpoints that left lately.  ``closed_domains`` names the failure domains that are
+    evacuated: their endpoints get nothing more, but what runs there goes on.
+    ``announced_leaving`` holds when endpoints announced
     in their own answers that they leave, which an older entry of the store doesn't take
     back.
     """
@@ -75,6 +77,7 @@
         self.lapse_grace_s = lapse_grace_s
         self.by_name: dict[str, Endpoint] = {}
         self.departures = Departures()
+        self.closed_domains: frozenset[str] = frozenset()
         self.announced_leaving: dict[Identity, float] = {}
         self.missing_timers: dict[str, asyncio.TimerHandle] = {}
         self.list_received = False
@@ -84,10 +87,30 @@
     def usable(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints that accept new requests."""
         return [
+            endpoint
+            for endpoint in self.by_name.values()
+            if endpoint.record.service == service
+            and not endpoint.leaving
+            and not self.is_closed(endpoint)
+        ]
+
+    def is_closed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's failure domain is evacuated."""
+        return endpoint.record.failure_domain in self.closed_domains
+
+    def only_closed(self, service: str) -> bool:
+        """Return whether only closed endpoints could serve requests to a service."""
+        staying = [
             endpoint
             for endpoint in self.by_name.values()
             if endpoint.record.service == service and not endpoint.leaving
         ]
+        return bool(staying) and all(map(self.is_closed, staying))
+
+    def set_closed_domains(self, domains: frozenset[str]) -> None:
+        """Set the failure domains that are evacuated."""
+        self.closed_domains = domains
+        self.notify()
 
     def apply_list(self, changes: tuple[Change, ...]) -> None:
         """Apply the list of all entries; endpoints without an entry are missing."""
--- a/src/baobabturn/gateway/migration.py
+++ b/src/baobabturn/gateway/migration.py
@@ -233,6 +233,8 @@
         endpoint = self.endpoints.by_name.get(target.endpoint)
         if endpoint is None:
             return Failure(Code.NO_ENDPOINT, f"{target.endpoint} is unknown")
+        if self.endpoints.is_closed(endpoint):
+            return Failure(Code.NO_ENDPOINT, f"{target.endpoint} is evacuated")
         return await self.cache_copier.copy(
             source.record.address,
             stream.request.request_id,
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -96,9 +96,10 @@
     ``on_list`` gets all objects, ``on_change`` each change, and ``on_confirm`` a boot
     time at which the mirror was certainly up to date.  While ``is_active`` returns
     false, the mirror doesn't watch the store and relies on updates from another
-    gateway.  ``on_watch_changes`` gets the mirror, the version before, and the
-    changes of each watch that brought some, ``on_gap_listed`` the mirror after a list
-    that brought changes which were missed before.
+    gateway.  With ``confirms_at_once`` a mirror that was confirmed longer ago than a
+    watch waits first watches without a wait.  ``on_watch_changes`` gets the mirror, the
+    version before, and the changes of each watch that brought some, ``on_gap_listed``
+    the mirror after a list that brought changes which were missed before.
 
     ``watch_version`` is the version to watch from, None if a list is needed;
     ``last_change_version`` is the version of the newest change that was applied, and
@@ -116,6 +117,7 @@
         on_list: Callable[[tuple[Change, ...]], None],
         on_change: Callable[[Change], None],
         on_confirm: Callable[[float], None] = lambda at: None,
+        confirms_at_once: bool = False,
     ):
         self.store = store
         self.contact = contact
@@ -124,6 +126,7 @@
         self.on_list = on_list
         self.on_change = on_change
         self.on_confirm = on_confirm
+        self.confirms_at_once = confirms_at_once
         self.watch_version: StoreVersion | None = None
         self.last_change_version = NO_VERSION
         self.complete_version = NO_VERSION
@@ -269,7 +272,8 @@
         """Wait once for changes and apply them."""
         assert self.watch_version is not None
         asked_at = boot_time_s()
-        result = await self.store.watch(self.kind, self.watch_version, self.wait_s)
+        wait_s = self.next_wait_s()
+        result = await self.store.watch(self.kind, self.watch_version, wait_s)
         if isinstance(result, Failure):
             return result
         self.contact.record_success()
@@ -283,18 +287,27 @@
             if change.version > self.last_change_version:
                 self.apply_change(change)
                 self.last_change_version = change.version
-        self.confirm(self.confirmed_time(asked_at, result))
+        self.confirm(self.confirmed_time(asked_at, wait_s, result))
         if result.changes:
             self.on_watch_changes(self, before, result)
             await asyncio.sleep(BATCH_DELAY_S)
         return None
 
-    def confirmed_time(self, asked_at: float, result: Changes) -> float:
+    def next_wait_s(self) -> float:
+        """Return how long the next watch waits.
+
+        A gateway that begins to watch in place of another confirms nothing to those
+        that rely on it before its first watch has ended.
+        """
+        age_s = boot_time_s() - self.confirmed_at
+        return 0.0 if self.confirms_at_once and age_s > self.wait_s else self.wait_s
+
+    def confirmed_time(self, asked_at: float, wait_s: float, result: Changes) -> float:
         """Return the latest time at which the store had certainly nothing newer.
 
         The store answers a watch without changes only after the whole wait.
         """
         waited_s = boot_time_s() - asked_at
-        if result.changes or waited_s < self.wait_s:
+        if result.changes or waited_s < wait_s:
             return asked_at
-        return asked_at + self.wait_s
+        return asked_at + wait_s
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from collections.abc import Iterator
 
@@ -20,6 +21,7 @@
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoints
+from baobabturn.gateway.evacuations import EvacuationWatch
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
 from baobabturn.gateway.incarnations import IncarnationCheck
 from baobabturn.gateway.limitnews import LimitExchange
@@ -183,6 +185,17 @@
             endpoints=self.endpoints, rate_limits=self.rate_limits
         )
         cache_copier.conditions = conditions
+        evacuate_s = settings.evacuate_ms / MS_PER_S
+        self.evacuation_watch = (
+            EvacuationWatch(
+                program=program,
+                endpoints=self.endpoints,
+                pools=self.pools,
+                evacuate_s=evacuate_s,
+            )
+            if evacuate_s
+            else None
+        )
         endpoint_client = EndpointClient(
             transport=transport,
             header_translator=header_translator,
@@ -192,6 +205,7 @@
             paths=self.paths,
             conditions=conditions,
             end_check=ResponseEndCheck(opinions=opinions, incarnations=incarnations),
+            evacuation_watch=self.evacuation_watch,
         )
         self.plain = PlainForwarder(
             program=program,
@@ -268,12 +282,20 @@
             ),
         ]
 
+        evacuation_mirror = self.make_evacuation_mirror(store)
         self.store_updates = StoreUpdates(
             peers=self.peers,
             watchers=self.watchers,
             contact=self.contact,
             mirrors=self.mirrors,
+            own_mirrors=evacuation_mirror,
         )
+        self.mirrors += evacuation_mirror
+        if self.evacuation_watch is not None:
+            self.evacuation_watch.ask = self.store_updates.ask
+            self.evacuation_watch.confirmed_since = functools.partial(
+                self.store_updates.is_confirmed_since, object_codec.evacuation_kind
+            )
         self.store_return = StoreReturn(
             background=program.background,
             contact=self.contact,
@@ -283,6 +305,26 @@
             watchers=self.watchers,
         )
 
+    def make_evacuation_mirror(self, store: ObjectStore) -> list[Mirror]:
+        """Return the mirror of the evacuations, none where they aren't enabled.
+
+        Calls to the store cost money, so it is watched for longer than other kinds.
+        """
+        watch = self.evacuation_watch
+        if watch is None:
+            return []
+        mirror = Mirror(
+            store=store,
+            contact=self.contact,
+            kind=self.object_codec.evacuation_kind,
+            wait_s=watch.watch_wait_s,
+            on_list=watch.apply_list,
+            on_change=watch.apply_change,
+            confirms_at_once=True,
+        )
+        watch.era = lambda: mirror.last_change_version.era
+        return [mirror]
+
     def make_crash_watch(
         self, store: ObjectStore, opinions: PathOpinions
     ) -> CrashWatch:
@@ -324,6 +366,8 @@
         background.supervise(self.domain_loads.run, "domain-loads")
         background.supervise(self.pools.detect_stragglers, "stragglers")
         background.supervise(self.report_poller.run, "reports")
+        if self.evacuation_watch is not None:
+            background.supervise(self.evacuation_watch.run, "evacuations")
         background.supervise(self.log_key_acceptance, "keys")
         background.supervise(LagWatch(program=self.program).run, "lag")
 
@@ -354,6 +398,7 @@
             not self.stopping_since
             and self.table is not None
             and self.endpoints.list_received
+            and (self.evacuation_watch is None or self.evacuation_watch.list_received)
             and self.quarantine_store.first_read_ended
             and self.config_staleness.allows_keys()
         )
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -16,6 +16,7 @@
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
+from baobabturn.gateway.pools import closed_failure
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.slotroom import SlotRoom
 
@@ -26,6 +27,8 @@
 RETRY_AFTER_S = 0.3
 # A request waits for an endpoint at its limit for this part of its time at most.
 MAX_LIMIT_WAIT_RATIO = 0.5
+# How often a request that waits for its turn checks whether its endpoint was closed.
+CLOSED_CHECK_INTERVAL_S = 0.05
 SERVER_ERRORS = range(500, 600)
 
 
@@ -125,8 +128,14 @@
         self.rate_limits.book(endpoint.name)
         if not delay_s:
             return True
-        await asyncio.sleep(delay_s)
-        return not endpoint.leaving and self.crash_watch.refusal(request) is None
+        turn_at = time.monotonic() + delay_s
+        while (left_s := turn_at - time.monotonic()) > 0:
+            if self.endpoints.is_closed(endpoint):
+                return False
+            await asyncio.sleep(min(left_s, CLOSED_CHECK_INTERVAL_S))
+        if endpoint.leaving or self.endpoints.is_closed(endpoint):
+            return False
+        return self.crash_watch.refusal(request) is None
 
     def choose_endpoint(
         self, request: CallerRequest, tried_endpoints: set[str]
@@ -173,6 +182,8 @@
         """Return the failure of a request that was sent to no endpoint."""
         if request.remaining_s() < MIN_REMAINING_S:
             return Failure(Code.DEADLINE_NOT_RUN, "no time was left for an attempt")
+        if self.endpoints.only_closed(request.service.name):
+            return closed_failure(request.service.name)
         return Failure(
             Code.NO_ENDPOINT,
             f"no usable endpoint of {request.service.name}",
--- a/src/baobabturn/gateway/platforminterface.py
+++ b/src/baobabturn/gateway/platforminterface.py
@@ -186,6 +186,7 @@
     gateway_kind: str
     quarantine_kind: str
     versions_kind: str
+    evacuation_kind: str
 
     def decode_table(self, value: Any) -> RouteTable | Failure:
         """Return the configuration in an object."""
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -52,6 +52,8 @@
 # A stream may be resumed for this long after its route's timeout, which holds for
 # each attempt, has passed twice.
 RESUME_MARGIN_S = 30.0
+# Evacuations last for a while, so callers needn't return at once.
+CLOSED_RETRY_AFTER_S = 1.0
 # Free KV cache that a migrated generation needs beyond what it uses.
 MIGRATION_SPARE_TOKENS = 512
 
@@ -132,9 +134,15 @@
             ]
             declared = [to_declared(endpoint, traits) for endpoint in endpoints]
             leaving = {endpoint.name for endpoint in endpoints if endpoint.leaving}
-            pool.set_endpoints(declared, leaving)
+            closed = {
+                endpoint.name
+                for endpoint in endpoints
+                if self.endpoints.is_closed(endpoint)
+            }
+            pool.set_endpoints(declared, leaving, closed)
             self.set_software_versions(pool)
             self.set_distance_costs(pool)
+            self.refuse_closed(pool)
         self.apply_remote_loads()
 
     def set_software_versions(self, pool: PoolScheduler) -> None:
@@ -221,6 +229,8 @@
         pool = self.pools.get(service)
         if pool is None or request.generation_size is None:
             return Failure(Code.NO_ENDPOINT, f"no engine of {service}")
+        if self.endpoints.only_closed(service):
+            return closed_failure(service)
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
@@ -242,6 +252,8 @@
             attempt=attempt,
             software_version=software_version,
         )
+        if pool.state.only_closed_could_serve(admission):
+            return closed_failure(service)
         grant = await pool.admit(None, admission)
         if isinstance(grant, Failure):
             return grant
@@ -257,6 +269,23 @@
                 reason = f"no engine of {service} can be reached from here"
                 waiting.future.set_result(Failure(Code.CONNECT_FAILED, reason))
 
+    def refuse_closed(self, pool: PoolScheduler) -> None:
+        """End the wait of the requests that only closed engines could serve."""
+        for waiting in list(pool.state.queue.values()):
+            if waiting.future.done():
+                continue
+            if pool.state.only_closed_could_serve(waiting.admit):
+                waiting.future.set_result(closed_failure(pool.state.name))
+
+    def generation_count(self, domains: Container[str]) -> int:
+        """Return how many generations of all gateways run in failure domains."""
+        return sum(
+            len(state.reservations)
+            for pool in self.pools.values()
+            for name, state in pool.state.endpoints.items()
+            if self.failure_domain_of(name) in domains
+        )
+
     def limit_refusal(
         self, pool: PoolScheduler, queue_timeout_s: float
     ) -> Failure | None:
@@ -418,8 +447,8 @@
     ) -> EndpointState | None:
         """Return the least used engine with enough free KV cache, None without one.
 
-        It has the software version of the reservation's engine, and is preferably of
-        the same failure domain.
+        It has the software version of the reservation's engine, isn't closed, and is
+        preferably of the same failure domain.
         """
         needed = (
             reservation.holding.prompt_tokens
@@ -431,7 +460,9 @@
         candidates = []
         for name, state in pool.state.endpoints.items():
             free_tokens = state.free_tokens
-            if name == reservation.endpoint or name in tried_endpoints or state.leaving:
+            if name == reservation.endpoint or name in tried_endpoints:
+                continue
+            if state.leaving or state.closed:
                 continue
             if state.software_version != reservation.holding.software_version:
                 continue
@@ -500,6 +531,15 @@
             )
 
 
+def closed_failure(service: str) -> Failure:
+    """Return the refusal of a request that only closed endpoints could serve."""
+    return Failure(
+        Code.NO_ENDPOINT,
+        f"the failure domains of all endpoints of {service} are evacuated",
+        retry_after_s=CLOSED_RETRY_AFTER_S,
+    )
+
+
 def digest_of(reservation: Holding | Reservation) -> str:
     """Return the digest of the stream that a reservation is for.
 
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -233,6 +233,8 @@
             self.pools.release(reservation, REFUSED)
             return Failure(Code.NO_ENDPOINT, f"{reservation.endpoint} is unknown")
         refusal = self.version.refusal(endpoint)
+        if self.parts.endpoints.is_closed(endpoint):
+            refusal = Failure(Code.NO_ENDPOINT, f"{endpoint.name} is evacuated")
         if refusal is None and self.version.key and continuation_is_rerun(continuation):
             refusal = await self.parts.incarnations.refusal(
                 endpoint, self.request.remaining_s()
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -12,6 +12,10 @@
 however many gateways repeat what they knew then; a watcher does so first.  A watcher
 that the store doesn't answer asks the watchers of other domains.
 
+Gateways of an older build don't know each kind, and the watch of a kind may wait for
+longer than those of the others.  Such a kind is judged by itself: a gateway watches it
+if nobody has confirmed it lately, whatever is confirmed of the others.
+
 When the store returns from a copy, updates of its last era say nothing of the new one.
 A watcher then sends all objects to the gateways that ask with a version of the last.
 """
@@ -19,7 +23,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections import deque
+from collections.abc import Sequence
 
 import attrs
 
@@ -52,6 +58,10 @@
 # a pause between questions together, that of others a pause more.
 WATCHER_AGE_LIMIT_S = 1.5
 AGE_LIMIT_S = 1.9
+# A kind of its own is watched here once its newest confirmation is older than a watch
+# of the store and this together: a dead root is noticed within 2 s, the next one
+# confirms at once, and two questions pass that on.
+OWN_AGE_MARGIN_S = 3.5
 # Larger updates don't fit into a datagram; receivers list the store instead.
 MAX_UPDATE_BYTES = 48_000
 # Limits for the updates of one kind that are kept for gateways that missed them.
@@ -66,12 +76,21 @@
 MAX_AGE_MS = 3_600_000
 
 
+@attrs.define(kw_only=True)
+class KindConfirmation:
+    """What others have confirmed of one kind, as in ``StoreUpdates``."""
+
+    confirmed_at: float = 0.0
+    answered_at: float = 0.0
+
+
 class StoreUpdates:
     """Decides who watches the store; exchanges updates and confirmations.
 
     Times are boot times: ``confirmed_at`` is the newest at which others say that the
     store had nothing newer than is known here, ``answered_at`` that of the newest
-    question that they have answered so.
+    question that they have answered so.  ``own_kinds`` holds both for each kind that is
+    judged by itself.
     """
 
     def __init__(
@@ -81,18 +100,20 @@
         watchers: Watchers,
         contact: StoreContact,
         mirrors: list[Mirror],
+        own_mirrors: Sequence[Mirror] = (),
     ):
         self.peers = peers
         self.watchers = watchers
         self.started_at = boot_time_s()
         self.contact = contact
-        self.mirrors = {mirror.kind: mirror for mirror in mirrors}
+        self.mirrors = {mirror.kind: mirror for mirror in (*mirrors, *own_mirrors)}
+        self.own_kinds = {mirror.kind: KindConfirmation() for mirror in own_mirrors}
         self.confirmed_at = 0.0
         self.answered_at = 0.0
         self.root_asked_at = 0.0
         self.kept: dict[str, deque[StoreNews]] = {}
-        for mirror in mirrors:
-            mirror.is_active = self.should_watch
+        for mirror in self.mirrors.values():
+            mirror.is_active = functools.partial(self.should_watch_kind, mirror)
             mirror.on_watch_changes = self.publish
             mirror.on_gap_listed = self.publish_all
         peers.handlers[StoreNews] = self.handle_update
@@ -100,22 +121,42 @@
         peers.handlers[StoreVouch] = self.handle_confirmation
 
     def should_watch(self) -> bool:
-        """Return whether this gateway should watch the store.
-
-        Just after its start, it first finds out which gateway of its domain does.
-        """
+        """Return whether this gateway should watch the store."""
         now = boot_time_s()
         is_watcher = self.watchers.is_watcher()
         limit_s = WATCHER_AGE_LIMIT_S if is_watcher else AGE_LIMIT_S
         if now - max(self.confirmed_at, self.started_at) > limit_s:
             return True
-        if now - self.root_asked_at < ROOT_OUTAGE_S and is_watcher:
+        return self.is_in_charge()
+
+    def is_in_charge(self) -> bool:
+        """Return whether this gateway should watch the store for others.
+
+        Just after its start, it first finds out which gateway of its domain does.
+        """
+        now = boot_time_s()
+        if now - self.root_asked_at < ROOT_OUTAGE_S and self.watchers.is_watcher():
             return True
         is_starting = now - self.started_at < START_DELAY_S
         if is_starting and not self.peers.table.all_heard_in_domain():
             return False
         return self.watchers.is_root()
 
+    def should_watch_kind(self, mirror: Mirror) -> bool:
+        """Return whether this gateway should watch a kind of objects in the store."""
+        known = self.own_kinds.get(mirror.kind)
+        if known is None:
+            return self.should_watch()
+        now = boot_time_s()
+        is_watcher = self.watchers.is_watcher()
+        limit_s = WATCHER_AGE_LIMIT_S if is_watcher else AGE_LIMIT_S
+        if now - max(known.answered_at, self.started_at) > limit_s:
+            return True
+        age_s = now - max(known.confirmed_at, self.started_at)
+        if age_s > mirror.wait_s + OWN_AGE_MARGIN_S:
+            return True
+        return self.is_in_charge()
+
     def watchers_to_ask(self) -> list[Peer]:
         """Return the watcher of this domain, or the root, and that of one other domain.
 
@@ -162,6 +203,14 @@
         newest = max(mirror.confirmed_at for mirror in self.mirrors.values())
         return boot_time_s() - newest
 
+    def is_confirmed_since(self, kind: str, at: float) -> bool:
+        """Return whether others or the store have confirmed a kind after a time.
+
+        A watcher that answers sends the updates that were missed before.
+        """
+        known = self.own_kinds.get(kind, self)
+        return max(known.answered_at, self.mirrors[kind].confirmed_at) >= at
+
     def ask(self) -> None:
         """Ask watchers for a confirmation and for the updates missed here."""
         known = [
@@ -352,8 +401,9 @@
             elif item.version.era == mirror.complete_version.era:
                 at = asked_at - item.age_ms / MS_PER_S
                 mirror.confirm(at)
-                self.confirmed_at = max(self.confirmed_at, at)
-                self.answered_at = max(self.answered_at, asked_at)
+                known = self.own_kinds.get(item.kind, self)
+                known.confirmed_at = max(known.confirmed_at, at)
+                known.answered_at = max(known.answered_at, asked_at)
 
 
 def value_bytes(update: StoreNews) -> int:
--- a/src/baobabturn/platform/documents.py
+++ b/src/baobabturn/platform/documents.py
@@ -101,6 +101,11 @@
     return value
 
 
+EVACUATION_KIND = "evacuations"
+# Of objects of these kinds the existence alone counts, not their value.
+PRESENCE_KINDS = frozenset((EVACUATION_KIND,))
+
+
 class PlatformObjectCodec:
     """Decodes the platform's kinds of objects and the kinds that gateways add."""
 
@@ -110,6 +115,7 @@
     gateway_kind = "baobabturn-gateways"
     quarantine_kind = "baobabturn-quarantine"
     versions_kind = "baobabturn-versions"
+    evacuation_kind = EVACUATION_KIND
 
     def decode_table(self, value: Any) -> RouteTable | Failure:
         """Return the configuration from an object's value."""
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -15,6 +15,7 @@
 from baobabturn.core.jsonlist import UnreadableItem, load_list
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.gateway.transport import Transport
+from baobabturn.platform.documents import PRESENCE_KINDS
 from baobabturn.store.answer import StoreAnswer, decode_era
 from baobabturn.store.interface import (
     Change,
@@ -41,6 +42,8 @@
 MAX_NAME_BYTES = 512
 # Messages between gateways hold no larger ones.
 MAX_REVISION = 2**63 - 1
+# The value of each object of which the existence alone counts.
+PRESENT: dict[str, Any] = {}
 # Names that a path can't hold.
 PATH_NAMES = frozenset((".", ".."))
 # Rises by one each time the store returns from a copy that is some seconds old.
@@ -181,7 +184,8 @@
         """Wait up to ``wait_s`` for changes of a kind since a version.
 
         An object that can't be read counts as removed.  If its name can't be read
-        either, return ``VERSION_TOO_OLD``, as a list shows which objects are left.
+        either, or its existence counts, return ``VERSION_TOO_OLD``, as a list shows
+        which objects are left.
         """
         answer = await self.call(
             "GET",
@@ -326,7 +330,7 @@
     """Return an object, None if its name or revision can't be read.
 
     A revision over ``newest``, that of the store itself, isn't the object's.  One that
-    can't be read otherwise has no value.
+    can't be read otherwise has no value, unless its existence alone counts.
     """
     if isinstance(item, UnreadableItem):
         metadata, value = item.find_object("metadata"), None
@@ -339,6 +343,8 @@
     name, revision = decode_name(metadata.get("name")), metadata.get("revision")
     if not name or not isinstance(revision, int) or not 0 <= revision <= newest:
         return None
+    if kind in PRESENCE_KINDS:
+        value = PRESENT
     return StoredObject(
         kind=kind, name=name, version=StoreVersion(era, revision), value=value
     )
@@ -354,8 +360,11 @@
 def decode_event(kind: str, event: Any, version: StoreVersion) -> Change | None:
     """Return one event of a watch as a change, None if its name can't be read.
 
-    ``version`` is that of the store.
+    ``version`` is that of the store.  An event that can't be read may say that its
+    object was removed, so where existence counts None is returned for it too.
     """
+    if kind in PRESENCE_KINDS and not is_event(event):
+        return None
     item = event["object"] if is_event(event) else event
     stored = decode_object(kind, item, version.era, version.revision)
     if stored is None:
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from baobabturn.config.declared import DRAIN_ROLE, Endpoint, Workspace
@@ -61,8 +61,13 @@
         self.owned_since = time.monotonic()
         self.settled = False
 
-    def set_endpoints(self, endpoints: list[Endpoint], leaving: set[str]) -> None:
-        """Apply the declared endpoints and the names of those that are leaving.
+    def set_endpoints(
+        self,
+        endpoints: list[Endpoint],
+        leaving: set[str],
+        closed: Collection[str] = (),
+    ) -> None:
+        """Apply the declared endpoints and the names of those leaving and closed.
 
         An endpoint whose URL changed counts as a new one.
         """
@@ -80,6 +85,7 @@
             state.concurrency = endpoint.concurrency
             state.models = endpoint.models
             state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
+            state.closed = name in closed
         self.dispatch()
 
     async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -74,7 +74,9 @@
     the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
     ``remote_tokens`` and ``remote_requests`` are the load by requests that are known
     here only in aggregate: the KV memory that they need at their peak, and their
-    number.  ``software_version`` is empty where endpoints name none to their pool.
+    number.  ``closed`` says that its failure domain is evacuated: it gets no new
+    requests, and what runs there goes on.  ``software_version`` is empty where
+    endpoints name none to their pool.
     """
 
     name: str
@@ -86,6 +88,7 @@
     report: EndpointReport | None = None
     reported_at: float = 0.0
     leaving: bool = False
+    closed: bool = False
     reservations: dict[str, Reservation] = attrs.Factory(dict)
     used_tokens: int = 0
     long_count: int = 0
@@ -222,12 +225,12 @@
     def available_endpoints(self, admit: Admit) -> list[EndpointState]:
         """Return the endpoints that may get a request now.
 
-        Those aren't leaving, excluded, unreachable, at a limit or of another software
-        version than the request needs.
+        Those aren't leaving, closed, excluded, unreachable, at a limit or of another
+        software version than the request needs.
         """
         available = []
         for endpoint in self.endpoints.values():
-            if endpoint.leaving or endpoint.name in admit.excluded:
+            if endpoint.leaving or endpoint.closed or endpoint.name in admit.excluded:
                 continue
             if admit.software_version not in ("", endpoint.software_version):
                 continue
@@ -238,3 +241,14 @@
                 continue
             available.append(endpoint)
         return available
+
+    def only_closed_could_serve(self, admit: Admit) -> bool:
+        """Return whether no endpoint but closed ones could serve a request."""
+        candidates = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if not endpoint.leaving
+            and endpoint.name not in admit.excluded
+            and admit.software_version in ("", endpoint.software_version)
+        ]
+        return bool(candidates) and all(each.closed for each in candidates)
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -206,6 +206,7 @@
     config_watch_s: float = number(0.1, 30)
     endpoint_watch_s: float = number(0.1, 30)
     lapse_grace_s: float = number(0, 60)
+    evacuate_ms: float = number(0, 3_600_000)
     connect_timeout_s: float = number(0.01, 60)
 
 
