--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import ENGINE_SERVICE, PLAIN_SERVICE
 from soak.process import GatewayProcess
-from soak.site import SoakSite
+from soak.site import EVACUATE_S, FIRST_SEED_OF_EVACUATIONS, SoakSite
 
 Fault = Callable[[SoakSite, float], Coroutine[Any, Any, None]]
 PROXY_DELAY_S = 0.15
@@ -24,6 +24,8 @@
 MAX_STORE_ABSENCE_S = 2.0
 # After a return of the store the operator and the endpoints write within this time.
 WRITTEN_AGAIN_S = 1.5
+# A failure domain stays closed for this much longer than gateways take to obey.
+EVACUATION_MARGIN_S = 2.0
 SILENCED_DIRECTIONS = (
     (Direction.TO_TARGET, Direction.TO_CALLER),
     (Direction.TO_TARGET,),
@@ -308,6 +310,16 @@
     await asyncio.sleep(0)
 
 
+async def domain_evacuated(site: SoakSite, duration_s: float) -> None:
+    """Close a failure domain for longer than gateways take to obey, then open it."""
+    domain = f"z{site.rng.randrange(site.domain_count)}"
+    if site.is_closed(domain):
+        return
+    evacuation = site.close_domain(domain)
+    await asyncio.sleep(EVACUATE_S + EVACUATION_MARGIN_S + duration_s)
+    site.open_domain(evacuation)
+
+
 # The order of the entries is part of a seed: a fault is drawn by its position.
 FIRST_FAULTS = (
     kill,
@@ -338,9 +350,31 @@
 CONDITION_FAULTS = (new_version, says_leaving, paused_answers, paths_lost)
 FIRST_SEED_OF_CONDITION_FAULTS = 5000
 CONDITION_FAULT_SHARE = 2
+EVACUATION_FAULTS = (domain_evacuated,)
+EVACUATION_FAULT_SHARE = 3
+# After these a gateway may hear of an evacuation later, or a request may be on its way
+# to an endpoint for long.
+DELAYING_FAULTS = frozenset(
+    each.__name__
+    for each in (
+        store_fails,
+        store_silent,
+        store_forgets,
+        store_returns,
+        store_link,
+        endpoint_link,
+        paths_lost,
+    )
+)
 
 FAULTS: dict[str, Fault] = {
-    fault.__name__: fault for fault in (*FIRST_FAULTS, *LATER_FAULTS, *CONDITION_FAULTS)
+    fault.__name__: fault
+    for fault in (
+        *FIRST_FAULTS,
+        *LATER_FAULTS,
+        *CONDITION_FAULTS,
+        *EVACUATION_FAULTS,
+    )
 }
 
 
@@ -353,4 +387,9 @@
     if seed < FIRST_SEED_OF_CONDITION_FAULTS:
         return names
     added = tuple(each.__name__ for each in CONDITION_FAULTS)
-    return names + CONDITION_FAULT_SHARE * added
+    names += CONDITION_FAULT_SHARE * added
+    if seed < FIRST_SEED_OF_EVACUATIONS:
+        return names
+    return names + EVACUATION_FAULT_SHARE * tuple(
+        each.__name__ for each in EVACUATION_FAULTS
+    )
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -10,9 +10,17 @@
 from fakes.rawhttp import Request
 from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import API_KEY, WORKSPACE
+from soak.faults import DELAYING_FAULTS
 from soak.load import PATHS_AND_METHODS, REQUEST_DEADLINE_S, SentRequest
 from soak.process import KILL_DELAY_S, SHUTDOWN_GRACE_S
-from soak.site import EVENTS_PER_STREAM, KEY_REVOCATION_S, SECOND_KEY, SoakSite
+from soak.site import (
+    EVACUATE_S,
+    EVENTS_PER_STREAM,
+    KEY_REVOCATION_S,
+    SECOND_KEY,
+    SoakSite,
+    Span,
+)
 
 # With these statuses a gateway promises that no endpoint ran the request.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -69,6 +77,7 @@
             self.check_response(sent)
             self.check_deadline(sent)
         self.check_retry_budget()
+        self.check_evacuations()
         self.check_processes()
         return self.violations
 
@@ -191,6 +200,31 @@
                     )
                     break
 
+    def check_evacuations(self) -> None:
+        """Check that nothing came to a closed endpoint later than is allowed."""
+        for evacuation in self.site.evacuations:
+            for name, endpoint in self.site.endpoints.items():
+                if endpoint.failure_domain != evacuation.name:
+                    continue
+                for request in endpoint.ran:
+                    at = request.arrived_at
+                    late_s = at - self.obeyed_from(evacuation, at)
+                    if late_s > 0 and at < evacuation.ended_at:
+                        self.violations.append(
+                            f"{request.attempt_id}: came to {name}"
+                            f" {at - evacuation.began_at:.1f} s after"
+                            f" {evacuation.name} was closed, {late_s:.1f} s late"
+                        )
+
+    def obeyed_from(self, evacuation: Span, at: float) -> float:
+        """Return from when on an evacuation has to be obeyed, as seen at a time."""
+        delayed_until = [
+            min(at, fault.ended_at)
+            for fault in self.site.faults
+            if fault.name in DELAYING_FAULTS and fault.began_at <= at
+        ]
+        return max([evacuation.began_at, *delayed_until]) + EVACUATE_S
+
     def check_processes(self) -> None:
         """Check how processes ended, their resident memory and open descriptors."""
         for gateway in self.site.gateways:
--- a/soak/main.py
+++ b/soak/main.py
@@ -21,7 +21,7 @@
 from soak.invariants import InvariantChecker
 from soak.load import Caller, SentRequest
 from soak.process import GatewayProcess
-from soak.site import KEY_REVOCATION_S, NEW_ROUTE, SoakSite
+from soak.site import KEY_REVOCATION_S, NEW_ROUTE, SoakSite, Span
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FAULT_PHASE_S = 14.0
@@ -106,13 +106,20 @@
             fault_name = rng.choice(self.only or drawn_faults(self.result.seed))
             duration_s = rng.uniform(*FAULT_DURATION_RANGE_S)
             self.result.faults.append(f"{elapsed_s:.1f} {fault_name} {duration_s:.1f}")
-            task = asyncio.create_task(FAULTS[fault_name](self.site, duration_s))
+            task = asyncio.create_task(self.play_fault(fault_name, duration_s))
             self.tasks.add(task)
             await asyncio.sleep(rng.uniform(*FAULT_INTERVAL_RANGE_S))
         for result in await asyncio.gather(*self.tasks, return_exceptions=True):
             if isinstance(result, BaseException):
                 self.result.violations.append(f"a fault raised {result!r}")
 
+    async def play_fault(self, name: str, duration_s: float) -> None:
+        """Play a fault, and record when it began and ended."""
+        span = Span(name=name, began_at=time.monotonic())
+        self.site.faults.append(span)
+        await FAULTS[name](self.site, duration_s)
+        span.ended_at = time.monotonic()
+
     async def clear_faults(self) -> None:
         """Clear all faults, replace missing endpoints and gateways, and wait."""
         site = self.site
--- a/soak/site.py
+++ b/soak/site.py
@@ -8,6 +8,8 @@
 import time
 from typing import Any
 
+import attrs
+
 from fakes.callers import send_request
 from fakes.ports import free_port
 from fakes.proxy import Proxy
@@ -29,6 +31,19 @@
 SECOND_KEY = "key-of-buyers"
 NEW_ROUTE = "/new/"
 GATEWAY_OPTIONS: dict[str, Any] = {"revoke_ms": KEY_REVOCATION_S * 1000}
+# Seeds from this one on have evacuations, which all gateways must obey in this time.
+FIRST_SEED_OF_EVACUATIONS = 6000
+EVACUATE_S = 3.0
+EVACUATION_KIND = "evacuations"
+
+
+@attrs.define(kw_only=True)
+class Span:
+    """Something named that began and ended, in monotonic seconds."""
+
+    name: str
+    began_at: float
+    ended_at: float = float("inf")
 
 
 class SoakSite:
@@ -36,7 +51,8 @@
 
     ``revoked_at`` maps a revoked API key to the time after the store accepted the
     change; ``left_at`` maps an endpoint to the time when it crashed or announced that
-    it leaves.  Times are monotonic seconds.
+    it leaves.  ``faults`` are those that were played, ``evacuations`` the failure
+    domains that were closed.  Times are monotonic seconds.
     """
 
     def __init__(
@@ -60,6 +76,9 @@
         self.store_undisturbed_since = time.monotonic()
         self.endpoint_count = 0
         self.software_version = 1
+        self.evacuates = seed >= FIRST_SEED_OF_EVACUATIONS
+        self.faults: list[Span] = []
+        self.evacuations: list[Span] = []
 
     async def start(self) -> None:
         """Start store, endpoints and gateways; wait until the gateways are ready."""
@@ -85,12 +104,37 @@
             ports={listener: free_port() for listener in LISTENERS},
             store_proxy=proxy,
             folder=self.folder,
-            options=GATEWAY_OPTIONS,
+            options=self.gateway_options(),
         )
         await gateway.caller_proxy.start()
         self.gateways.append(gateway)
         await gateway.start()
 
+    def gateway_options(self) -> dict[str, Any]:
+        """Return the settings of all gateways."""
+        if not self.evacuates:
+            return GATEWAY_OPTIONS
+        return {**GATEWAY_OPTIONS, "evacuate_ms": EVACUATE_S * 1000}
+
+    def close_domain(self, domain: str) -> Span:
+        """Evacuate a failure domain."""
+        self.store.write(EVACUATION_KIND, domain, {})
+        evacuation = Span(name=domain, began_at=time.monotonic())
+        self.evacuations.append(evacuation)
+        return evacuation
+
+    def open_domain(self, evacuation: Span) -> None:
+        """End an evacuation."""
+        evacuation.ended_at = time.monotonic()
+        self.store.remove(EVACUATION_KIND, evacuation.name)
+
+    def is_closed(self, domain: str) -> bool:
+        """Return whether a failure domain is evacuated."""
+        return any(
+            each.name == domain and each.ended_at == float("inf")
+            for each in self.evacuations
+        )
+
     async def add_endpoint(self, service: str) -> str:
         """Start an endpoint behind a proxy, write its entry and return its name."""
         self.endpoint_count += 1
@@ -101,6 +145,8 @@
             name=name, service=service, events=events, version=version
         )
         endpoint.event_interval_s = EVENT_INTERVAL_S
+        if self.evacuates:
+            endpoint.failure_domain = f"z{self.endpoint_count % self.domain_count}"
         await endpoint.start()
         proxy = Proxy(target=endpoint.address)
         await proxy.start()
@@ -150,6 +196,11 @@
         """
         if self.newest_document is not None:
             self.store.write("config", "main", self.newest_document)
+        for evacuation in self.evacuations:
+            if self.is_closed(evacuation.name):
+                self.store.write(EVACUATION_KIND, evacuation.name, {})
+            else:
+                self.store.remove(EVACUATION_KIND, evacuation.name)
         for name, endpoint in self.endpoints.items():
             if name in self.crashed:
                 self.store.remove("servers", name)
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -375,9 +375,15 @@
     def table(self) -> RouteTable | None:
         """Return the configuration in force, None until it is known to be the newest.
 
-        The store alone may hold an older one than the other gateways.
+        The store alone may hold an older one than the other gateways.  Nothing is
+        served either before the evacuations are known.
         """
-        return self.config.table if self.catch_up.has_settled else None
+        is_known = self.catch_up.has_settled and self.knows_evacuations()
+        return self.config.table if is_known else None
+
+    def knows_evacuations(self) -> bool:
+        """Return whether the list of evacuations was read, where they are enabled."""
+        return self.evacuation_watch is None or self.evacuation_watch.list_received
 
     async def log_key_acceptance(self) -> None:
         """Log when keys begin and cease to be accepted; check the store's version."""
@@ -398,7 +404,6 @@
             not self.stopping_since
             and self.table is not None
             and self.endpoints.list_received
-            and (self.evacuation_watch is None or self.evacuation_watch.list_received)
             and self.quarantine_store.first_read_ended
             and self.config_staleness.allows_keys()
         )
