--- a/features/gatewayevacuation.feature
+++ b/features/gatewayevacuation.feature
@@ -41,6 +41,13 @@
     When requests wait for busy engines and the operator closes "z1"
     Then those that wait are refused at once, and what runs there runs to its end
 
+  # Load: requests that wait until the limit which a plain endpoint names permits them.
+  Scenario: Requests that wait for their turn at a closed endpoint don't wait longer
+    Given a site in 2 failure domains with 1 gateway
+    When the operator closes "z2"
+    And requests wait for a limit of 1 per second when the operator closes "z1"
+    Then those that wait have been refused within 0.4 seconds, and have not run
+
   # Guards against generations that move to a closed engine, or stay at one that leaves.
   Scenario Outline: The engine of <domain> leaves while <closed> is closed
     Given a site in 2 failure domains with 1 gateway
@@ -101,6 +108,7 @@
     Given a site in 2 failure domains with 3 gateways
     When the operator closes "z1", and the store returns from a copy that lacks it
     Then for 3 seconds nothing is sent to "z1"
+    And every gateway logs that "z1" is held
     When the operator closes "z1"
     Then for 3 seconds nothing is sent to "z1"
     When the operator opens "z1"
--- a/features/steps/gatewayevacuation.py
+++ b/features/steps/gatewayevacuation.py
@@ -250,6 +250,13 @@
         assert gateway.gauge("closed_generations") == 0
 
 
+@then('every gateway logs that "{domain}" is held')
+def log_held(context, domain):
+    for gateway in context.case.gateways:
+        lines = gateway.logged(Event.DOMAIN_HELD)
+        assert len(lines) == 1 and f"failure_domain={domain}" in lines[0], lines
+
+
 @then('every gateway logs that "{domain}" is unknown')
 def log_unknown(context, domain):
     def check():
@@ -319,6 +326,40 @@
     assert context.running == len(served) == sent_to(context.case, "z1")
 
 
+@when(
+    "requests wait for a limit of {per_s:g} per second when the operator closes"
+    ' "{domain}"'
+)
+def wait_for_limit(context, per_s, domain):
+    case = context.case
+    for endpoint in case.endpoints.values():
+        endpoint.rate_limit_per_s = per_s
+
+    async def send(number):
+        began_at = time.monotonic()
+        reply = await case.call("/read/x", X_Attempt_Id=f"{number:016x}")
+        return reply, time.monotonic() - began_at
+
+    async def play():
+        await eventually(spares(case, "z2"), "z2 is closed", 3.0)
+        before = sent_to(case, domain)
+        tasks = [asyncio.create_task(send(number)) for number in range(2)]
+        await asyncio.sleep(0.1)
+        assert not any(task.done() for task in tasks)
+        closes(context, domain)
+        context.outcomes = await asyncio.gather(*tasks)
+        assert sent_to(case, domain) == before
+
+    run(context, play())
+
+
+@then("those that wait have been refused within {seconds:g} seconds, and have not run")
+def limited_refused(context, seconds):
+    for reply, took_s in context.outcomes:
+        assert reply.status == 503 and "retry-after" in reply.headers, reply
+        assert took_s <= seconds, took_s
+
+
 @when('a stream runs in "{domain}", "{closed}" is closed, and its engine leaves')
 def stream_and_close(context, domain, closed):
     case = context.case
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -104,6 +104,7 @@
     STREAM_CUT = "stream-cut"
     DOMAIN_CLOSED = "domain-closed"
     DOMAIN_OPENED = "domain-opened"
+    DOMAIN_HELD = "domain-held"
     DOMAIN_UNKNOWN = "domain-unknown"
     EVACUATIONS_UNCONFIRMED = "evacuations-unconfirmed"
     SERVICE_UNREACHABLE = "service-unreachable"
@@ -268,6 +269,10 @@
         " generations that run there run to their end."
     ),
     Event.DOMAIN_OPENED: "The endpoints of a failure domain get requests again.",
+    Event.DOMAIN_HELD: (
+        "The store has returned without the evacuation of a failure domain, which stays"
+        " closed for a while."
+    ),
     Event.DOMAIN_UNKNOWN: (
         "An evacuation names no failure domain that has endpoints, and closes nothing."
     ),
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -54,6 +54,8 @@
     """All endpoints by name; notifies listeners of changes.
 
     ``leaving_listeners`` are called once for each endpoint that begins to leave,
+    ``opening_listeners`` with each failure domain whose evacuation ends, before its
+    endpoints get requests,
     ``change_listeners`` after any change.  ``missing_timers`` holds the timers of
     endpoints whose entry is missing since an outage of the store, ``departures`` the
     endpoints that left lately.  ``closed_domains`` names the failure domains that are
@@ -82,6 +84,7 @@
         self.missing_timers: dict[str, asyncio.TimerHandle] = {}
         self.list_received = False
         self.leaving_listeners: list[Callable[[Endpoint], None]] = []
+        self.opening_listeners: list[Callable[[str], None]] = []
         self.change_listeners: list[Callable[[], None]] = []
 
     def usable(self, service: str) -> list[Endpoint]:
@@ -98,8 +101,15 @@
         """Return whether an endpoint's failure domain is evacuated."""
         return endpoint.record.failure_domain in self.closed_domains
 
+    def all_closed(self, names: Iterable[str]) -> bool:
+        """Return whether all of some endpoints are closed or gone."""
+        known = (self.by_name.get(name) for name in names)
+        return all(each is None or self.is_closed(each) for each in known)
+
     def only_closed(self, service: str) -> bool:
         """Return whether only closed endpoints could serve requests to a service."""
+        if not self.closed_domains:
+            return False
         staying = [
             endpoint
             for endpoint in self.by_name.values()
@@ -109,7 +119,11 @@
 
     def set_closed_domains(self, domains: frozenset[str]) -> None:
         """Set the failure domains that are evacuated."""
+        opened = self.closed_domains - domains
         self.closed_domains = domains
+        for domain in sorted(opened):
+            for listener in self.opening_listeners:
+                listener(domain)
         self.notify()
 
     def apply_list(self, changes: tuple[Change, ...]) -> None:
--- a/src/baobabturn/gateway/evacuations.py
+++ b/src/baobabturn/gateway/evacuations.py
@@ -59,6 +59,7 @@
         self.evacuate_s = evacuate_s
         self.evacuations = Evacuations(hold_s=evacuate_s)
         self.list_received = False
+        self.held: set[str] = set()
         self.unknown: set[str] = set()
         self.expiry_timer: asyncio.TimerHandle | None = None
         self.ticked_at = boot_time_s()
@@ -101,6 +102,9 @@
             self.log(Event.DOMAIN_CLOSED, domain)
         for domain in sorted(before - closed):
             self.log(Event.DOMAIN_OPENED, domain)
+        for domain in sorted(self.evacuations.held.keys() - self.held):
+            self.log(Event.DOMAIN_HELD, domain)
+        self.held = set(self.evacuations.held)
         self.log_unknown()
         if self.expiry_timer is not None:
             self.expiry_timer.cancel()
@@ -111,7 +115,7 @@
             )
 
     def log(self, event: Event, domain: str) -> None:
-        """Log that a failure domain was closed or opened, and what runs there."""
+        """Log a decision on a failure domain, and what runs there."""
         self.program.events.emit(
             event,
             failure_domain=domain,
@@ -120,7 +124,6 @@
                 for each in self.endpoints.by_name.values()
             ),
             generations=self.pools.generation_count({domain}),
-            held="yes" if domain in self.evacuations.held else "no",
         )
 
     def closed_known(self) -> frozenset[str]:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -252,7 +252,8 @@
             attempt=attempt,
             software_version=software_version,
         )
-        if pool.state.only_closed_could_serve(admission):
+        is_any_closed = bool(self.endpoints.closed_domains)
+        if is_any_closed and pool.state.only_closed_could_serve(admission):
             return closed_failure(service)
         grant = await pool.admit(None, admission)
         if isinstance(grant, Failure):
@@ -271,6 +272,8 @@
 
     def refuse_closed(self, pool: PoolScheduler) -> None:
         """End the wait of the requests that only closed engines could serve."""
+        if not self.endpoints.closed_domains:
+            return
         for waiting in list(pool.state.queue.values()):
             if waiting.future.done():
                 continue
--- a/src/baobabturn/gateway/slotroom.py
+++ b/src/baobabturn/gateway/slotroom.py
@@ -107,8 +107,8 @@
         until = time.monotonic() + limit_s
         try:
             while (left_s := until - time.monotonic()) > 0:
-                if self.endpoints.only_closed(service):
-                    # No slot comes free; the caller finds no endpoint and refuses.
+                if self.endpoints.all_closed(endpoints):
+                    # No slot comes free, so it goes elsewhere or is refused.
                     return None
                 if room.queue[0] is ticket and self.any_room(service, endpoints):
                     return None
