--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -54,9 +54,13 @@
     """All endpoints by name; notifies listeners of changes.
 
     ``leaving_listeners`` are called once for each endpoint that begins to leave,
+    ``opening_listeners`` with each failure domain whose evacuation ends, before its
+    endpoints get requests,
     ``change_listeners`` after any change.  ``missing_timers`` holds the timers of
     endpoints whose entry is missing since an outage of the store, ``departures`` the
-    endpoints that left lately.  ``announced_leaving`` holds when endpoints announced
+    endpoints that left lately.  ``closed_domains`` names the failure domains that are
+    evacuated: their endpoints get nothing more, but what runs there goes on.
+    ``announced_leaving`` holds when endpoints announced
     in their own answers that they leave, which an older entry of the store doesn't take
     back.
     """
@@ -75,19 +79,52 @@
         self.lapse_grace_s = lapse_grace_s
         self.by_name: dict[str, Endpoint] = {}
         self.departures = Departures()
+        self.closed_domains: frozenset[str] = frozenset()
         self.announced_leaving: dict[Identity, float] = {}
         self.missing_timers: dict[str, asyncio.TimerHandle] = {}
         self.list_received = False
         self.leaving_listeners: list[Callable[[Endpoint], None]] = []
+        self.opening_listeners: list[Callable[[str], None]] = []
         self.change_listeners: list[Callable[[], None]] = []
 
     def usable(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints that accept new requests."""
         return [
+            endpoint
+            for endpoint in self.by_name.values()
+            if endpoint.record.service == service
+            and not endpoint.leaving
+            and not self.is_closed(endpoint)
+        ]
+
+    def is_closed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's failure domain is evacuated."""
+        return endpoint.record.failure_domain in self.closed_domains
+
+    def all_closed(self, names: Iterable[str]) -> bool:
+        """Return whether all of some endpoints are closed or gone."""
+        known = (self.by_name.get(name) for name in names)
+        return all(each is None or self.is_closed(each) for each in known)
+
+    def only_closed(self, service: str) -> bool:
+        """Return whether only closed endpoints could serve requests to a service."""
+        if not self.closed_domains:
+            return False
+        staying = [
             endpoint
             for endpoint in self.by_name.values()
             if endpoint.record.service == service and not endpoint.leaving
         ]
+        return bool(staying) and all(map(self.is_closed, staying))
+
+    def set_closed_domains(self, domains: frozenset[str]) -> None:
+        """Set the failure domains that are evacuated."""
+        opened = self.closed_domains - domains
+        self.closed_domains = domains
+        for domain in sorted(opened):
+            for listener in self.opening_listeners:
+                listener(domain)
+        self.notify()
 
     def apply_list(self, changes: tuple[Change, ...]) -> None:
         """Apply the list of all entries; endpoints without an entry are missing."""
--- a/src/baobabturn/gateway/slotroom.py
+++ b/src/baobabturn/gateway/slotroom.py
@@ -107,6 +107,9 @@
         until = time.monotonic() + limit_s
         try:
             while (left_s := until - time.monotonic()) > 0:
+                if self.endpoints.all_closed(endpoints):
+                    # No slot comes free, so it goes elsewhere or is refused.
+                    return None
                 if room.queue[0] is ticket and self.any_room(service, endpoints):
                     return None
                 room.changed.clear()
