--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -102,6 +102,8 @@
         self.deaf_to: set[tuple[str, int]] = set()
         self.received = 0
         self.received_bytes = 0
+        self.sent: list[tuple[tuple[str, int], bytes]] = []
+        self.serving = True
         self.start()
 
     def start(self) -> None:
@@ -120,11 +122,12 @@
             program=program,
             record=self.record,
             reservations=self.reservations,
-            serving=lambda: True,
+            serving=lambda: self.serving,
         )
         self.peers.table.clock = self.fleet.clock
         self.peers.table.restart_silence()
         self.peers.transport = self
+        self.peers.exchange.schedule = self.fleet.schedule
         self.watchers = Watchers(table=self.peers.table)
         self.loads = DomainLoads(
             program=program,
@@ -161,6 +164,7 @@
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram."""
+        self.sent.append((address, data))
         self.fleet.datagrams.append((self.address, address, data))
 
     def receive(self, sender: tuple[str, int], data: bytes) -> None:
@@ -179,6 +183,14 @@
         self.peers.publish_reservation("p", holding)
         self.peers.flush()
 
+    def advance(self, name: str, produced: int) -> None:
+        """Publish how many tokens a generation has produced."""
+        holding = self.reservations.own[name]
+        holding.produced = produced
+        self.peers.flush_scheduled = True
+        self.peers.publish_reservation("p", holding)
+        self.peers.flush()
+
     def release(self, name: str) -> None:
         """Release a reservation and publish that."""
         del self.reservations.own[name]
@@ -234,6 +246,12 @@
         """Call a function once time has passed."""
         self.scheduled.append((self.clock.now + delay_s, callback))
 
+    def settle(self, seconds: float) -> None:
+        """Let a moment pass without heartbeats."""
+        self.deliver()
+        self.clock.now += seconds
+        self.call_scheduled()
+
     def call_scheduled(self) -> None:
         """Call the functions that are due."""
         due = [each for each in self.scheduled if each[0] <= self.clock.now]
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -89,6 +89,7 @@
     CAUGHT_UP = "caught-up"
     GATEWAY_SEEN = "gateway-seen"
     GATEWAY_SILENT = "gateway-silent"
+    FORWARDER_AVOIDED = "forwarder-avoided"
     PROCESS_LATE = "process-late"
     GATEWAY_GONE = "gateway-gone"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
@@ -224,6 +225,10 @@
     Event.GATEWAY_SEEN: (
         "Another gateway sends heartbeats; `address` is its address for callers."
     ),
+    Event.FORWARDER_AVOIDED: (
+        "A gateway that forwards changes of reservations in its failure domain hasn't"
+        " confirmed some in time; another one got all reservations and is used instead."
+    ),
     Event.GATEWAY_SILENT: (
         "Another gateway has been silent for `gateway.silent_s`; `reported_by` names"
         " the one that noticed, if it wasn't this one."
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -22,6 +22,8 @@
     "crashes_seen": "Responses that broke off because their endpoint crashed.",
     "configs_too_large": "Configurations that didn't fit into a reply to a gateway.",
     "datagrams_refused": "Datagrams refused for a wrong signature or content.",
+    "datagram_sent_bytes": "Bytes sent to other gateways, by kind and domain.",
+    "datagrams_sent": "Datagrams sent to other gateways, by kind and domain.",
     "datagrams_undelivered": "Datagrams that could not be delivered.",
     "time_to_first_event_us": "Time from a request's arrival to its first event.",
     "time_between_events_us": "Time from one event of a stream to the next.",
--- a/src/baobabturn/gateway/peer.py
+++ b/src/baobabturn/gateway/peer.py
@@ -9,6 +9,8 @@
 import attrs
 import xxhash
 
+from baobabturn.gateway.reservationorder import ReservationOrder
+
 NEVER = -math.inf
 
 Address = tuple[str, int]
@@ -37,7 +39,8 @@
     to be silent, by this gateway or another one, at ``silent_since``.  ``introduced``
     says that this gateway has sent it its own state.  ``relay`` is where it takes
     requests that other gateways pass on, ``unreachable`` names the services that it
-    can't reach.
+    can't reach.  ``forwards`` says that it sends changes of reservations on within its
+    failure domain, ``reservation_order`` orders those of its own.
     """
 
     name: str
@@ -56,6 +59,8 @@
     introduced: bool = False
     relay: str = ""
     unreachable: frozenset[str] = frozenset()
+    forwards: bool = False
+    reservation_order: ReservationOrder = attrs.Factory(ReservationOrder)
 
     @property
     def heard(self) -> bool:
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -1,9 +1,11 @@
 """Heartbeats between gateways, with the reservations at engines that each holds.
 
-A gateway sends its near gateways a datagram as soon as it makes or releases a
-reservation.  So each gateway's count of the load on an engine is nearly exact, and
-two gateways use the same free capacity only if they choose it within one network
-delay.  ``peertable.py`` says which gateways are near and who gets which heartbeat.
+A gateway tells its near gateways as soon as it makes or releases a reservation, those
+of other failure domains in a larger fleet through one gateway there
+(``reservationexchange.py``).  So each gateway's count of the load on an engine is
+nearly exact, and two gateways use the same free capacity only if they choose it within
+one network delay.  ``peertable.py`` says which gateways are near and who gets which
+heartbeat.
 """
 
 from __future__ import annotations
@@ -21,8 +23,9 @@
 from baobabturn.gateway.peer import NEVER, Address, Peer, parse_address
 from baobabturn.gateway.peertable import ROUND_S, PeerTable
 from baobabturn.gateway.platforminterface import GatewayRecord
+from baobabturn.gateway.reservationexchange import ReservationExchange
 from baobabturn.membership.datagrams import DatagramSigner
-from baobabturn.wire.codec import Envelope, pack_small, unpack_small
+from baobabturn.wire.codec import Envelope, body_name, pack_small, unpack_small
 from baobabturn.wire.gatewaymessages import GatewayState, PeerSilent
 from baobabturn.wire.messages import Holding, Holdings, Release
 
@@ -37,6 +40,9 @@
 # Heartbeat intervals vary by this share, so that gateways don't all send at once.
 HEARTBEAT_JITTER_RATIO = 0.1
 MS_PER_S = 1000
+# Labels of the metrics on datagrams: a message with a whole state, and where it goes.
+FULL_SUFFIX = "Full"
+OWN_DOMAIN, OTHER_DOMAINS = "own", "other"
 
 log = logging.getLogger("baobabturn.gateway.peers")
 
@@ -87,6 +93,7 @@
         self.handlers: dict[type, Callable[[Any, Peer], None]] = {
             PeerSilent: self.handle_silence_report
         }
+        self.exchange = ReservationExchange(peers=self)
 
     def connection_made(self, transport: Any) -> None:
         """Keep the datagram transport."""
@@ -171,6 +178,7 @@
     def resume_after_pause(self) -> None:
         """Count silence anew, and tell the near gateways that this one is back."""
         self.table.restart_silence()
+        self.exchange.forwarders.restart()
         self.introduce(self.table.near())
         self.notify_return()
 
@@ -212,6 +220,7 @@
         self.update_peer(peer, state, address)
         if is_new or returned:
             self.reservations.retain_peer_reservations(peer.name, set())
+            peer.reservation_order.begin(state.incarnation)
             self.program.events.emit(
                 Event.GATEWAY_SEEN, gateway=peer.name, address=state.callers
             )
@@ -219,7 +228,7 @@
             self.introduce([peer])
         if was_silent and not is_restarted:
             self.reintroduce()
-        self.apply_holdings(peer, state)
+        self.exchange.apply_state(peer, state)
 
     def update_peer(self, peer: Peer, state: GatewayState, address: Address) -> None:
         """Record what a gateway says of itself."""
@@ -233,6 +242,7 @@
         peer.serving = state.serving
         peer.relay = state.relay
         peer.unreachable = frozenset(state.unreachable)
+        peer.forwards = state.forwards
         if state.next_ms:
             peer.heartbeat_interval_s = state.next_ms / MS_PER_S
 
@@ -248,23 +258,6 @@
                 Event.GATEWAY_SILENT, gateway=silent.name, reported_by=peer.name
             )
 
-    def apply_holdings(self, peer: Peer, state: GatewayState) -> None:
-        """Apply the reservations that a gateway holds, has made or has released."""
-        for holdings in state.holdings:
-            for holding in holdings.items:
-                self.reservations.record_peer_reservation(
-                    peer.name, holdings.pool, holding
-                )
-        for release in state.ended:
-            self.reservations.release_peer_reservation(peer.name, release)
-        if state.full:
-            names = {
-                holding.reservation
-                for holdings in state.holdings
-                for holding in holdings.items
-            }
-            self.reservations.retain_peer_reservations(peer.name, names)
-
     def gateway_count(self) -> int:
         """Return how many gateways are known, including this one."""
         return 1 + len(self.table.peers)
@@ -296,7 +289,7 @@
         state = self.make_state(full=False)
         state.holdings = [Holdings(pool=p, items=i) for p, i in by_pool.items()]
         state.ended = ended
-        self.send_message(state, self.table.near_alive())
+        self.exchange.send(state)
 
     def send_state_to_near(self) -> None:
         """Send the near gateways at once whether this one is serving."""
@@ -320,16 +313,37 @@
             next_ms=int(interval_s * MS_PER_S),
             relay=self.record.relay,
             unreachable=sorted(self.unreachable()),
+            forwards=True,
         )
 
     def send_message(self, message: Any, peers: list[Peer]) -> None:
         """Sign a message and send it to some gateways."""
-        if self.transport is None or self.transport.is_closing() or not peers:
-            return
+        if peers:
+            self.send_data(self.pack_message(message), message, peers)
+
+    def pack_message(self, message: Any) -> bytes:
+        """Return the signed datagram that carries a message."""
         envelope = Envelope(body=message, hlc=self.program.clock.now())
-        data = self.signer.sign(pack_small(envelope))
+        return self.signer.sign(pack_small(envelope))
+
+    def send_data(self, data: bytes, message: Any, peers: list[Peer]) -> None:
+        """Send a datagram to some gateways, and count it by kind of message."""
+        if self.transport is None or self.transport.is_closing():
+            return
         for peer in peers:
             self.transport.sendto(data, peer.address)
+        own_domain = self.record.failure_domain
+        own_count = sum(peer.failure_domain == own_domain for peer in peers)
+        kind = body_name(type(message))
+        if getattr(message, "full", False):
+            kind += FULL_SUFFIX
+        counts = {OWN_DOMAIN: own_count, OTHER_DOMAINS: len(peers) - own_count}
+        for domain, count in counts.items():
+            if count:
+                labels = {"kind": kind, "domain": domain}
+                self.program.metrics.count("datagrams_sent", count, **labels)
+                size = count * len(data)
+                self.program.metrics.count("datagram_sent_bytes", size, **labels)
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the monitors and to those whose turn it is.
@@ -374,8 +388,11 @@
         expired_before = self.table.clock() - RESERVATION_EXPIRY_S
         for peer in list(self.table.peers.values()):
             if peer.silent and peer.silent_since <= expired_before:
+                peer.reservation_order.forget()
                 self.reservations.retain_peer_reservations(peer.name, set())
 
+        self.exchange.check_forwarders()
+
     def report_silence(self, peer: Peer) -> None:
         """Report a silent gateway to all near ones and to itself, which may object."""
         report = PeerSilent(
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -4,9 +4,10 @@
 watches the store and sends changes at once to its domain and to the other watchers,
 which forward them.  Twice a second each gateway asks its watcher which versions that
 has, the watchers ask the root, and all of them the watcher of one other domain; in a
-large fleet this one only if a confirmation is late.  A watcher that is asked sends
-the updates which the asking gateway missed, and a confirmation.  That
-states an age for each version: nothing newer existed that long before the question.
+fleet whose heartbeats go through monitors this one only if a confirmation is late.  A
+watcher that is asked sends the updates which the asking gateway missed, and a
+confirmation.  That states an age for each version: nothing newer existed that long
+before the question.
 
 A gateway whose knowledge has been confirmed too long ago watches the store itself,
 however many gateways repeat what they knew then; a watcher does so first.  A watcher
@@ -124,10 +125,12 @@
         own = self.peers.record.failure_domain
         asked = self.watchers.root_domain() if self.watchers.is_watcher() else own
         watchers = self.watchers.contacts(asked)
-        if self.peers.table.is_large_fleet() and not self.is_confirmation_late():
+        table = self.peers.table
+        is_small = table.is_mesh() and not table.is_large_fleet()
+        if not is_small and not self.is_confirmation_late():
             return watchers
         count = CUT_OFF_FAR_WATCHER_COUNT if self.is_cut_off() else FAR_WATCHER_COUNT
-        domains = set(self.peers.table.far_domains()) - {asked}
+        domains = set(table.far_domains()) - {asked}
         for domain in sorted(domains, key=lambda domain: rank(own, domain)):
             contacts = self.watchers.contacts(domain) if count else []
             watchers += contacts
--- a/src/baobabturn/wire/bodies.py
+++ b/src/baobabturn/wire/bodies.py
@@ -13,6 +13,8 @@
     PathAsk,
     PathOpinion,
     PeerSilent,
+    ReservationNews,
+    ReservationReceipt,
     StoreAsk,
     StoreNews,
     StoreVouch,
@@ -86,4 +88,6 @@
     PathAsk,
     PathOpinion,
     BrittleNews,
+    ReservationNews,
+    ReservationReceipt,
 )
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -6,7 +6,7 @@
 
 from baobabturn.quarantine.evidence import PartEvidence
 from baobabturn.store.version import NO_VERSION, StoreVersion
-from baobabturn.wire.messages import Holdings, Release
+from baobabturn.wire.messages import Holdings, ProgressItem, Release
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -17,7 +17,8 @@
     sent there.  With ``full`` the holdings are all that it holds.  ``next_ms`` is the
     interval until its next heartbeat to the receiver, 0 in other messages.  ``relay``
     is where it takes requests that other gateways pass on, ``unreachable`` names the
-    services whose endpoints it can't connect to.
+    services whose endpoints it can't connect to.  ``forwards`` says that it takes
+    ``ReservationNews`` and sends them on within its failure domain.
     """
 
     node: str = ""
@@ -32,6 +33,45 @@
     next_ms: int = 0
     relay: str = ""
     unreachable: list[str] = attrs.Factory(list)
+    forwards: bool = False
+
+
+@attrs.define(kw_only=True, slots=True)
+class ReservationChanges:
+    """Changes of the reservations of the gateway ``node``, not necessarily the sender.
+
+    ``sequence`` counts together with that of its ``GatewayState``.  With ``full`` the
+    holdings are all that it holds.  ``progress`` is of reservations sent before.
+    """
+
+    node: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    full: bool = False
+    holdings: list[Holdings] = attrs.Factory(list)
+    progress: list[ProgressItem] = attrs.Factory(list)
+    ended: list[Release] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class ReservationNews:
+    """Changes of reservations of one or several gateways, sent by ``node``.
+
+    The receiver sends them on within its failure domain unless they are ``forwarded``.
+    """
+
+    node: str = ""
+    forwarded: bool = False
+    changes: list[ReservationChanges] = attrs.Factory(list)
+
+
+@attrs.define(kw_only=True, slots=True)
+class ReservationReceipt:
+    """Confirms the receiver's ``ReservationNews`` with these numbers to it."""
+
+    node: str = ""
+    incarnation: int = 0
+    sequences: list[int] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -50,6 +50,8 @@
     pathAsk @41 :PathAsk;
     pathOpinion @42 :PathOpinion;
     brittleNews @43 :BrittleNews;
+    reservationNews @44 :ReservationNews;
+    reservationReceipt @45 :ReservationReceipt;
   }
 }
 
@@ -320,6 +322,33 @@
   nextMs @10 :UInt32;      # until its next heartbeat to the receiver, 0 in other messages
   relay @11 :Text;         # address:port for requests that other gateways pass on
   unreachable @12 :List(Text);  # services whose endpoints it can't connect to
+  forwards @13 :Bool;      # whether it takes and forwards ReservationNews
+}
+
+# Changes of reservations, for the failure domain of the receiver.
+struct ReservationNews {
+  node @0 :Text;
+  forwarded @1 :Bool;      # whether this is a copy sent on within a domain
+  changes @2 :List(ReservationChanges);
+}
+
+# The reservations of one gateway.  A name that begins with "/" lacks the gateway's
+# name in front of it.
+struct ReservationChanges {
+  node @0 :Text;           # the gateway that holds them
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;     # counts together with that of its GatewayState
+  full @3 :Bool;           # whether `holdings` are all that it holds
+  holdings @4 :List(Holdings);
+  progress @5 :List(ProgressItem);  # of reservations sent before
+  ended @6 :List(Release);
+}
+
+# Confirms ReservationNews to the gateway whose changes they were.
+struct ReservationReceipt {
+  node @0 :Text;
+  incarnation @1 :UInt64;  # of the receiver
+  sequences @2 :List(UInt64);
 }
 
 # Reports a gateway that `node`, one of its monitors, hears nothing of.
