--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -465,7 +465,7 @@
             return
         known = scheduler.reservations.get(holding.reservation)
         if known is None:
-            scheduler.hold(None, holding)
+            scheduler.hold(None, holding, watched=False)
         elif holding.produced > known.produced:
             item = ProgressItem(
                 reservation=holding.reservation, produced=holding.produced
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -4,8 +4,8 @@
 go first and have capacity that long ones can't use.  Requests that are unlikely
 to finish in time go last.  Among equals, the workspace that is furthest behind
 its fair share is next.  The endpoint is chosen by the expected use of its KV
-memory and by how much prefill its prefix cache saves.  Stragglers get only
-probes.
+memory and by how much prefill its prefix cache saves, both counted for longer at
+slower endpoints.  Stragglers get only probes.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Iterator
 
+from baobabturn.placement.enginespeed import EngineSpeeds
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
 from baobabturn.scheduler.learned import merge_lengths, pack_lengths
@@ -69,6 +70,7 @@
             half_life_samples=settings.length_half_life, key_limit=settings.length_keys
         )
         self.stragglers = StragglerDetector(settings=settings)
+        self.speeds = EngineSpeeds()
         self.refusals = RefusalTracker()
         self.fair_shares = {True: FairShares(), False: FairShares()}
         self.flows = Flows()
@@ -168,13 +170,13 @@
         as full, since others may fit the other endpoints.
         """
         admit = waiting.admit
+        own_tokens = max((mean for mean, _ in waiting.growth_terms), default=0.0)
         candidates = []
         for endpoint in pool.available_endpoints(admit):
             if self.accepts_requests(endpoint, now):
                 uncached_tokens = self.uncached_tokens(endpoint, waiting, now)
-                cost = (
-                    self.placement_cost(endpoint, uncached_tokens) + self.cost_jitter()
-                )
+                cost = self.placement_cost(endpoint, uncached_tokens, own_tokens)
+                cost += self.cost_jitter()
                 candidates.append((cost, uncached_tokens, endpoint))
         candidates.sort(key=CANDIDATE_COST)
         for _, uncached_tokens, endpoint in candidates:
@@ -258,12 +260,15 @@
             limit //= LONG_PREFILL_DIVISOR
         return not prefill_tokens or prefill_tokens + uncached_tokens <= limit
 
-    def placement_cost(self, endpoint: EndpointState, uncached_tokens: int) -> float:
+    def placement_cost(
+        self, endpoint: EndpointState, uncached_tokens: int, own_tokens: float
+    ) -> float:
         """Return the cost of a request at an endpoint.
 
         The unit is the endpoint's whole KV memory.  The cost is the sum of the
         expected use, the prefill (``affinity_tokens`` uncached tokens cost 1) and
-        the endpoint's distance.
+        the endpoint's distance.  A slow endpoint holds all of it for longer, also the
+        request's ``own_tokens``, which cost the same at all others.
         """
         memory_tokens = max(1, endpoint.memory_tokens)
         expected_tokens = endpoint.growth.peak_mean_tokens() + endpoint.remote_tokens
@@ -271,7 +276,12 @@
         prefill_cost = (
             uncached_tokens + endpoint.prefill_tokens
         ) / self.settings.affinity_tokens
-        return memory_cost + prefill_cost + endpoint.distance_cost
+        cost = memory_cost + prefill_cost + endpoint.distance_cost
+        slowdown = self.speeds.slowdown(endpoint.name)
+        if slowdown != 1.0:
+            own_cost = own_tokens / memory_tokens
+            cost += (slowdown - 1) * (memory_cost + prefill_cost + own_cost)
+        return cost
 
     def engine_priority(self, waiting: WaitingRequest) -> int:
         """Return the engine's priority: short requests first, then as declared."""
@@ -301,6 +311,7 @@
         endpoint.long_count += not reservation.short
         reservation.first_token_seen = reservation.produced > 0
         if not reservation.first_token_seen:
+            reservation.prefill_ahead_tokens = endpoint.prefill_tokens
             endpoint.count_prefill(reservation, 1)
         self.stragglers.record_grant(endpoint.name, now)
         self.refusals.record_grant(endpoint.name, now)
@@ -327,16 +338,24 @@
     def on_progress(
         self, endpoint: EndpointState, reservation: Reservation, before: int, now: float
     ) -> None:
-        """Update a generation's growth and its endpoint's token gap."""
+        """Update a generation's growth and its endpoint's token gap.
+
+        Before the first progress of a generation that continues from a copied KV
+        cache, time has passed that was no decoding.
+        """
         if not reservation.first_token_seen and reservation.produced:
             reservation.first_token_seen = True
             endpoint.count_prefill(reservation, -1)
             self.refusals.record_token(endpoint.name)
-        elif reservation.produced > before:
+            self.record_prefill_time(endpoint, reservation, now)
+        elif reservation.produced > before and reservation.measured_at:
             elapsed_s = now - reservation.updated_at
             self.stragglers.record_tokens(
                 endpoint.name, reservation.produced - before, elapsed_s, now
             )
+            self.record_token_time(endpoint, reservation, now)
+        reservation.measured_at = now
+        reservation.measured_produced = reservation.produced
         self.add_growth(endpoint, reservation, -1.0)
         reservation.growth_terms = growth_terms(
             reservation.length_distribution,
@@ -346,6 +365,51 @@
         )
         self.add_growth(endpoint, reservation, 1.0)
 
+    def record_prefill_time(
+        self, endpoint: EndpointState, reservation: Reservation, now: float
+    ) -> None:
+        """Learn an endpoint's speed from the time to a first token.
+
+        A generation that runs again has also the tokens produced before to prefill.
+        """
+        self.speeds.record_prefill(
+            endpoint.name,
+            tokens=tokens_to_prefill(reservation) + reservation.produced,
+            seconds=now - reservation.granted_at,
+            now=now,
+        )
+
+    def record_token_time(
+        self, endpoint: EndpointState, reservation: Reservation, now: float
+    ) -> None:
+        """Learn an endpoint's speed from the tokens since the last measurement."""
+        self.speeds.record_decode(
+            endpoint.name,
+            tokens=reservation.produced - reservation.measured_produced,
+            seconds=now - reservation.measured_at,
+            batch_size=endpoint.in_flight,
+            now=now,
+        )
+
+    def record_last_tokens(
+        self,
+        endpoint: EndpointState,
+        reservation: Reservation,
+        outcome: str,
+        now: float,
+    ) -> None:
+        """Learn an endpoint's speed from a generation that has ended.
+
+        One that was cut or moved may have been silent for long before: then it isn't
+        known how long its last tokens took.
+        """
+        tokens = reservation.produced - reservation.measured_produced
+        if not reservation.measured_at or tokens <= 0:
+            return
+        gap_s = (now - reservation.measured_at) / tokens
+        if outcome == FINISHED or gap_s <= self.settings.token_gap_goal_s:
+            self.record_token_time(endpoint, reservation, now)
+
     def on_released(
         self, endpoint: EndpointState | None, reservation: Reservation, outcome: str
     ) -> None:
@@ -373,6 +437,7 @@
         if endpoint is None:
             return
         now = time.monotonic()
+        self.record_last_tokens(endpoint, reservation, outcome, now)
         self.refusals.record_outcome(endpoint.name, outcome, reservation.produced, now)
         self.add_growth(endpoint, reservation, -1.0)
         endpoint.long_count -= not reservation.short
@@ -385,10 +450,15 @@
             return []
         self.classified_at = now
         batch_and_silence = {
-            endpoint.name: (endpoint.in_flight, total_silence_s(endpoint, now))
+            endpoint.name: (endpoint.in_flight, self.total_silence_s(endpoint, now))
             for endpoint in pool.endpoints.values()
         }
         self.stragglers.classify(batch_and_silence, now)
+        awaited = {
+            endpoint.name: awaited_first_tokens(endpoint, now)
+            for endpoint in pool.endpoints.values()
+        }
+        self.speeds.update(awaited, now)
         to_hedge = []
         for endpoint in pool.endpoints.values():
             self.adapt_batch_limit(endpoint)
@@ -399,6 +469,27 @@
                     to_hedge.append(reservation)
         return to_hedge
 
+    def total_silence_s(self, endpoint: EndpointState, now: float) -> float:
+        """Return the summed silence of an endpoint's generations, in seconds.
+
+        Silences up to the threshold are normal gaps and don't count, nor does a first
+        token that takes no longer than a straggler's would.  Nothing is known of the
+        gaps of reservations that aren't watched.
+        """
+        total = 0.0
+        for reservation in endpoint.reservations.values():
+            if not reservation.watched:
+                continue
+            threshold_s = SILENCE_THRESHOLD_S
+            if not reservation.first_token_seen:
+                tokens = tokens_to_prefill(reservation)
+                usual_s = self.speeds.usual_prefill_s(tokens)
+                threshold_s = max(threshold_s, self.settings.straggler_ratio * usual_s)
+            silent_s = now - reservation.updated_at
+            if silent_s > threshold_s:
+                total += silent_s
+        return total
+
     def export_learned(self) -> bytes:
         """Return the packed length distributions, empty without any."""
         return pack_lengths(self.lengths) if self.lengths.counts else b""
@@ -448,14 +539,17 @@
         endpoint.batch_limit = min(settings.batch_limit, max(MIN_BATCH_SIZE, limit))
 
 
-def total_silence_s(endpoint: EndpointState, now: float) -> float:
-    """Return the summed silence of an endpoint's generations, in seconds.
+def tokens_to_prefill(reservation: Reservation) -> int:
+    """Return the tokens to prefill before a reservation's first token."""
+    return reservation.prefill_ahead_tokens + reservation.uncached_tokens
 
-    Silences up to the threshold are normal gaps and don't count.
-    """
-    total = 0.0
-    for reservation in endpoint.reservations.values():
-        silent_s = now - reservation.updated_at
-        if silent_s > SILENCE_THRESHOLD_S:
-            total += silent_s
-    return total
+
+def awaited_first_tokens(
+    endpoint: EndpointState, now: float
+) -> list[tuple[int, float]]:
+    """Return the tokens to prefill and the age of each awaited first token."""
+    return [
+        (tokens_to_prefill(reservation), now - reservation.granted_at)
+        for reservation in endpoint.reservations.values()
+        if not reservation.first_token_seen
+    ]
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -278,8 +278,11 @@
         )
         self.schedule_dispatch()
 
-    def hold(self, holder: Any, item: Holding) -> None:
-        """Add a reservation that an entry already holds."""
+    def hold(self, holder: Any, item: Holding, *, watched: bool = True) -> None:
+        """Add a reservation that an entry already holds.
+
+        ``watched`` says whether its progress is reported as it happens.
+        """
         endpoint = self.state.endpoints.get(item.endpoint)
         if endpoint is None:
             return
@@ -305,6 +308,7 @@
             taken=item.taken,
             hedges=item.hedges,
             hedgeable=item.hedgeable,
+            watched=watched,
         )
         self.limits.request_started(reservation.workspace, reservation.hedges)
         self.add_reservation(endpoint, reservation, now)
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -26,7 +26,11 @@
     ``hedged`` says that a second attempt for this one was advised, ``hedgeable`` that
     one may start even after the first token.  ``short`` says that a short answer is
     expected, ``expected_tokens`` counts its prompt and expected answer.
-    ``uncached_tokens`` is the part of the prompt to prefill.
+    ``uncached_tokens`` is the part of the prompt to prefill; ``prefill_ahead_tokens``
+    were to prefill at its endpoint before.
+    ``watched`` says that progress is reported as it happens; otherwise only the first
+    token and the end are.  ``measured_at`` and ``measured_produced`` are the time and
+    the tokens at which its token time was measured last, 0 before progress was seen.
     ``length_distribution`` is a ``lengths.LengthDistribution``, ``growth_terms`` are
     those of ``overflow.growth_terms``.
     """
@@ -47,6 +51,10 @@
     weight: float = 1.0
     short: bool = False
     uncached_tokens: int = 0
+    prefill_ahead_tokens: int = 0
+    watched: bool = True
+    measured_at: float = 0.0
+    measured_produced: int = 0
     expected_tokens: float = 0.0
     length_distribution: Any = None
     growth_terms: list[tuple[float, float]] = attrs.Factory(list)
--- a/src/baobabturn/scheduler/stragglers.py
+++ b/src/baobabturn/scheduler/stragglers.py
@@ -4,7 +4,8 @@
 by the tokens that entries received in that time; the silence of a generation
 without progress counts as time.  The gap is normalized by batch size and compared
 with the median of the pool's endpoints.  A straggler gets no new requests except
-periodic probes.
+periodic probes.  An endpoint that keeps to the goal for gaps is none, however fast
+the others are: it only gets less work, by ``placement/enginespeed.py``.
 """
 
 from __future__ import annotations
@@ -14,14 +15,13 @@
 
 import attrs
 
+from baobabturn.placement.enginespeed import normalized_gap_s
 from baobabturn.settings.model import Scheduler
 
-# A normal token gap is taken as proportional to the batch size plus this.
-BATCH_SIZE_OFFSET = 30.0
 # Shorter silences are ordinary.
 SILENCE_THRESHOLD_S = 0.35
 MIN_SAMPLE_WEIGHT = 2.0
-# A straggler recovers below this ratio of the threshold that classified it.
+# A straggler recovers below this ratio of a threshold that classified it.
 RECOVERY_RATIO = 0.7
 
 
@@ -94,10 +94,11 @@
     ) -> None:
         """Classify all endpoints, given each one's batch size and silent seconds.
 
-        Endpoints with too few samples and no silence are left out.
+        Endpoints with too few samples and no silence are left out.  If requests run at
+        such an endpoint, and no probe has just begun, nothing is known against it now.
         """
         normalized_gaps = {}
-        gaps = []
+        gaps = {}
         for name, (batch_size, silent_s) in batch_and_silence.items():
             gap_stats = self.gap_stats(name)
             gap_stats.decay(now, self.settings.straggler_window_s)
@@ -105,29 +106,43 @@
                 gap_stats.sample_weight < MIN_SAMPLE_WEIGHT
                 and silent_s < SILENCE_THRESHOLD_S
             ):
+                probed_s = now - gap_stats.last_probe_at
+                if batch_size and probed_s > self.settings.probe_interval_s:
+                    gap_stats.straggling_since = 0.0
                 continue
             token_gap_s = gap_stats.token_gap_s(silent_s)
-            gaps.append(token_gap_s)
-            normalized_gaps[name] = token_gap_s / (BATCH_SIZE_OFFSET + batch_size)
+            gaps[name] = token_gap_s
+            normalized_gaps[name] = normalized_gap_s(token_gap_s, batch_size)
         if not normalized_gaps:
             return
-        self.typical_gap_s = statistics.median_low(gaps)
+        self.typical_gap_s = statistics.median_low(gaps.values())
         typical = statistics.median_low(normalized_gaps.values())
         for name, normalized_gap in normalized_gaps.items():
             self.classify_endpoint(
-                self.gap_stats(name), normalized_gap / max(typical, 1e-9), now
+                self.gap_stats(name),
+                ratio=normalized_gap / max(typical, 1e-9),
+                token_gap_s=gaps[name],
+                now=now,
             )
 
     def classify_endpoint(
-        self, gap_stats: TokenGapStats, ratio: float, now: float
+        self,
+        gap_stats: TokenGapStats,
+        *,
+        ratio: float,
+        token_gap_s: float,
+        now: float,
     ) -> None:
-        """Classify an endpoint by the ratio of its gap to its peers' median."""
-        threshold = self.settings.straggler_ratio
+        """Classify an endpoint by its gap, and its ratio to its peers' median."""
         gap_stats.slowdown = ratio
-        if not gap_stats.is_straggler and ratio > threshold:
+        excess = min(
+            ratio / self.settings.straggler_ratio,
+            token_gap_s / self.settings.token_gap_goal_s,
+        )
+        if not gap_stats.is_straggler and excess > 1:
             gap_stats.straggling_since = now
             gap_stats.last_probe_at = now
-        elif gap_stats.is_straggler and ratio < threshold * RECOVERY_RATIO:
+        elif gap_stats.is_straggler and excess < RECOVERY_RATIO:
             gap_stats.straggling_since = 0.0
 
     def accepts_requests(self, name: str, in_flight: int, now: float) -> bool:
