--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,69 @@
+Feature: Placement by expected completion
+  Work goes where it ends earliest, by the speeds that all gateways' reservations show.
+
+  Scenario: Engines at 0.7, 0.7 and 1.7 times the usual time under steady load
+    Given 9 engines at 0.7, 0.7 and 1.7 times the usual time
+    When 4.4 reports and 4.9 checks a second come for 40 s, on the seeds 1 to 3
+    Then the engines at 1.7 get between 1 and 15 % of the requests on each seed
+    And the mean time to the end is at least 10 % below that without learned speeds
+    And no engine is a straggler
+
+  Scenario: The same engines with twice the load, which the fast ones alone can't take
+    Given 9 engines at 0.7, 0.7 and 1.7 times the usual time
+    When 8.8 reports and 9.8 checks a second come for 30 s, on the seeds 1 to 2
+    Then the engines at 1.7 get between 4 and 20 % of the requests on each seed
+    And the mean time to the end is at least 3 % below that without learned speeds
+
+  Scenario: An engine that is 2.5 times slower for 2 s gets less, and then its share again
+    Given 9 equal engines, the first 2.5 times slower from 15 s to 17 s
+    When 8.8 reports and 9.8 checks a second come for 30 s, on the seeds 1 to 4
+    Then the first engine gets less than 3/4 of an even share from 15.5 s to 18 s
+    And fewer requests there than without learned speeds
+    And the first engine gets more than 3/4 of an even share from 21 s to 30 s
+
+  Scenario: Equal engines under steady load are chosen as without learned speeds
+    Given 9 equal engines
+    When 8.8 reports and 9.8 checks a second come for 30 s, on the seeds 1 to 2
+    Then each request is at the engine that is chosen without learned speeds
+    And no engine is a straggler
+
+  Scenario: The wait of a generation that continues from a copied cache is no slowness
+    Given 3 engines whose other generations take 10 ms for a token
+    When a generation is moved to "e0" and goes on there after 3 s at 10 ms for a token
+    Then no engine is slower than the others
+
+  Scenario: The silence before a generation was cut is no slowness
+    Given 3 engines whose other generations take 10 ms for a token
+    When a generation at "e0" is cut after 100 tokens and 8 s of silence
+    Then no engine is slower than the others
+
+  Scenario: A generation that is cut shows a slow engine until then
+    Given 3 engines whose other generations take 10 ms for a token
+    When a generation at "e0" is cut after 100 tokens and 3 s of silence
+    Then "e0" is slower than the others
+
+  Scenario: An engine that is far behind with a first token is slower at once
+    Given 3 engines whose other generations take 10 ms for a token
+    When the first token of a prompt at "e0" hasn't come after 3 s
+    Then "e0" is slower than the others
+
+  Scenario: Plain endpoints at 0.7, 0.7 and 1.7, two requests a second from one process
+    Given plain endpoints that take 30, 30 and 75 ms
+    When 100 requests come, one each 500 ms
+    Then the third plain endpoint gets between 2 and 15 of them
+
+  Scenario: An answer that is outstanding for longer than usual shows a slow endpoint
+    Given plain endpoints that take 30, 80 and 80 ms, all measured a moment ago
+    When a request at the first one is outstanding for 20 ms
+    Then the next request goes to the first one
+    When it is outstanding for 40 ms more
+    Then the next request goes to another one
+    When a later request at the first one has ended in 30 ms
+    Then the next request goes to the first one
+
+  Scenario: A slow last answer sends the next requests elsewhere, for some seconds
+    Given plain endpoints that take 30, 30 and 30 ms
+    When 20 requests come, one each 500 ms
+    And the first one takes 200 ms for a request
+    Then the next 10 requests, one each 200 ms, go elsewhere
+    And the first one is tried again within 30 s
--- /dev/null
+++ b/features/steps/placement.py
@@ -0,0 +1,289 @@
+"""Steps of placement by expected completion, with no network."""
+
+import time
+import types
+from unittest import mock
+
+from behave import given, then, when
+from placementcase import AllAlike, Placement
+
+from baobabturn.entry.endpointranking import EndpointRanking
+from baobabturn.wire.messages import Holding, ProgressItem, Release
+from baobabturn.wire.words import FAILED, FINISHED
+
+BEGIN_S = 1000.0
+MS = 0.001
+
+
+@given("{count:d} engines at {a:g}, {b:g} and {c:g} times the usual time")
+def step_uneven(context, count, a, b, c):
+    factors = [(a, b, c)[number % 3] for number in range(count)]
+    context.slowdowns = [lambda now, f=factor: f for factor in factors]
+
+
+@given("{count:d} equal engines")
+def step_equal(context, count):
+    context.slowdowns = [lambda now: 1.0] * count
+
+
+@given(
+    "{count:d} equal engines, the first {factor:g} times slower "
+    "from {begin:d} s to {end:d} s"
+)
+def step_slow_period(context, count, factor, begin, end):
+    step_equal(context, count)
+    context.slowdowns[0] = lambda now: (
+        factor if BEGIN_S + begin <= now < BEGIN_S + end else 1.0
+    )
+
+
+@when(
+    "{reports:g} reports and {checks:g} checks a second come for {seconds:d} s, "
+    "on the seeds {first:d} to {last:d}"
+)
+def step_load(context, reports, checks, seconds, first, last):
+    context.runs, context.unlearned = [], []
+    for seed in range(first, last + 1):
+        for runs, speeds in ((context.runs, None), (context.unlearned, AllAlike())):
+            placement = Placement(slowdowns=context.slowdowns, seed=seed, speeds=speeds)
+            placement.run(seconds, {"report": reports, "check": checks})
+            runs.append(placement)
+
+
+@then(
+    "the engines at 1.7 get between {low:d} and {high:d} % of the requests on each seed"
+)
+def step_slow_share(context, low, high):
+    for run in context.runs:
+        share = sum(run.share(f"e{n}") for n in range(2, len(run.engines), 3))
+        assert low <= 100 * share <= high, share
+
+
+@then(
+    "the mean time to the end is at least {percent:d} % below that "
+    "without learned speeds"
+)
+def step_mean(context, percent):
+    for run, unlearned in zip(context.runs, context.unlearned, strict=True):
+        limit_s = unlearned.mean_s() * (1 - percent / 100)
+        assert run.mean_s() <= limit_s, (run.mean_s(), unlearned.mean_s())
+
+
+@then("no engine is a straggler")
+def step_no_straggler(context):
+    for run in context.runs:
+        stats = run.pool.policy.stragglers.stats_by_endpoint
+        assert not [name for name, each in stats.items() if each.is_straggler]
+
+
+def count_at_first(runs, begin, end):
+    """Return how many requests the first engine got in some time, and how many came."""
+    chosen = [
+        endpoint
+        for run in runs
+        for at, _, endpoint in run.placed
+        if begin <= at - BEGIN_S < end
+    ]
+    return chosen.count("e0"), len(chosen)
+
+
+@then(
+    "the first engine gets {which} than 3/4 of an even share "
+    "from {begin:g} s to {end:g} s"
+)
+def step_even_share(context, which, begin, end):
+    context.span = begin, end
+    count, total = count_at_first(context.runs, begin, end)
+    limit = 0.75 * total / len(context.slowdowns)
+    assert count < limit if which == "less" else count > limit, (count, limit)
+
+
+@then("fewer requests there than without learned speeds")
+def step_fewer(context):
+    count, _ = count_at_first(context.runs, *context.span)
+    unlearned, _ = count_at_first(context.unlearned, *context.span)
+    assert count < unlearned, (count, unlearned)
+
+
+@then("each request is at the engine that is chosen without learned speeds")
+def step_as_before(context):
+    for run, unlearned in zip(context.runs, context.unlearned, strict=True):
+        assert run.placed == unlearned.placed
+
+
+@given("{count:d} engines whose other generations take {gap:d} ms for a token")
+def step_generations(context, count, gap):
+    context.runs = [Placement(slowdowns=[lambda now: 1.0] * count)]
+    for number in range(count):
+        generate(context, f"other{number}", f"e{number}", 100 * gap * MS)
+
+
+def send(context, call, after_s=0.0):
+    """Hand a message to the gateway after some time; let it look at its engines."""
+    run = context.runs[0]
+    run.now += after_s
+    with mock.patch.object(time, "monotonic", lambda: run.now):
+        call(run.pool)
+        run.pool.policy.classified_at = 0.0
+        run.pool.advise_hedges()
+
+
+def hold(context, name, endpoint, produced=0):
+    holding = Holding(
+        reservation=name,
+        endpoint=endpoint,
+        workspace="w",
+        model="m",
+        kind="report",
+        prompt_tokens=2000,
+        max_tokens=1000,
+        produced=produced,
+    )
+    send(context, lambda pool: pool.hold(None, holding, watched=False))
+
+
+def report(context, name, produced, after_s):
+    item = ProgressItem(reservation=name, produced=produced)
+    send(context, lambda pool: pool.progress(item), after_s)
+
+
+def end(context, name, produced, after_s, outcome=FINISHED):
+    release = Release(reservation=name, produced=produced, outcome=outcome)
+    send(context, lambda pool: pool.release(release), after_s)
+
+
+def generate(context, name, endpoint, seconds, outcome=FINISHED):
+    """Let a peer's generation of 104 tokens run for some seconds."""
+    hold(context, name, endpoint)
+    report(context, name, 4, after_s=0.16)
+    end(context, name, 104, after_s=seconds, outcome=outcome)
+
+
+@when(
+    'a generation is moved to "{name}" and goes on there after {wait:d} s '
+    "at {gap:d} ms for a token"
+)
+def step_moved(context, name, wait, gap):
+    hold(context, "moved", name, produced=300)
+    report(context, "moved", 304, after_s=wait)
+    end(context, "moved", 504, after_s=200 * gap * MS)
+
+
+@when(
+    'a generation at "{name}" is cut after {tokens:d} tokens '
+    "and {silent:d} s of silence"
+)
+def step_cut(context, name, tokens, silent):
+    assert tokens == 100
+    generate(context, "cut", name, 1.0 + silent, outcome=FAILED)
+
+
+@when('the first token of a prompt at "{name}" hasn\'t come after {seconds:d} s')
+def step_no_first(context, name, seconds):
+    hold(context, "awaited", name)
+    send(context, lambda pool: None, after_s=seconds)
+
+
+@then("no engine is slower than the others")
+def step_none_slower(context):
+    assert not context.runs[0].pool.policy.speeds.slowdowns
+
+
+@then('"{name}" is slower than the others')
+def step_slower(context, name):
+    speeds = context.runs[0].pool.policy.speeds
+    slowest = max(("e0", "e1", "e2"), key=speeds.slowdown)
+    assert (slowest, speeds.slowdown(name) > 1.2) == (name, True), speeds.slowdowns
+
+
+@given("plain endpoints that take {a:d}, {b:d} and {c:d} ms")
+def step_plain(context, a, b, c):
+    context.ranking, context.now = EndpointRanking(), BEGIN_S
+    context.latency_s = {"w0": a * MS, "w1": b * MS, "w2": c * MS}
+    context.plain = [
+        types.SimpleNamespace(name=name, failure_domain="d")
+        for name in context.latency_s
+    ]
+
+
+def at_time(context, call, *args):
+    with mock.patch.object(time, "monotonic", lambda: context.now):
+        return call(*args)
+
+
+def best(context):
+    return at_time(context, context.ranking.rank, context.plain, "d")[0].name
+
+
+def attempt(context, name, seconds):
+    at_time(context, context.ranking.record_start, name)
+    context.now += seconds
+    at_time(context, context.ranking.record_end, name, seconds, True)
+
+
+def attempts(context, count, pause_ms):
+    """Return the endpoints of some requests, one after another."""
+    chosen = []
+    for _ in range(count):
+        chosen.append(best(context))
+        attempt(context, chosen[-1], context.latency_s[chosen[-1]])
+        context.now += pause_ms * MS - context.latency_s[chosen[-1]]
+    return chosen
+
+
+@when("{count:d} requests come, one each {pause:d} ms")
+def step_requests(context, count, pause):
+    context.chosen = attempts(context, count, pause)
+
+
+@then("the third plain endpoint gets between {low:d} and {high:d} of them")
+def step_third(context, low, high):
+    assert low <= context.chosen.count("w2") <= high, context.chosen
+
+
+@given("plain endpoints that take {a:d}, {b:d} and {c:d} ms, all measured a moment ago")
+def step_measured(context, a, b, c):
+    step_plain(context, a, b, c)
+    for name, seconds in context.latency_s.items():
+        attempt(context, name, seconds)
+
+
+@when("a request at the first one is outstanding for {ms:d} ms")
+def step_outstanding(context, ms):
+    at_time(context, context.ranking.record_start, "w0")
+    context.now += ms * MS
+
+
+@when("it is outstanding for {ms:d} ms more")
+def step_outstanding_more(context, ms):
+    context.now += ms * MS
+
+
+@then("the next request goes to the first one")
+def step_goes_first(context):
+    assert best(context) == "w0"
+
+
+@then("the next request goes to another one")
+def step_goes_elsewhere(context):
+    assert best(context) != "w0"
+
+
+@when("a later request at the first one has ended in {ms:d} ms")
+def step_later_ended(context, ms):
+    attempt(context, "w0", ms * MS)
+
+
+@when("the first one takes {ms:d} ms for a request")
+def step_takes(context, ms):
+    attempt(context, "w0", ms * MS)
+
+
+@then("the next {count:d} requests, one each {pause:d} ms, go elsewhere")
+def step_elsewhere(context, count, pause):
+    assert "w0" not in attempts(context, count, pause)
+
+
+@then("the first one is tried again within {seconds:d} s")
+def step_tried(context, seconds):
+    assert "w0" in attempts(context, seconds * 2, 500)
--- a/src/baobabturn/placement/enginespeed.py
+++ b/src/baobabturn/placement/enginespeed.py
@@ -16,12 +16,15 @@
 # A normal token gap is taken as proportional to the batch size plus this.
 BATCH_SIZE_OFFSET = 30.0
 # Samples lose 1/e of their weight in this time; slow periods last for seconds.
-FORGET_S = 4.0
+FORGET_S = 3.0
 # The first event takes some steps and a way there and back besides the prefill, about
 # as long as this many prompt tokens.
 FIRST_EVENT_TOKENS = 300.0
 # Each engine counts as if it had been seen at the median speed for this long.
-PRIOR_S = 0.3
+PRIOR_S = 0.2
+# Prefill and decode times count as at most this much.  First tokens tell of the last
+# moments, but little time; the ends of long generations tell of much time, but late.
+MAX_EVIDENCE_S = 1.0
 # Engines whose times differ from the median by a smaller ratio count as alike.
 ALIKE_RATIO = 1.2
 MAX_SLOWDOWN = 4.0
@@ -136,15 +139,17 @@
         ratios = {}
         for name, pending in awaited.items():
             times = self.times.get(name, EngineTimes())
-            actual_s = PRIOR_S + times.prefill.seconds + times.decode.seconds
-            usual_s = PRIOR_S + self.prefill_unit_s * times.prefill.units
-            usual_s += decode_unit_s * times.decode.units
+            prefill_s = times.prefill.seconds
+            usual_s = self.prefill_unit_s * times.prefill.units
             for tokens, age_s in pending:
-                usual_prefill_s = self.usual_prefill_s(tokens)
-                if usual_prefill_s < age_s:
-                    actual_s += min(age_s, MAX_SLOWDOWN * usual_prefill_s)
-                    usual_s += usual_prefill_s
-            ratios[name] = actual_s / usual_s
+                awaited_s = self.usual_prefill_s(tokens)
+                if awaited_s < age_s:
+                    prefill_s += min(age_s, MAX_SLOWDOWN * awaited_s)
+                    usual_s += awaited_s
+            ratios[name] = combined_ratio(
+                (prefill_s, usual_s),
+                (times.decode.seconds, decode_unit_s * times.decode.units),
+            )
         self.slowdowns = {
             name: min(MAX_SLOWDOWN, max(1 / MAX_SLOWDOWN, ratio))
             for name, ratio in ratios.items()
@@ -152,6 +157,16 @@
         }
 
 
+def combined_ratio(*evidence: tuple[float, float]) -> float:
+    """Return the ratio of actual to usual seconds, given pairs of them."""
+    actual_s = usual_s = PRIOR_S
+    for seen_s, usual_for_it_s in evidence:
+        weight_s = min(usual_for_it_s, MAX_EVIDENCE_S)
+        usual_s += weight_s
+        actual_s += weight_s * seen_s / max(usual_for_it_s, 1e-9)
+    return actual_s / usual_s
+
+
 def median_unit_s(works: list[TimedWork]) -> float:
     """Return the median of the seconds for each unit of work, 0 without any."""
     # Less than this is what has decayed of the work of an idle engine.
