--- a/features/placement.feature
+++ b/features/placement.feature
@@ -47,6 +47,27 @@
     When the first token of a prompt at "e0" hasn't come after 3 s
     Then "e0" is slower than the others
 
+  Scenario: The failure domain decides between engines of equal cost, and no more
+    Given 2 equal engines, the second in another failure domain
+    When 1 prompt is sent to the first one for each of 400 choices
+    Then all choices are the second one
+    When no prompt is sent for each of 400 choices
+    Then between 55 and 80 % of the choices are the first one
+
+  Scenario: A large workspace spread over 63 gateways waits as one behind a small one
+    Given an engine that 62 peers have filled with one request each of "large"
+    When a request of "large" comes, and then one of "small"
+    And a request of a peer ends
+    Then the request of "small" is placed first
+
+  Scenario: The limit of a workspace counts its requests at 62 other gateways
+    Given an engine that 62 peers have filled with one request each of "large"
+    Then "large" is refused at a limit of 62 requests, and "small" is not
+
+  Scenario: 200 callers that are refused for capacity at once don't come back at once
+    When 200 callers are refused because their time to wait has passed
+    Then they come back between 0.5 and 1 s later, at most 20 in any 25 ms
+
   Scenario: Plain endpoints at 0.7, 0.7 and 1.7, two requests a second from one process
     Given plain endpoints that take 30, 30 and 75 ms
     When 100 requests come, one each 500 ms
--- a/features/placementcase.py
+++ b/features/placementcase.py
@@ -99,15 +99,15 @@
         self.refused = collections.Counter()
         self.number = 0
 
-    def ask(self, kind_name):
-        """Let one request come."""
+    def ask(self, kind_name, workspace="w"):
+        """Let one request come; return it."""
         self.number += 1
         kind = KINDS[kind_name]
         name = f"{kind_name}-{self.number}"
         admit = Admit(
             request=name,
             reservation=name,
-            workspace="w",
+            workspace=workspace,
             model="m",
             kind=kind_name,
             priority=-kind.priority,
@@ -123,6 +123,7 @@
         )
         self.waiting[name] = waiting
         self.pool.enqueue(waiting, self.now)
+        return waiting
 
     def run(self, seconds, per_s):
         """Let requests of some kinds come at some rates for some seconds."""
--- a/features/steps/gatewaygolden.py
+++ b/features/steps/gatewaygolden.py
@@ -3,9 +3,11 @@
 import json
 import os
 import re
+from unittest import mock
 
 from behave import given, then, when
 
+from baobabturn.gateway import retrytimes
 from features.helper import ROOT
 from features.steps.gateway import run, start
 
@@ -28,7 +30,9 @@
 def session(context, method, path, body):
     data = b'{"calves": 3}' if body == "a body" else b""
     context.sent = f"{method} {path}"
-    context.reply = run(context, context.case.call(path, method, data))
+    # Without spread, times to retry are the same each time.
+    with mock.patch.object(retrytimes, "draw", lambda: 0.0):
+        context.reply = run(context, context.case.call(path, method, data))
 
 
 def written(context):
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -7,7 +7,11 @@
 from behave import given, then, when
 from placementcase import AllAlike, Placement
 
+from baobabturn.config.declared import Workspace
+from baobabturn.core.results import Code, Failure
 from baobabturn.entry.endpointranking import EndpointRanking
+from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.relayedstream import to_caller_failure
 from baobabturn.wire.messages import Holding, ProgressItem, Release
 from baobabturn.wire.words import FAILED, FINISHED
 
@@ -128,11 +132,11 @@
         run.pool.advise_hedges()
 
 
-def hold(context, name, endpoint, produced=0):
+def hold(context, name, endpoint, produced=0, workspace="w"):
     holding = Holding(
         reservation=name,
         endpoint=endpoint,
-        workspace="w",
+        workspace=workspace,
         model="m",
         kind="report",
         prompt_tokens=2000,
@@ -196,6 +200,110 @@
     assert (slowest, speeds.slowdown(name) > 1.2) == (name, True), speeds.slowdowns
 
 
+@given("{count:d} equal engines, the second in another failure domain")
+def step_domains(context, count):
+    step_equal(context, count)
+    context.runs = [Placement(slowdowns=context.slowdowns)]
+    settings = types.SimpleNamespace(host=types.SimpleNamespace(failure_domain="e0"))
+    pools = types.SimpleNamespace(
+        program=types.SimpleNamespace(settings=settings),
+        prefer_own_domain=lambda: False,
+        failure_domain_of=lambda name: name,
+    )
+    EnginePools.set_distance_costs(pools, context.runs[0].pool)
+
+
+def choose(context, count):
+    """Return the engines that are chosen for a prompt, one choice after another."""
+    run = context.runs[0]
+    run.ask("check")
+    (waiting,) = run.waiting.values()
+    choices = [
+        run.pool.policy.choose_endpoint(run.pool.state, waiting, run.now).name
+        for _ in range(count)
+    ]
+    run.pool.dequeue(run.waiting.popitem()[1])
+    return choices
+
+
+@when("1 prompt is sent to the first one for each of {count:d} choices")
+def step_busy_home(context, count):
+    hold(context, "busy", "e0")
+    context.choices = choose(context, count)
+    end(context, "busy", 0, after_s=0.1)
+
+
+@when("no prompt is sent for each of {count:d} choices")
+def step_idle(context, count):
+    context.choices = choose(context, count)
+
+
+@then("all choices are the second one")
+def step_all_second(context):
+    assert set(context.choices) == {"e1"}
+
+
+@then("between {low:d} and {high:d} % of the choices are the first one")
+def step_choices(context, low, high):
+    percent = 100 * context.choices.count("e0") / len(context.choices)
+    assert low <= percent <= high, percent
+
+
+@given('an engine that {count:d} peers have filled with one request each of "{name}"')
+def step_filled(context, count, name):
+    context.runs = [Placement(slowdowns=[lambda now: 1.0])]
+    for number in range(count):
+        hold(context, f"peer{number}", "e0", workspace=name)
+
+
+@when('a request of "{first}" comes, and then one of "{second}"')
+def step_two(context, first, second):
+    run = context.runs[0]
+    context.asked = [run.ask("report", workspace=name) for name in (first, second)]
+    send(context, lambda pool: pool.dispatch())
+    assert not any(waiting.future.done() for waiting in context.asked)
+
+
+@when("a request of a peer ends")
+def step_peer_ends(context):
+    for number in range(62):
+        end(context, f"peer{number}", 748, after_s=0.01)
+        send(context, lambda pool: pool.dispatch())
+        if any(waiting.future.done() for waiting in context.asked):
+            return
+
+
+@then('the request of "{name}" is placed first')
+def step_placed_first(context, name):
+    placed = [w.admit.workspace for w in context.asked if w.future.done()]
+    assert placed == [name], placed
+
+
+@then('"{name}" is refused at a limit of {limit:d} requests, and "{other}" is not')
+def step_limit(context, name, limit, other):
+    limits = context.runs[0].pool.limits
+    for each in (name, other):
+        workspace = Workspace(name=each, concurrent_requests=limit)
+        refusal = limits.refusal(workspace, context.runs[0].now)
+        assert (refusal is not None) == (each == name), each
+
+
+@when("{count:d} callers are refused because their time to wait has passed")
+def step_refused(context, count):
+    failure = Failure(Code.DEADLINE_NOT_RUN, "the deadline passed")
+    context.back_s = [to_caller_failure(failure).retry_after_s for _ in range(count)]
+
+
+@then(
+    "they come back between {low:g} and {high:g} s later, "
+    "at most {most:d} in any {ms:d} ms"
+)
+def step_come_back_later(context, low, high, most, ms):
+    assert low <= min(context.back_s) and max(context.back_s) <= high
+    spans = [round(back_s / MS) // ms for back_s in context.back_s]
+    assert max(map(spans.count, spans)) <= most, sorted(context.back_s)
+
+
 @given("plain endpoints that take {a:d}, {b:d} and {c:d} ms")
 def step_plain(context, a, b, c):
     context.ranking, context.now = EndpointRanking(), BEGIN_S
--- a/features/steps/stragglers.py
+++ b/features/steps/stragglers.py
@@ -72,6 +72,13 @@
     pass_time(context, seconds, {}, silent=(name,))
 
 
+@when('nothing is seen of "{name}" for {seconds:d} seconds, while requests run there')
+def step_unseen(context, name, seconds):
+    for _ in range(round(seconds / STEP_S)):
+        context.now += STEP_S
+        context.watch.classify({name: (STREAMS, 0.0)}, context.now)
+
+
 @then('"{name}" gets no new work and the others do')
 def step_none(context, name):
     assert takes(context) == set(context.names) - {name}
--- a/features/stragglers.feature
+++ b/features/stragglers.feature
@@ -29,6 +29,17 @@
     When "e0" has a batch of 40 and gaps of 70 ms for 1 second
     Then all endpoints get new work
 
+  Scenario: An engine that keeps to the goal for gaps is no straggler beside fast ones
+    Given 5 endpoints whose tokens come every 10 ms
+    When "e0" has gaps of 25 ms for 1 second
+    Then all endpoints get new work
+
+  Scenario: A straggler at which only other gateways' requests run is taken back
+    Given 5 endpoints whose tokens come every 30 ms
+    When "e0" has gaps of 150 ms for 1 second
+    And nothing is seen of "e0" for 4 seconds, while requests run there
+    Then all endpoints get new work
+
   Scenario: A whole answer on a slowed engine is tried at another and won there
     Given a shared "herd" fleet of 3 hosts, 3 engines and 1 workers
     When 6 whole answers of 60 tokens are asked for while the first engine is slow
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -17,6 +17,7 @@
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.slotroom import SlotRoom
 
 # With less time left than this, no endpoint could respond.
@@ -176,7 +177,7 @@
         return Failure(
             Code.NO_ENDPOINT,
             f"no usable endpoint of {request.service.name}",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=spread_retry_s(RETRY_AFTER_S),
         )
 
     def may_try_other_endpoint(
@@ -243,7 +244,7 @@
         Code.SATURATED,
         f"all endpoints of {request.service.name} are at their limits"
         f" for {delay_s:.1f} s",
-        retry_after_s=delay_s,
+        retry_after_s=spread_retry_s(delay_s),
     )
 
 
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -19,6 +19,7 @@
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.migrationplan import CopySchedule, migration_plan
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
 from baobabturn.gateway.streamorigins import (
     StreamOrigin,
@@ -49,6 +50,10 @@
 # The added cost of engines of other failure domains in a large fleet, where less is
 # known of their load; as a share of an engine's KV cache.
 OTHER_DOMAIN_COST_RATIO = 0.5
+# In smaller fleets the failure domain decides between engines of about equal cost.  A
+# way there and back of 2 to 3 ms takes as long as the prefill of some 40 tokens, which
+# costs this much.
+OTHER_DOMAIN_TIE_RATIO = 0.02
 # A stream may be resumed for this long after its route's timeout, which holds for
 # each attempt, has passed twice.
 RESUME_MARGIN_S = 30.0
@@ -191,10 +196,14 @@
     def set_distance_costs(self, pool: PoolScheduler) -> None:
         """Set the added cost of engines of other failure domains."""
         own = self.program.settings.host.failure_domain
-        prefer_own_domain = self.prefer_own_domain()
+        ratio = (
+            OTHER_DOMAIN_COST_RATIO
+            if self.prefer_own_domain()
+            else OTHER_DOMAIN_TIE_RATIO
+        )
         for name, state in pool.state.endpoints.items():
-            far = prefer_own_domain and self.failure_domain_of(name) != own
-            state.distance_cost = OTHER_DOMAIN_COST_RATIO if far else 0.0
+            far = self.failure_domain_of(name) != own
+            state.distance_cost = ratio if far else 0.0
 
     async def detect_stragglers(self) -> None:
         """Look for stragglers among the engines for as long as the process runs."""
@@ -270,7 +279,7 @@
         return Failure(
             Code.SATURATED,
             f"all engines of {name} are at their limits for {delay_s:.1f} s",
-            retry_after_s=delay_s,
+            retry_after_s=spread_retry_s(delay_s),
         )
 
     def reservation_name(self, request: CallerRequest) -> str:
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -26,6 +26,7 @@
 from baobabturn.gateway.pools import HeldReservation
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.responsewatch import ResponseWatch
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.sse import SseEvent
 from baobabturn.gateway.streamparts import StreamParts, tokens_per_event
 from baobabturn.gateway.streamtimes import StreamTimes
@@ -541,4 +542,6 @@
     """Return the failure to send to a caller; a queue timeout becomes SATURATED."""
     if failure.code is not Code.DEADLINE_NOT_RUN:
         return failure
-    return Failure(Code.SATURATED, failure.reason, retry_after_s=RETRY_AFTER_S)
+    return Failure(
+        Code.SATURATED, failure.reason, retry_after_s=spread_retry_s(RETRY_AFTER_S)
+    )
--- a/src/baobabturn/gateway/slotroom.py
+++ b/src/baobabturn/gateway/slotroom.py
@@ -16,6 +16,7 @@
 from baobabturn.gateway.brittlenews import BrittleExchange
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.peertable import PeerTable
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.scheduler.slotshares import own_slots
 
 # Slots are divided anew at most this often.
@@ -154,5 +155,5 @@
     return Failure(
         Code.SATURATED,
         f"no slot of the brittle endpoints of {service} is free for {wait_s:.2f} s",
-        retry_after_s=wait_s,
+        retry_after_s=spread_retry_s(wait_s),
     )
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -291,6 +291,7 @@
             self.reassign(existing, holder, item)
             return
         now = time.monotonic()
+        workspace = self.workspaces().get(item.workspace)
         reservation = Reservation(
             name=item.reservation,
             endpoint=item.endpoint,
@@ -308,6 +309,7 @@
             taken=item.taken,
             hedges=item.hedges,
             hedgeable=item.hedgeable,
+            weight=workspace.weight if workspace is not None else 1.0,
             watched=watched,
         )
         self.limits.request_started(reservation.workspace, reservation.hedges)
