--- a/features/placement.feature
+++ b/features/placement.feature
@@ -14,12 +14,12 @@
     Then the engines at 1.7 get between 4 and 20 % of the requests on each seed
     And the mean time to the end is at least 3 % below that without learned speeds
 
-  Scenario: An engine that is 2.5 times slower for 2 s gets less, and then its share again
-    Given 9 equal engines, the first 2.5 times slower from 15 s to 17 s
-    When 8.8 reports and 9.8 checks a second come for 30 s, on the seeds 1 to 4
-    Then the first engine gets less than 3/4 of an even share from 15.5 s to 18 s
+  Scenario: Engines that are 2.5 times slower for 2 s get less, and then their share again
+    Given 12 equal engines, the first 4 of them 2.5 times slower from 15 s to 17 s
+    When 11.8 reports and 13 checks a second come for 30 s, on the seeds 1 to 4
+    Then the first 4 get less than 3/4 of an even share from 15.5 s to 18 s
     And fewer requests there than without learned speeds
-    And the first engine gets more than 3/4 of an even share from 21 s to 30 s
+    And the first 4 get more than 3/4 of an even share from 21 s to 30 s
 
   Scenario: Equal engines under steady load are chosen as without learned speeds
     Given 9 equal engines
@@ -64,6 +64,44 @@
     Given an engine that 62 peers have filled with one request each of "large"
     Then "large" is refused at a limit of 62 requests, and "small" is not
 
+  Scenario: A burst of long requests while urgent short ones arrive
+    Given 12 equal engines
+    When 6 reports and 9.6 checks a second come for 15 s, on the seeds 1 to 2
+    And then 48 reports and 9.6 checks a second for 6 s
+    Then at least 100 reports and no checks are refused
+    And the first event of each check comes within 1.5 s
+
+  Scenario: Long work uses what urgent work has not needed for some seconds
+    Given 12 equal engines
+    When 18 reports and 3.6 checks a second come for 40 s, on the seeds 1 to 2
+    Then more reports end than with a reserve that doesn't follow the need
+    And at least 100 reports and no checks are refused
+
+  Scenario: The reserve is there again at once when urgent work comes, and for some seconds
+    Given a reserve of up to 10 % for 4 engines of 25000 tokens, 2500 for each request
+    When urgent work has used 0 tokens for 30 s
+    Then 1 engine has a full reserve
+    When urgent work has used 7500 tokens for 0.2 s
+    Then 3 engines have a full reserve
+    When urgent work has used 0 tokens for 9 s
+    Then 3 engines have a full reserve
+    When urgent work has used 0 tokens for 2 s
+    Then 1 engine has a full reserve
+
+  Scenario Outline: Urgent is what is short or declared so, and never what is declared less
+    Given recent requests with the priorities <priorities>
+    Then one of priority <priority> that is <length> is <urgency>
+
+    Examples:
+      | priorities   | priority | length | urgency    |
+      | 0 0 0        | 0        | short  | urgent     |
+      | 0 0 0        | 0        | long   | not urgent |
+      | 0 0 -2       | 0        | long   | urgent     |
+      | 0 0 -2       | -2       | long   | not urgent |
+      | 0 0 -2       | -2       | short  | urgent     |
+      | -9 and 30 x 0 | 0       | long   | not urgent |
+      | -9 and 30 x 0 | -9      | short  | not urgent |
+
   Scenario: 200 callers that are refused for capacity at once don't come back at once
     When 200 callers are refused because their time to wait has passed
     Then they come back between 0.5 and 1 s later, at most 20 in any 25 ms
--- a/features/placementcase.py
+++ b/features/placementcase.py
@@ -71,6 +71,7 @@
 
     def __init__(self, *, slowdowns, seed=1, speeds=None):
         self.now = 1000.0
+        self.seed = seed
         self.random = random.Random(seed)
         self.engines = {f"e{n}": SimulatedEngine(s) for n, s in enumerate(slowdowns)}
         self.pool = make_pool(seed, FLAGS)
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -12,6 +12,7 @@
 from baobabturn.entry.endpointranking import EndpointRanking
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.relayedstream import to_caller_failure
+from baobabturn.placement.urgentreserve import PriorityMix, UrgentReserve
 from baobabturn.wire.messages import Holding, ProgressItem, Release
 from baobabturn.wire.words import FAILED, FINISHED
 
@@ -31,14 +32,14 @@
 
 
 @given(
-    "{count:d} equal engines, the first {factor:g} times slower "
+    "{count:d} equal engines, the first {slow:d} of them {factor:g} times slower "
     "from {begin:d} s to {end:d} s"
 )
-def step_slow_period(context, count, factor, begin, end):
+def step_slow_period(context, count, slow, factor, begin, end):
     step_equal(context, count)
-    context.slowdowns[0] = lambda now: (
-        factor if BEGIN_S + begin <= now < BEGIN_S + end else 1.0
-    )
+    context.slowdowns[:slow] = [
+        lambda now: factor if BEGIN_S + begin <= now < BEGIN_S + end else 1.0
+    ] * slow
 
 
 @when(
@@ -47,10 +48,11 @@
 )
 def step_load(context, reports, checks, seconds, first, last):
     context.runs, context.unlearned = [], []
+    context.load = seconds, {"report": reports, "check": checks}
     for seed in range(first, last + 1):
         for runs, speeds in ((context.runs, None), (context.unlearned, AllAlike())):
             placement = Placement(slowdowns=context.slowdowns, seed=seed, speeds=speeds)
-            placement.run(seconds, {"report": reports, "check": checks})
+            placement.run(*context.load)
             runs.append(placement)
 
 
@@ -80,32 +82,33 @@
         assert not [name for name, each in stats.items() if each.is_straggler]
 
 
-def count_at_first(runs, begin, end):
-    """Return how many requests the first engine got in some time, and how many came."""
+def count_at_slow(context, runs, slow):
+    """Return how many requests the first engines got in a span of time, of how many."""
+    begin, end = context.span
     chosen = [
-        endpoint
+        int(endpoint[1:]) < slow
         for run in runs
         for at, _, endpoint in run.placed
         if begin <= at - BEGIN_S < end
     ]
-    return chosen.count("e0"), len(chosen)
+    return sum(chosen), len(chosen)
 
 
 @then(
-    "the first engine gets {which} than 3/4 of an even share "
+    "the first {slow:d} get {which} than 3/4 of an even share "
     "from {begin:g} s to {end:g} s"
 )
-def step_even_share(context, which, begin, end):
-    context.span = begin, end
-    count, total = count_at_first(context.runs, begin, end)
-    limit = 0.75 * total / len(context.slowdowns)
+def step_even_share(context, slow, which, begin, end):
+    context.span, context.slow = (begin, end), slow
+    count, total = count_at_slow(context, context.runs, slow)
+    limit = 0.75 * total * slow / len(context.slowdowns)
     assert count < limit if which == "less" else count > limit, (count, limit)
 
 
 @then("fewer requests there than without learned speeds")
 def step_fewer(context):
-    count, _ = count_at_first(context.runs, *context.span)
-    unlearned, _ = count_at_first(context.unlearned, *context.span)
+    count, _ = count_at_slow(context, context.runs, context.slow)
+    unlearned, _ = count_at_slow(context, context.unlearned, context.slow)
     assert count < unlearned, (count, unlearned)
 
 
@@ -288,6 +291,81 @@
         assert (refusal is not None) == (each == name), each
 
 
+@when("then {reports:g} reports and {checks:g} checks a second for {seconds:d} s")
+def step_more_load(context, reports, checks, seconds):
+    for run in context.runs:
+        run.run(seconds, {"report": reports, "check": checks})
+
+
+@then("at least {count:d} reports and no checks are refused")
+def step_reports_refused(context, count):
+    for run in context.runs:
+        assert run.refused["report"] >= count, run.refused
+        assert not run.refused["check"], run.refused
+
+
+@then("the first event of each check comes within {limit:g} s")
+def step_first_events(context, limit):
+    for run in context.runs:
+        assert max(run.first_times["check"]) <= limit, max(run.first_times["check"])
+
+
+class FixedReserve(UrgentReserve):
+    """A reserve of the same size whatever is needed."""
+
+    def update(self, needed_tokens, memory_tokens, now):
+        """Keep the size."""
+
+
+@then("more reports end than with a reserve that doesn't follow the need")
+def step_more_reports(context):
+    for run in context.runs:
+        fixed = Placement(slowdowns=context.slowdowns, seed=run.seed)
+        fixed.pool.policy.reserve = FixedReserve(max_ratio=0.1)
+        fixed.run(*context.load)
+        assert len(run.times["report"]) > 1.02 * len(fixed.times["report"])
+
+
+@given(
+    "a reserve of up to {percent:d} % for {count:d} engines of {memory:d} tokens, "
+    "{tokens:d} for each request"
+)
+def step_reserve(context, percent, count, memory, tokens):
+    context.reserve = UrgentReserve(max_ratio=percent / 100)
+    context.reserve.record_request(tokens)
+    context.memory = {f"e{number}": memory for number in range(count)}
+    context.now = BEGIN_S
+
+
+@when("urgent work has used {tokens:d} tokens for {seconds:g} s")
+def step_used(context, tokens, seconds):
+    for _ in range(round(seconds * 10)):
+        context.now += 0.1
+        context.reserve.update(tokens, context.memory, context.now)
+
+
+@then("{count:d} engine has a full reserve")
+@then("{count:d} engines have a full reserve")
+def step_full_reserve(context, count):
+    ratios = list(map(context.reserve.ratio, context.memory))
+    assert ratios.count(context.reserve.max_ratio) == count, ratios
+
+
+@given("recent requests with the priorities {priorities}")
+def step_priorities(context, priorities):
+    few, _, many = priorities.partition(" and 30 x ")
+    context.mix = PriorityMix()
+    for priority in [*few.split(), *[many] * 30]:
+        if priority:
+            context.mix.record(int(priority), BEGIN_S)
+
+
+@then("one of priority {priority:d} that is {length} is {urgency}")
+def step_urgency(context, priority, length, urgency):
+    urgent = context.mix.is_urgent(priority, length == "short")
+    assert urgent == (urgency == "urgent")
+
+
 @when("{count:d} callers are refused because their time to wait has passed")
 def step_refused(context, count):
     failure = Failure(Code.DEADLINE_NOT_RUN, "the deadline passed")
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -254,7 +254,7 @@
     assert not context.pool.state.queue and not context.pool.reservations
     assert not context.pool.policy.flows.flows
     for endpoint in context.pool.state.endpoints.values():
-        assert (endpoint.used_tokens, endpoint.long_count) == (0, 0)
+        assert (endpoint.used_tokens, endpoint.normal_count) == (0, 0)
         assert endpoint.prefill_tokens == 0 and endpoint.in_flight == 0
         assert max(endpoint.growth.means) < 0.001
-        assert max(endpoint.long_growth.means) < 0.001
+        assert max(endpoint.normal_growth.means) < 0.001
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -307,7 +307,7 @@
             software_version=self.software_version_of(grant.endpoint),
         )
         reservation = HeldReservation(pool=pool.state.name, holding=holding)
-        reservation.urgent = pool.reservations[admission.reservation].short
+        reservation.urgent = pool.reservations[admission.reservation].urgent
         return self.record_reservation(reservation)
 
     def record_reservation(self, reservation: HeldReservation) -> HeldReservation:
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -1,7 +1,8 @@
 """The default policy: admits by the chance that an engine's KV memory overflows.
 
-Requests wait in the scheduler, not in the engines.  Requests with short answers
-go first and have capacity that long ones can't use.  Requests that are unlikely
+Requests wait in the scheduler, not in the engines.  Urgent requests, those with
+short answers or of a higher priority than others, go first and have capacity that
+others can't use (``placement/urgentreserve.py``).  Requests that are unlikely
 to finish in time go last.  Among equals, the workspace that is furthest behind
 its fair share is next.  The endpoint is chosen by the expected use of its KV
 memory and by how much prefill its prefix cache saves, both counted for longer at
@@ -16,6 +17,7 @@
 from collections.abc import Iterator
 
 from baobabturn.placement.enginespeed import EngineSpeeds
+from baobabturn.placement.urgentreserve import PriorityMix, UrgentReserve
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
 from baobabturn.scheduler.learned import merge_lengths, pack_lengths
@@ -32,8 +34,8 @@
 from baobabturn.settings.model import Scheduler
 from baobabturn.wire.words import FINISHED
 
-# Engines run smaller priorities first; this puts short requests before long ones.
-SHORT_REQUEST_ENGINE_PRIORITY = -100_000
+# Engines run smaller priorities first; this puts urgent requests before others.
+URGENT_ENGINE_PRIORITY = -100_000
 # This much declared priority counts as one priority level.
 PRIORITY_PER_LEVEL = 10.0
 # A request is unlikely to finish in time when its chance has fallen below this
@@ -42,15 +44,15 @@
 CLASSIFY_INTERVAL_S = 0.1
 # An endpoint's batch limit is never adapted below this.
 MIN_BATCH_SIZE = 4.0
-# Long requests may use the prefill limit divided by this.
-LONG_PREFILL_DIVISOR = 4
+# Requests that aren't urgent may use the prefill limit divided by this.
+NORMAL_PREFILL_DIVISOR = 4
 # How batch limits change at each classification.
 BATCH_SIZE_INCREMENT = 0.5
 BATCH_SIZE_DECREASE_RATIO = 0.95
 # The hedges that can be advised in one burst.
 MAX_HEDGE_BUDGET = 20.0
-# The length classes are short and long.
-LENGTH_CLASS_COUNT = 2
+# Requests are urgent or not.
+URGENCY_CLASS_COUNT = 2
 # The sort key of candidates: (cost, uncached tokens, endpoint).
 CANDIDATE_COST = operator.itemgetter(0)
 
@@ -58,7 +60,7 @@
 class OverflowBoundPolicy:
     """Bounds the chance that an engine's KV memory overflows, for one pool.
 
-    ``full_classes`` has the length classes (True for short, False for long) that
+    ``full_classes`` has the classes (True for urgent, False for others) that
     found no capacity in the current pass over the queue; ``fair_shares`` has the same
     keys.  ``hedge_budget`` is the number of hedges that may be advised now; each
     grant that is not for a hedge adds ``hedge_share`` to it.
@@ -71,6 +73,8 @@
         )
         self.stragglers = StragglerDetector(settings=settings)
         self.speeds = EngineSpeeds()
+        self.priorities = PriorityMix()
+        self.reserve = UrgentReserve(max_ratio=settings.short_share)
         self.refusals = RefusalTracker()
         self.fair_shares = {True: FairShares(), False: FairShares()}
         self.flows = Flows()
@@ -81,8 +85,8 @@
 
     @property
     def saturated(self) -> bool:
-        """Return whether the last pass found no capacity for either length class."""
-        return len(self.full_classes) == LENGTH_CLASS_COUNT
+        """Return whether the last pass found no capacity for either class."""
+        return len(self.full_classes) == URGENCY_CLASS_COUNT
 
     def on_queued(self, waiting: WaitingRequest, now: float) -> None:
         """Classify a request by the learned answer lengths, and queue it."""
@@ -92,6 +96,8 @@
         )
         waiting.length_distribution = length_distribution
         waiting.short = self.is_short(length_distribution, admit.max_tokens)
+        self.priorities.record(admit.priority, now)
+        waiting.urgent = self.priorities.is_urgent(admit.priority, waiting.short)
         waiting.growth_terms = growth_terms(
             length_distribution, admit.prompt_tokens, 0, admit.max_tokens
         )
@@ -99,7 +105,7 @@
             waiting, waiting.deadline - now
         )
         self.flows.add(waiting)
-        self.fair_shares[waiting.short].add_waiting(admit.workspace)
+        self.fair_shares[waiting.urgent].add_waiting(admit.workspace)
 
     def is_short(
         self, length_distribution: LengthDistribution, max_tokens: int
@@ -117,7 +123,7 @@
     def on_dequeued(self, waiting: WaitingRequest) -> None:
         """Remove a request from its flow."""
         self.flows.remove(waiting)
-        self.fair_shares[waiting.short].remove_waiting(waiting.admit.workspace)
+        self.fair_shares[waiting.urgent].remove_waiting(waiting.admit.workspace)
 
     def finish_chance(self, waiting: WaitingRequest, left_s: float) -> float:
         """Return the chance that a request that starts now finishes in time.
@@ -136,10 +142,10 @@
         return self.stragglers.typical_gap_s or self.settings.token_gap_goal_s
 
     def service_order(self, pool: PoolState, now: float) -> Iterator[WaitingRequest]:
-        """Yield waiting requests by rank, skipping length classes without capacity."""
+        """Yield waiting requests by rank, skipping classes without capacity."""
         self.full_classes.clear()
         for waiting in self.flows.ranked(lambda candidate: self.rank(candidate, now)):
-            if waiting.short not in self.full_classes:
+            if waiting.urgent not in self.full_classes:
                 yield waiting
 
     def rank(self, waiting: WaitingRequest, now: float) -> Rank:
@@ -154,10 +160,10 @@
         level = admit.priority / PRIORITY_PER_LEVEL + waited_s / settings.aging_s
         chance = self.finish_chance(waiting, waiting.deadline - now)
         unlikely = float(chance < UNLIKELY_CHANCE_RATIO * waiting.initial_finish_chance)
-        if waiting.short or admit.hedges:
+        if waiting.urgent or admit.hedges:
             level += settings.short_levels
         level = min(int(level), settings.top_level)
-        virtual_time = self.fair_shares[waiting.short].virtual_time_of(admit.workspace)
+        virtual_time = self.fair_shares[waiting.urgent].virtual_time_of(admit.workspace)
         return unlikely, -level, virtual_time, waiting.arrived_at
 
     def choose_endpoint(
@@ -165,9 +171,9 @@
     ) -> EndpointState | None:
         """Return the cheapest endpoint with capacity for a request, None without one.
 
-        If a short request doesn't fit, a long one doesn't either.  A request that
-        excludes endpoints, or needs a software version, doesn't mark its length class
-        as full, since others may fit the other endpoints.
+        If an urgent request doesn't fit, another one doesn't either.  A request that
+        excludes endpoints, or needs a software version, doesn't mark its class as
+        full, since others may fit the other endpoints.
         """
         admit = waiting.admit
         own_tokens = max((mean for mean, _ in waiting.growth_terms), default=0.0)
@@ -183,8 +189,8 @@
             if self.has_capacity(endpoint, waiting, uncached_tokens):
                 return endpoint
         if not admit.excluded and not admit.software_version:
-            self.full_classes.add(waiting.short)
-            if waiting.short:
+            self.full_classes.add(waiting.urgent)
+            if waiting.urgent:
                 self.full_classes.add(False)
         return None
 
@@ -234,14 +240,14 @@
             settings.overflow_deviations,
         ):
             return False
-        if waiting.short:
+        if waiting.urgent:
             return True
-        long_share = 1 - settings.short_share
-        if endpoint.long_count >= batch_limit * long_share:
+        normal_share = 1 - self.reserve.ratio(endpoint.name)
+        if endpoint.normal_count >= batch_limit * normal_share:
             return False
-        return endpoint.long_growth.fits(
+        return endpoint.normal_growth.fits(
             waiting.growth_terms,
-            endpoint.memory_tokens * long_share - remote_tokens,
+            endpoint.memory_tokens * normal_share - remote_tokens,
             settings.overflow_deviations,
         )
 
@@ -250,14 +256,14 @@
     ) -> bool:
         """Return whether an endpoint may get more prompt tokens to prefill.
 
-        The prompts of long requests don't hold up short requests.  A prompt of any
+        Other requests' prompts don't hold up urgent requests.  A prompt of any
         length fits if no other is in prefill.
         """
         limit = self.settings.prefill_limit_tokens
-        prefill_tokens = endpoint.short_prefill_tokens
-        if not waiting.short:
-            prefill_tokens += endpoint.long_prefill_tokens
-            limit //= LONG_PREFILL_DIVISOR
+        prefill_tokens = endpoint.urgent_prefill_tokens
+        if not waiting.urgent:
+            prefill_tokens += endpoint.normal_prefill_tokens
+            limit //= NORMAL_PREFILL_DIVISOR
         return not prefill_tokens or prefill_tokens + uncached_tokens <= limit
 
     def placement_cost(
@@ -284,9 +290,9 @@
         return cost
 
     def engine_priority(self, waiting: WaitingRequest) -> int:
-        """Return the engine's priority: short requests first, then as declared."""
+        """Return the engine's priority: urgent requests first, then as declared."""
         return (
-            SHORT_REQUEST_ENGINE_PRIORITY if waiting.short else 0
+            URGENT_ENGINE_PRIORITY if waiting.urgent else 0
         ) - waiting.admit.priority
 
     def on_granted(
@@ -300,6 +306,10 @@
             reservation.short = self.is_short(
                 reservation.length_distribution, reservation.max_tokens
             )
+            self.priorities.record(reservation.priority, now)
+            reservation.urgent = self.priorities.is_urgent(
+                reservation.priority, reservation.short
+            )
         if not reservation.growth_terms:
             reservation.growth_terms = growth_terms(
                 reservation.length_distribution,
@@ -308,7 +318,7 @@
                 reservation.max_tokens,
             )
         self.add_growth(endpoint, reservation, 1.0)
-        endpoint.long_count += not reservation.short
+        endpoint.normal_count += not reservation.urgent
         reservation.first_token_seen = reservation.produced > 0
         if not reservation.first_token_seen:
             reservation.prefill_ahead_tokens = endpoint.prefill_tokens
@@ -319,7 +329,9 @@
             reservation.max_tokens
         )
         reservation.expected_tokens = reservation.prompt_tokens + expected_output
-        fair_shares = self.fair_shares[reservation.short]
+        if reservation.urgent:
+            self.reserve.record_request(reservation.expected_tokens)
+        fair_shares = self.fair_shares[reservation.urgent]
         fair_shares.charge(
             reservation.workspace, reservation.expected_tokens, reservation.weight
         )
@@ -332,8 +344,8 @@
     ) -> None:
         """Add a reservation's growth to its endpoint; remove it with ``sign`` -1."""
         endpoint.growth.add(reservation.growth_terms, sign)
-        if not reservation.short:
-            endpoint.long_growth.add(reservation.growth_terms, sign)
+        if not reservation.urgent:
+            endpoint.normal_growth.add(reservation.growth_terms, sign)
 
     def on_progress(
         self, endpoint: EndpointState, reservation: Reservation, before: int, now: float
@@ -428,7 +440,7 @@
                 finished,
             )
         used_tokens = reservation.prompt_tokens + reservation.produced
-        fair_shares = self.fair_shares[reservation.short]
+        fair_shares = self.fair_shares[reservation.urgent]
         fair_shares.correct_charge(
             reservation.workspace,
             used_tokens - reservation.expected_tokens,
@@ -440,7 +452,7 @@
         self.record_last_tokens(endpoint, reservation, outcome, now)
         self.refusals.record_outcome(endpoint.name, outcome, reservation.produced, now)
         self.add_growth(endpoint, reservation, -1.0)
-        endpoint.long_count -= not reservation.short
+        endpoint.normal_count -= not reservation.urgent
         if not reservation.first_token_seen:
             endpoint.count_prefill(reservation, -1)
 
@@ -459,6 +471,11 @@
             for endpoint in pool.endpoints.values()
         }
         self.speeds.update(awaited, now)
+        memory_tokens = {
+            endpoint.name: endpoint.memory_tokens
+            for endpoint in pool.endpoints.values()
+        }
+        self.reserve.update(urgent_tokens(pool), memory_tokens, now)
         to_hedge = []
         for endpoint in pool.endpoints.values():
             self.adapt_batch_limit(endpoint)
@@ -539,6 +556,19 @@
         endpoint.batch_limit = min(settings.batch_limit, max(MIN_BATCH_SIZE, limit))
 
 
+def urgent_tokens(pool: PoolState) -> int:
+    """Return the tokens that urgent requests use at all endpoints, or wait for."""
+    used = sum(
+        reservation.memory_tokens
+        for endpoint in pool.endpoints.values()
+        for reservation in endpoint.reservations.values()
+        if reservation.urgent
+    )
+    return used + sum(
+        waiting.admit.prompt_tokens for waiting in pool.queue.values() if waiting.urgent
+    )
+
+
 def tokens_to_prefill(reservation: Reservation) -> int:
     """Return the tokens to prefill before a reservation's first token."""
     return reservation.prefill_ahead_tokens + reservation.uncached_tokens
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -195,6 +195,7 @@
             hedges=admit.hedges,
             weight=waiting.weight,
             short=waiting.short,
+            urgent=waiting.urgent,
             length_distribution=waiting.length_distribution,
             growth_terms=waiting.growth_terms,
         )
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -25,7 +25,8 @@
     took it.  ``hedges`` names the reservation that this one is a second attempt for;
     ``hedged`` says that a second attempt for this one was advised, ``hedgeable`` that
     one may start even after the first token.  ``short`` says that a short answer is
-    expected, ``expected_tokens`` counts its prompt and expected answer.
+    expected, ``urgent`` that it is short or of a higher priority than most others,
+    ``expected_tokens`` counts its prompt and expected answer.
     ``uncached_tokens`` is the part of the prompt to prefill; ``prefill_ahead_tokens``
     were to prefill at its endpoint before.
     ``watched`` says that progress is reported as it happens; otherwise only the first
@@ -50,6 +51,7 @@
     first_token_seen: bool = False
     weight: float = 1.0
     short: bool = False
+    urgent: bool = False
     uncached_tokens: int = 0
     prefill_ahead_tokens: int = 0
     watched: bool = True
@@ -77,9 +79,9 @@
     """One endpoint: its declared capacity, last report and reservations.
 
     ``memory_tokens`` is the size of its KV memory, ``used_tokens`` the part that its
-    reservations use.  ``long_count`` and ``long_growth`` cover only reservations of
-    long answers.  ``batch_limit`` is the adapted limit on its reservations, 0 before
-    the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
+    reservations use.  ``normal_count`` and ``normal_growth`` cover only reservations
+    that aren't urgent.  ``batch_limit`` is the adapted limit on its reservations, 0
+    before the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
     ``remote_tokens`` and ``remote_requests`` are the load by requests that are known
     here only in aggregate: the KV memory that they need at their peak, and their
     number.  ``software_version`` is empty where endpoints name none to their pool.
@@ -96,9 +98,9 @@
     leaving: bool = False
     reservations: dict[str, Reservation] = attrs.Factory(dict)
     used_tokens: int = 0
-    long_count: int = 0
-    short_prefill_tokens: int = 0
-    long_prefill_tokens: int = 0
+    normal_count: int = 0
+    urgent_prefill_tokens: int = 0
+    normal_prefill_tokens: int = 0
     batch_limit: float = 0.0
     distance_cost: float = 0.0
     remote_tokens: int = 0
@@ -109,12 +111,12 @@
         )
     )
     growth: KVCacheGrowth = attrs.Factory(KVCacheGrowth)
-    long_growth: KVCacheGrowth = attrs.Factory(KVCacheGrowth)
+    normal_growth: KVCacheGrowth = attrs.Factory(KVCacheGrowth)
 
     @property
     def prefill_tokens(self) -> int:
         """Return the sent prompt tokens whose prefill isn't finished."""
-        return self.short_prefill_tokens + self.long_prefill_tokens
+        return self.urgent_prefill_tokens + self.normal_prefill_tokens
 
     @property
     def free_tokens(self) -> int:
@@ -128,10 +130,10 @@
 
     def count_prefill(self, reservation: Reservation, sign: int) -> None:
         """Add a reservation's tokens to prefill; remove them with ``sign`` -1."""
-        if reservation.short:
-            self.short_prefill_tokens += sign * reservation.uncached_tokens
+        if reservation.urgent:
+            self.urgent_prefill_tokens += sign * reservation.uncached_tokens
         else:
-            self.long_prefill_tokens += sign * reservation.uncached_tokens
+            self.normal_prefill_tokens += sign * reservation.uncached_tokens
 
     def add(self, reservation: Reservation) -> None:
         """Add a reservation."""
@@ -168,6 +170,7 @@
     weight: float = 1.0
     length_distribution: Any = None
     short: bool = False
+    urgent: bool = False
     initial_finish_chance: float = 1.0
     growth_terms: list[tuple[float, float]] = attrs.Factory(list)
 
