--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -51,8 +51,10 @@
     "queue_time_us": "Time from a request's arrival to its reservation, by kind.",
     "reports_read": "Engine reports read directly while the store did not respond.",
     "requests_waiting": "Requests in the queues of the owned pools.",
+    "slow_engines": "Engines that take over 1.2 times as long as their pool's median.",
     "time_between_tokens_us": "Time from one token of a generation to the next.",
     "time_to_first_token_us": "Time from a request's arrival to its first token.",
+    "urgent_reserve_tokens": "Memory of engines that only urgent requests may take.",
     "up": "Whether this process responded to the scrape.",
 }
 TYPE_LINE = "# TYPE "
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -85,6 +85,8 @@
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
     program.metrics.gauge("places_held", lambda: len(node.pools.reservations))
+    program.metrics.gauge("slow_engines", node.pools.slow_engine_count)
+    program.metrics.gauge("urgent_reserve_tokens", node.pools.urgent_reserve_tokens)
     program.metrics.gauge("platform_calls", lambda: platform.store.calls)
     await node.start()
     reloader = SettingsReloader(program=program, apply=node.apply_settings)
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterator
 
 import attrs
 
@@ -26,6 +26,7 @@
     StreamOrigins,
     stream_digest,
 )
+from baobabturn.scheduler.overflowpolicy import OverflowBoundPolicy
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import (
@@ -205,6 +206,28 @@
             far = self.failure_domain_of(name) != own
             state.distance_cost = ratio if far else 0.0
 
+    def learning_policies(self) -> Iterator[tuple[PoolScheduler, OverflowBoundPolicy]]:
+        """Yield the pools whose policies learn from reservations, with them."""
+        for pool in self.pools.values():
+            if isinstance(pool.policy, OverflowBoundPolicy):
+                yield pool, pool.policy
+
+    def slow_engine_count(self) -> int:
+        """Return how many engines are slower than the median of their pool."""
+        return sum(
+            policy.speeds.slowdown(name) > 1
+            for pool, policy in self.learning_policies()
+            for name in pool.state.endpoints
+        )
+
+    def urgent_reserve_tokens(self) -> float:
+        """Return the memory of all engines that only urgent requests may take."""
+        return sum(
+            policy.reserve.ratio(name) * state.memory_tokens
+            for pool, policy in self.learning_policies()
+            for name, state in pool.state.endpoints.items()
+        )
+
     async def detect_stragglers(self) -> None:
         """Look for stragglers among the engines for as long as the process runs."""
         while True:
