--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -18,6 +18,7 @@
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.pools import closed_failure
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.slotroom import SlotRoom
 
 # With less time left than this, no endpoint could respond.
@@ -187,7 +188,7 @@
         return Failure(
             Code.NO_ENDPOINT,
             f"no usable endpoint of {request.service.name}",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=spread_retry_s(RETRY_AFTER_S),
         )
 
     def may_try_other_endpoint(
@@ -254,7 +255,7 @@
         Code.SATURATED,
         f"all endpoints of {request.service.name} are at their limits"
         f" for {delay_s:.1f} s",
-        retry_after_s=delay_s,
+        retry_after_s=spread_retry_s(delay_s),
     )
 
 
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterator
 
 import attrs
 
@@ -19,12 +19,14 @@
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.migrationplan import CopySchedule, migration_plan
 from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
 from baobabturn.gateway.streamorigins import (
     StreamOrigin,
     StreamOrigins,
     stream_digest,
 )
+from baobabturn.scheduler.overflowpolicy import OverflowBoundPolicy
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import (
@@ -49,6 +51,10 @@
 # The added cost of engines of other failure domains in a large fleet, where less is
 # known of their load; as a share of an engine's KV cache.
 OTHER_DOMAIN_COST_RATIO = 0.5
+# In smaller fleets the failure domain decides between engines of about equal cost.  A
+# way there and back of 2 to 3 ms takes as long as the prefill of some 40 tokens, which
+# costs this much.
+OTHER_DOMAIN_TIE_RATIO = 0.02
 # A stream may be resumed for this long after its route's timeout, which holds for
 # each attempt, has passed twice.
 RESUME_MARGIN_S = 30.0
@@ -199,10 +205,36 @@
     def set_distance_costs(self, pool: PoolScheduler) -> None:
         """Set the added cost of engines of other failure domains."""
         own = self.program.settings.host.failure_domain
-        prefer_own_domain = self.prefer_own_domain()
+        ratio = (
+            OTHER_DOMAIN_COST_RATIO
+            if self.prefer_own_domain()
+            else OTHER_DOMAIN_TIE_RATIO
+        )
         for name, state in pool.state.endpoints.items():
-            far = prefer_own_domain and self.failure_domain_of(name) != own
-            state.distance_cost = OTHER_DOMAIN_COST_RATIO if far else 0.0
+            far = self.failure_domain_of(name) != own
+            state.distance_cost = ratio if far else 0.0
+
+    def learning_policies(self) -> Iterator[tuple[PoolScheduler, OverflowBoundPolicy]]:
+        """Yield the pools whose policies learn from reservations, with them."""
+        for pool in self.pools.values():
+            if isinstance(pool.policy, OverflowBoundPolicy):
+                yield pool, pool.policy
+
+    def slow_engine_count(self) -> int:
+        """Return how many engines are slower than the median of their pool."""
+        return sum(
+            policy.speeds.slowdown(name) > 1
+            for pool, policy in self.learning_policies()
+            for name in pool.state.endpoints
+        )
+
+    def urgent_reserve_tokens(self) -> float:
+        """Return the memory of all engines that only urgent requests may take."""
+        return sum(
+            policy.reserve.ratio(name) * state.memory_tokens
+            for pool, policy in self.learning_policies()
+            for name, state in pool.state.endpoints.items()
+        )
 
     async def detect_stragglers(self) -> None:
         """Look for stragglers among the engines for as long as the process runs."""
@@ -302,7 +334,7 @@
         return Failure(
             Code.SATURATED,
             f"all engines of {name} are at their limits for {delay_s:.1f} s",
-            retry_after_s=delay_s,
+            retry_after_s=spread_retry_s(delay_s),
         )
 
     def reservation_name(self, request: CallerRequest) -> str:
@@ -330,7 +362,7 @@
             software_version=self.software_version_of(grant.endpoint),
         )
         reservation = HeldReservation(pool=pool.state.name, holding=holding)
-        reservation.urgent = pool.reservations[admission.reservation].short
+        reservation.urgent = pool.reservations[admission.reservation].urgent
         return self.record_reservation(reservation)
 
     def record_reservation(self, reservation: HeldReservation) -> HeldReservation:
@@ -499,7 +531,7 @@
             return
         known = scheduler.reservations.get(holding.reservation)
         if known is None:
-            scheduler.hold(None, holding)
+            scheduler.hold(None, holding, watched=False)
         elif holding.produced > known.produced:
             item = ProgressItem(
                 reservation=holding.reservation, produced=holding.produced
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -201,6 +201,7 @@
             hedges=admit.hedges,
             weight=waiting.weight,
             short=waiting.short,
+            urgent=waiting.urgent,
             length_distribution=waiting.length_distribution,
             growth_terms=waiting.growth_terms,
         )
@@ -284,8 +285,11 @@
         )
         self.schedule_dispatch()
 
-    def hold(self, holder: Any, item: Holding) -> None:
-        """Add a reservation that an entry already holds."""
+    def hold(self, holder: Any, item: Holding, *, watched: bool = True) -> None:
+        """Add a reservation that an entry already holds.
+
+        ``watched`` says whether its progress is reported as it happens.
+        """
         endpoint = self.state.endpoints.get(item.endpoint)
         if endpoint is None:
             return
@@ -294,6 +298,7 @@
             self.reassign(existing, holder, item)
             return
         now = time.monotonic()
+        workspace = self.workspaces().get(item.workspace)
         reservation = Reservation(
             name=item.reservation,
             endpoint=item.endpoint,
@@ -311,6 +316,8 @@
             taken=item.taken,
             hedges=item.hedges,
             hedgeable=item.hedgeable,
+            weight=workspace.weight if workspace is not None else 1.0,
+            watched=watched,
         )
         self.limits.request_started(reservation.workspace, reservation.hedges)
         self.add_reservation(endpoint, reservation, now)
