--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -84,6 +84,7 @@
     def __init__(self):
         self.by_name = {LIMITED_ENDPOINT: None}
         self.leaving_listeners: list[Any] = []
+        self.entry_listeners: list[Any] = []
 
     def usable(self, service: str) -> list[Any]:
         """Return none, as the service has no other endpoint."""
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -68,6 +68,8 @@
     ENDPOINT_RESTORED = "endpoint-restored"
     ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_UNLIMITED = "endpoint-unlimited"
+    ENDPOINT_COLD = "endpoint-cold"
+    ENDPOINT_WARM = "endpoint-warm"
     ENDPOINT_PAUSED = "endpoint-paused"
     ENTRY_OUTDATED = "entry-outdated"
     ENDPOINT_BRITTLE = "endpoint-brittle"
@@ -175,6 +177,15 @@
         " that has begun goes on there."
     ),
     Event.ENDPOINT_UNLIMITED: "An endpoint doesn't name a limit any more.",
+    Event.ENDPOINT_COLD: (
+        "An endpoint is taken for cold for `for_ms` and gets at most `per_s` requests a"
+        " second from all gateways together; `known` is 0 where nothing says so and it"
+        " may have become cold."
+    ),
+    Event.ENDPOINT_WARM: (
+        "The warm-up of an endpoint that took `per_s` requests a second has ended,"
+        " `cold_ms` after this gateway learned of it."
+    ),
     Event.ENDPOINT_BRITTLE: (
         "An endpoint says in its answers that it falls over beyond `refusals_per_s`"
         " refusals a second, by all gateways together."
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -19,6 +19,7 @@
 HELP = {
     "answer_us": "Time from a request's arrival to the end of its response, by route.",
     "attempt_us": "Duration of an attempt at an endpoint of a plain service.",
+    "cold_endpoints": "Endpoints that are warming up and take few requests a second.",
     "crashes_seen": "Responses that broke off because their endpoint crashed.",
     "configs_too_large": "Configurations that didn't fit into a reply to a gateway.",
     "datagrams_refused": "Datagrams refused for a wrong signature or content.",
--- a/src/baobabturn/gateway/endpointconditions.py
+++ b/src/baobabturn/gateway/endpointconditions.py
@@ -1,4 +1,4 @@
-"""Applies what endpoints say of themselves in any answer: leaving, brittle, a pause.
+"""Applies what endpoints say of themselves: leaving, brittle, cold, a pause.
 
 It holds for this gateway at once and by its own memory, whatever the store says.
 """
@@ -25,6 +25,8 @@
             self.endpoints.mark_announced_leaving(endpoint, LEAVING_REASON)
         if response_metadata.refused and response_metadata.pause_s:
             self.rate_limits.pause(endpoint, response_metadata.pause_s)
+        if response_metadata.cold_left_s:
+            self.rate_limits.record_cold(endpoint, response_metadata.cold_left_s)
         self.rate_limits.brittle.record_answer(
             endpoint,
             response_metadata.refusals_per_s,
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -16,6 +16,7 @@
 from baobabturn.gateway.platforminterface import EndpointRecord, ObjectCodec
 from baobabturn.gateway.softwareversion import SoftwareVersion
 from baobabturn.store.interface import Change
+from baobabturn.store.version import NO_VERSION, StoreVersion
 from baobabturn.wire.gatewaymessages import DepartedEndpoint
 
 # A leaving endpoint is kept for this long, for the generations that it still runs.
@@ -54,7 +55,8 @@
     """All endpoints by name; notifies listeners of changes.
 
     ``leaving_listeners`` are called once for each endpoint that begins to leave,
-    ``change_listeners`` after any change.  ``missing_timers`` holds the timers of
+    ``change_listeners`` after any change, ``entry_listeners`` with each version of an
+    entry whose endpoint isn't leaving.  ``missing_timers`` holds the timers of
     endpoints whose entry is missing since an outage of the store, ``departures`` the
     endpoints that left lately.  ``announced_leaving`` holds when endpoints announced
     in their own answers that they leave, which an older entry of the store doesn't take
@@ -80,6 +82,7 @@
         self.list_received = False
         self.leaving_listeners: list[Callable[[Endpoint], None]] = []
         self.change_listeners: list[Callable[[], None]] = []
+        self.entry_listeners: list[Callable[[Endpoint, StoreVersion], None]] = []
 
     def usable(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints that accept new requests."""
@@ -104,7 +107,7 @@
         if change.value is None:
             self.handle_missing(change.name)
         else:
-            self.apply_entry(change.name, change.value)
+            self.apply_present(change)
         self.notify()
 
     def apply_listed(self, change: Change) -> None:
@@ -121,7 +124,7 @@
                     Event.ENDPOINT_STAYS_OUT, endpoint=record.name, era=era
                 )
                 return
-        self.apply_entry(change.name, change.value)
+        self.apply_present(change)
 
     def apply_departures(self, departed: list[DepartedEndpoint]) -> None:
         """Mark endpoints as leaving that left before the copy was read here."""
@@ -139,15 +142,29 @@
         for listener in self.change_listeners:
             listener()
 
-    def apply_entry(self, name: str, value: Any) -> None:
-        """Apply an entry; an unreadable one counts as missing."""
+    def apply_present(self, change: Change) -> None:
+        """Apply an entry, and notify the listeners of what it says."""
+        endpoint = self.apply_entry(change.name, change.value)
+        if endpoint is not None and not endpoint.leaving:
+            self.notify_entry(endpoint, change.version)
+
+    def notify_entry(self, endpoint: Endpoint, version: StoreVersion) -> None:
+        """Notify the listeners of what the entry of an endpoint says."""
+        for listener in self.entry_listeners:
+            listener(endpoint, version)
+
+    def apply_entry(self, name: str, value: Any) -> Endpoint | None:
+        """Apply an entry and return its endpoint, None if it says nothing.
+
+        An unreadable one counts as missing.
+        """
         record = self.object_codec.decode_endpoint(name, value)
         if isinstance(record, Failure):
             self.events.emit(
                 Event.ENTRY_UNREADABLE, endpoint=name, reason=record.reason
             )
             self.handle_missing(name)
-            return
+            return None
         timer = self.missing_timers.pop(name, None)
         if timer is not None:
             timer.cancel()
@@ -156,12 +173,13 @@
         endpoint = self.by_name.get(name)
         if self.has_announced_leaving(record):
             self.events.emit(Event.ENTRY_IGNORED, endpoint=name)
-            return
+            return None
         if endpoint is None or is_other_incarnation(endpoint, record):
             endpoint = self.add(record)
         endpoint.record = record
         if record.leaving:
             self.mark_leaving(endpoint, "its entry says that it is leaving")
+        return endpoint
 
     def add(self, record: EndpointRecord) -> Endpoint:
         """Add a new incarnation, which replaces one of its name."""
@@ -191,9 +209,15 @@
         if self.by_name.get(endpoint.name) is not endpoint:
             return
         version = SoftwareVersion(endpoint=record.name, incarnation=incarnation)
-        self.add(
-            attrs.evolve(record, incarnation=incarnation, software_version=version)
+        successor = self.add(
+            attrs.evolve(
+                record,
+                incarnation=incarnation,
+                software_version=version,
+                cold_left_s=None,
+            )
         )
+        self.notify_entry(successor, NO_VERSION)
         self.notify()
 
     def handle_missing(self, name: str) -> None:
--- a/src/baobabturn/gateway/limitnews.py
+++ b/src/baobabturn/gateway/limitnews.py
@@ -1,5 +1,7 @@
 """Exchanges the rate limits of endpoints, and the requests sent to those.
 
+A limit is what an endpoint names in its answers, or that of its warm-up.
+
 A limit is for all gateways together, so each request to a limited endpoint is told to
 the near gateways at once; they are at most a few a second, or there would be no need
 of a limit.  In a large fleet each failure domain uses a part of the limit, by its
@@ -15,6 +17,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.gateway.brittlenews import BrittleExchange
+from baobabturn.gateway.coldendpoints import ColdEndpoints
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.limitdemand import MIN_DEMAND, LimitDemand
 from baobabturn.gateway.peer import Peer
@@ -30,6 +33,12 @@
 MS_PER_S = 1000
 # Limits in one datagram.
 MAX_LIMITS_PER_MESSAGE = 32
+# The gateways that wait for the same turn take it at different times, on average so
+# far apart.  Within 5 ms, which a request takes to be heard of at all others, two or
+# three of them send one.
+SPREAD_S_PER_GATEWAY = 0.002
+# A gateway that has been silent for longer isn't cut off but gone.
+GONE_SILENCE_S = 600.0
 
 
 class LimitExchange:
@@ -37,7 +46,9 @@
 
     ``far_loads`` returns the aggregates of other failure domains in a large fleet.
     ``paused_until`` holds, by endpoint, until when one that refused wants no request of
-    this gateway; that concerns no other.  ``brittle`` bounds refusals.
+    this gateway; that concerns no other.  ``lately_booked`` names the endpoints that
+    this gateway has sent a request since the last exchange of demand.  ``brittle`` bounds refusals, ``cold`` the
+    rate of endpoints that warm up.
     """
 
     def __init__(
@@ -55,13 +66,22 @@
             far_loads=lambda: far_loads() if peers.table.is_large_fleet() else [],
             near_count=lambda: 1 + len(peers.table.near_alive()),
         )
-        self.limits = RateLimits(share=self.demand.share)
+        self.limits = RateLimits(
+            share=self.demand.share, group=peers.record.failure_domain
+        )
         self.brittle = BrittleExchange(
             program=program,
             peers=peers,
             share=self.demand.even_share,
             endpoints=endpoints,
         )
+        self.cold = ColdEndpoints(
+            program=program,
+            endpoints=endpoints,
+            limits=self.limits,
+            reach=self.reach,
+        )
+        self.lately_booked: set[str] = set()
         self.paused_until: dict[str, float] = {}
         peers.handlers[LimitNews] = self.handle_news
         peers.introduction_listeners.append(self.introduce)
@@ -73,16 +93,46 @@
             if self.limits.limited(endpoint) is not None:
                 self.demand.record(endpoint)
 
+    def reach(self) -> float:
+        """Return the part of all gateways that this one hears, itself included.
+
+        Those that it doesn't hear may be cut off from it, and send as well.
+        """
+        table = self.peers.table
+        peers = list(table.peers.values())
+        heard = 1 + len(table.near_alive())
+        if table.is_large_fleet():
+            heard += sum(load.serving for load in self.demand.far_loads())
+        else:
+            peers = [each for each in peers if table.silence_s(each) < GONE_SILENCE_S]
+        return min(1.0, heard / (1 + len(peers)))
+
+    def update_spread(self) -> None:
+        """Spread the turns of the gateways that hear of one another's requests."""
+        near = 1 + len(self.peers.table.near_alive())
+        self.limits.spread_s = near * SPREAD_S_PER_GATEWAY
+
     def exchange_demand(self) -> None:
-        """Tell the near gateways of a large fleet the demand here; update shares."""
+        """Tell the near gateways of a large fleet the demand here; update shares.
+
+        With the debt of a request of the last second they learn of it if its own news
+        got lost.  The other debts aren't repeated: shares differ a little from gateway
+        to gateway, and the longest of all debts would leave a part of the limit unused.
+        """
+        self.update_spread()
+        self.cold.update()
         self.limits.update_shares()
         if not self.peers.table.is_large_fleet():
             return
         items = [
-            attrs.evolve(self.item(name), demand=self.demand.own_requests(name))
-            for name in self.limits.schedules
+            attrs.evolve(
+                self.item(name, with_debt=name in self.lately_booked),
+                demand=self.demand.own_requests(name),
+            )
+            for name in list(self.limits.schedules)
             if self.demand.own_requests(name) >= MIN_DEMAND
         ]
+        self.lately_booked.clear()
         self.send_all(self.peers.table.near_alive(), items)
 
     def record_answer(self, endpoint: Endpoint, per_s: float | None) -> None:
@@ -94,9 +144,17 @@
             self.log(endpoint.name)
             self.send(self.peers.table.near_alive(), [self.item(endpoint.name)])
 
+    def record_cold(self, endpoint: Endpoint, left_s: float) -> None:
+        """Record for how long an answer says that its endpoint is cold; tell others."""
+        if self.endpoints.by_name.get(endpoint.name) is not endpoint:
+            return
+        if self.cold.record_answer(endpoint.name, left_s):
+            self.send(self.peers.table.near_alive(), [self.item(endpoint.name)])
+
     def book(self, endpoint: str) -> None:
         """Book a request that is about to be sent, and tell the near gateways."""
         if self.limits.book(endpoint):
+            self.lately_booked.add(endpoint)
             item = self.item(endpoint, is_request=True, with_debt=True)
             self.send(self.peers.table.near_alive(), [item])
 
@@ -156,10 +214,12 @@
         self.limits.forget(endpoint.name)
         self.demand.forget(endpoint.name)
         self.paused_until.pop(endpoint.name, None)
+        self.lately_booked.discard(endpoint.name)
 
     def introduce(self, peers: list[Peer]) -> None:
         """Send gateways that may know nothing all limits."""
-        names = [each for each in self.limits.schedules if self.limits.limited(each)]
+        known = list(self.limits.schedules)
+        names = [each for each in known if self.limits.limited(each)]
         self.send_all(peers, [self.item(name, with_debt=True) for name in names])
 
     def send_all(self, peers: list[Peer], items: list[EndpointLimit]) -> None:
@@ -180,6 +240,7 @@
             stamp=schedule.stamp,
             is_request=is_request,
             debt_ms=int(debt_s * MS_PER_S),
+            cold_left_ms=self.cold.left_ms(endpoint),
         )
 
     def send(self, peers: list[Peer], items: list[EndpointLimit]) -> None:
@@ -188,18 +249,26 @@
         self.peers.send_message(news, peers)
 
     def handle_news(self, news: LimitNews, peer: Peer) -> None:
-        """Add another gateway's news."""
+        """Add another gateway's news.
+
+        Of an endpoint that isn't known here yet only the debt is kept.
+        """
         for item in news.items:
-            if item.endpoint in self.endpoints.by_name:
-                self.add(item)
-                if item.demand:
-                    self.demand.record_near(item.endpoint, peer.name, item.demand)
+            if item.endpoint not in self.endpoints.by_name:
+                self.limits.add_debt(item.endpoint, item.debt_ms / MS_PER_S)
+                continue
+            self.add(item)
+            if item.demand:
+                self.demand.record_near(item.endpoint, peer.name, item.demand)
 
     def add(self, item: EndpointLimit) -> None:
         """Add what another gateway knows of a limit, and book the request it sends.
 
         With its debt, a gateway that has missed requests doesn't run ahead of others.
+        An older peer says nothing of a warm-up, which is no reason to end one.
         """
+        if item.cold_left_ms:
+            self.cold.record_told(item.endpoint, item.cold_left_ms / MS_PER_S)
         self.set_limit(item)
         if item.is_request:
             self.limits.book(item.endpoint)
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -85,6 +85,7 @@
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
     program.metrics.gauge("places_held", lambda: len(node.pools.reservations))
+    program.metrics.gauge("cold_endpoints", lambda: node.rate_limits.cold.count())
     program.metrics.gauge("platform_calls", lambda: platform.store.calls)
     await node.start()
     reloader = SettingsReloader(program=program, apply=node.apply_settings)
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -99,7 +99,7 @@
         self.config = ConfigInForce(
             object_codec=object_codec,
             events=program.events,
-            on_table=self.pools.apply_table,
+            on_table=self.apply_table,
         )
         self.endpoints.change_listeners.append(self.pools.refresh_endpoints)
         record = GatewayRecord(
@@ -335,6 +335,11 @@
         """
         return self.config.table if self.catch_up.has_settled else None
 
+    def apply_table(self, table: RouteTable) -> None:
+        """Apply a configuration."""
+        self.rate_limits.cold.set_services(table.services.values())
+        self.pools.apply_table(table)
+
     async def log_key_acceptance(self) -> None:
         """Log when keys begin and cease to be accepted; check the store's version."""
         while True:
--- a/src/baobabturn/gateway/platforminterface.py
+++ b/src/baobabturn/gateway/platforminterface.py
@@ -27,6 +27,8 @@
     """An endpoint as the platform's store describes it.
 
     ``incarnation`` tells processes of the same name apart, 0 if it isn't known.
+    ``cold_left_s`` is for how much longer the endpoint is cold, None if that isn't
+    known.
     """
 
     name: str
@@ -37,6 +39,7 @@
     leaving: bool
     software_version: SoftwareVersion
     incarnation: int = 0
+    cold_left_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -105,7 +108,8 @@
     takes from all gateways together, None if it names no limit.  ``leaving`` means
     that the endpoint is leaving, ``pause_s`` for how many seconds it wants no request
     of this gateway.  ``refusals_per_s`` is how many refusals a second the endpoint
-    bears, of all gateways together, None if it says nothing of that.
+    bears, of all gateways together, None if it says nothing of that.  ``cold_left_s``
+    is for how many seconds the endpoint is still cold, None if it doesn't say.
     """
 
     request_id: str
@@ -116,6 +120,7 @@
     leaving: bool = False
     pause_s: float = 0.0
     refusals_per_s: float | None = None
+    cold_left_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -224,7 +224,7 @@
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
-        refusal = self.limit_refusal(pool, queue_timeout_s)
+        refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority)
         if refusal is not None:
             return refusal
         admission = Admit(
@@ -258,13 +258,18 @@
                 waiting.future.set_result(Failure(Code.CONNECT_FAILED, reason))
 
     def limit_refusal(
-        self, pool: PoolScheduler, queue_timeout_s: float
+        self, pool: PoolScheduler, queue_timeout_s: float, priority: int
     ) -> Failure | None:
-        """Return the refusal of a request that no engine's limit permits in time."""
+        """Return the refusal of a request that no engine's limit permits in time.
+
+        Only those that are at least as urgent go ahead of it.
+        """
         name = pool.state.name
         usable = [endpoint.name for endpoint in self.endpoints.usable(name)]
         self.rate_limits.record_demand(usable)
-        delay_s = self.rate_limits.queue_delay_s(usable, len(pool.state.queue))
+        queue = pool.state.queue.values()
+        ahead = sum(waiting.admit.priority >= priority for waiting in queue)
+        delay_s = self.rate_limits.queue_delay_s(usable, ahead)
         if delay_s <= queue_timeout_s:
             return None
         return Failure(
--- a/src/baobabturn/gateway/routes.py
+++ b/src/baobabturn/gateway/routes.py
@@ -41,10 +41,16 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A service behind the gateway; ``engine`` is None for a plain service."""
+    """A service behind the gateway; ``engine`` is None for a plain service.
+
+    For ``cold_start_s`` after its start an endpoint takes ``cold_per_s`` requests a
+    second from all gateways together, 0 for no limit.
+    """
 
     name: str
     engine: EngineTraits | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/platform/documents.py
+++ b/src/baobabturn/platform/documents.py
@@ -36,6 +36,10 @@
 }
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_TOKENS_PER_EVENT = 1
+# A service that limits the rate of cold endpoints, and doesn't say for how long.
+DEFAULT_COLD_START_S = 1.0
+# An entry that names a longer time isn't believed.
+MAX_COLD_LEFT_S = 600.0
 
 # What fits into the whole numbers of messages between gateways.
 MAX_COUNT = 2**63 - 1
@@ -90,6 +94,15 @@
     return time_s
 
 
+def required_amount(value: Any) -> float:
+    """Return a finite number of at least 0; raise ``ValueError`` for other values."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"expected a number, got {value!r}")
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError(f"expected a finite number of at least 0, got {value!r}")
+    return float(value)
+
+
 def required_address(value: Any) -> str:
     """Return an ``address:port``; raise ``ValueError`` for any other value."""
     host, _, port = required_text(value).rpartition(":")
@@ -208,9 +221,22 @@
         leaving=LEAVING_BY_STATE[value["state"]],
         software_version=decode_software_version(name, value),
         incarnation=decode_incarnation(value),
+        cold_left_s=decode_cold_left(value.get("coldLeftMs")),
     )
 
 
+def decode_cold_left(value: Any) -> float | None:
+    """Return for how many seconds an endpoint is still cold, None if it isn't known.
+
+    An odd value must not cost the endpoint.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if not 0 <= value <= MAX_COLD_LEFT_S * MS_PER_S:
+        return None
+    return value / MS_PER_S
+
+
 def decode_incarnation(value: Any) -> int:
     """Return the start time that tells an endpoint's incarnations apart, 0 for none."""
     born = value.get("born")
@@ -291,19 +317,25 @@
 def decode_service(value: Any) -> Service:
     """Return a service; raise one of ``DECODE_ERRORS`` for an invalid one."""
     engine = value.get("engine")
-    if not engine:
-        return Service(name=required_text(value["name"]))
+    cold_start_s = value.get("coldStartS")
     return Service(
         name=required_text(value["name"]),
-        engine=EngineTraits(
-            slots=required_int(engine["slots"]),
-            kv_cache_tokens=required_int(engine["kvTokens"]),
-            kv_bytes_per_token=int(engine.get("kvBytes", 0)),
-            link_bytes_per_s=engine.get("linkMbps", 0)
-            * BITS_PER_MEGABIT
-            / BITS_PER_BYTE,
-            tokens_per_event=engine.get("stride", DEFAULT_TOKENS_PER_EVENT),
-            supports_migration=bool(engine.get("moves")),
-            supports_backups=bool(engine.get("backups")),
-        ),
+        engine=decode_engine(engine) if engine else None,
+        cold_start_s=DEFAULT_COLD_START_S
+        if cold_start_s is None
+        else required_amount(cold_start_s),
+        cold_per_s=required_amount(value.get("coldPerS") or 0),
+    )
+
+
+def decode_engine(engine: Any) -> EngineTraits:
+    """Return the properties of a service's engines; raise as ``decode_service``."""
+    return EngineTraits(
+        slots=required_int(engine["slots"]),
+        kv_cache_tokens=required_int(engine["kvTokens"]),
+        kv_bytes_per_token=int(engine.get("kvBytes", 0)),
+        link_bytes_per_s=engine.get("linkMbps", 0) * BITS_PER_MEGABIT / BITS_PER_BYTE,
+        tokens_per_event=engine.get("stride", DEFAULT_TOKENS_PER_EVENT),
+        supports_migration=bool(engine.get("moves")),
+        supports_backups=bool(engine.get("backups")),
     )
--- a/src/baobabturn/platform/headers.py
+++ b/src/baobabturn/platform/headers.py
@@ -45,6 +45,8 @@
 # On all responses of an endpoint that falls over if it has to refuse more requests
 # than this within a second, of all gateways together.
 BRITTLE = b"server-brittle"
+# For how many milliseconds the endpoint is still cold.
+COLD_MS, MAX_COLD_S = b"x-cold-ms", 600.0
 # On all responses of an endpoint that is leaving.
 LEAVING, IS_LEAVING = b"server-leaving", b"1"
 # On a refusal (status 503): the endpoint wants no request of this gateway for so many
@@ -171,6 +173,7 @@
             leaving=is_leaving(headers),
             pause_s=parse_pause(status, headers),
             refusals_per_s=parse_rate(first_value(headers, BRITTLE)),
+            cold_left_s=parse_cold_left(headers),
         )
 
 
@@ -188,6 +191,14 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def parse_cold_left(headers: Headers) -> float | None:
+    """Return for how many seconds an endpoint is still cold, None if it isn't known."""
+    left_ms = parse_rate(first_value(headers, COLD_MS))
+    if left_ms is None or left_ms > MAX_COLD_S * MS_PER_S:
+        return None
+    return left_ms / MS_PER_S
+
+
 def parse_pause(status: int, headers: Headers) -> float:
     """Return for how long an endpoint that refuses wants no request, in seconds."""
     if status != REFUSED_STATUS:
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -170,7 +170,8 @@
     none.  ``per_s`` counts the requests of all gateways together.  ``is_request``
     says that the sender sends the endpoint a request now, ``debt_ms`` for how long
     the booked requests fill its schedule, ``demand`` how many requests the sender would
-    have sent there lately.
+    have sent there lately.  ``cold_left_ms`` says for how long the sender takes the
+    endpoint for cold by its own knowledge; 0, also of older peers, says nothing.
     """
 
     endpoint: str = ""
@@ -180,6 +181,7 @@
     is_request: bool = False
     debt_ms: int = 0
     demand: float = 0.0
+    cold_left_ms: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -438,6 +438,7 @@
   isRequest @4 :Bool;      # whether `node` sends the endpoint a request now
   debtMs @5 :UInt32;       # for how long booked requests fill the schedule
   demand @6 :Float64;      # requests that `node` would have sent lately
+  coldLeftMs @7 :UInt32;   # for how long `node` takes the endpoint for cold
 }
 
 # Endpoints that bear few refusals, and their refusals.
