--- /dev/null
+++ b/features/steps/gatewaywarmup.py
@@ -0,0 +1,322 @@
+"""Steps on endpoints that are cold after their start."""
+
+import asyncio
+import json
+import random
+import time
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.routes import Service
+from baobabturn.placement.warmup import WarmUp
+from baobabturn.platform.documents import decode_endpoint_value
+from baobabturn.scheduler.ratelimits import RateLimits
+from baobabturn.store.version import StoreVersion
+from baobabturn.wire import codec
+from baobabturn.wire.gatewaymessages import EndpointLimit, LimitNews
+from fakes.siteconfig import configuration
+from features.fleetcase import LIMITED_ENDPOINT, SETTINGS, FleetClock
+from features.sitecase import eventually
+from features.steps.gateway import run
+
+SERVICE = Service(name="models", cold_start_s=1.0, cold_per_s=21.0)
+ENTRY_VERSION, LATER_VERSION = StoreVersion(1, 5), StoreVersion(1, 6)
+# Gateways hear of one another's requests after this time.
+STEP_S = 0.005
+HEARTBEAT_STEPS = 120
+CUT_STEP_S = 0.6
+
+
+@given("an endpoint whose entry says that it is cold for {left:g} s")
+@given("an endpoint whose entry doesn't say whether it is cold")
+def cold_endpoint(context, left=None):
+    context.warm_up = WarmUp()
+    context.warm_up.set_services([SERVICE])
+    record_entry(context, left, ENTRY_VERSION, 0.0)
+
+
+def record_entry(context, left, version, now):
+    """Record an entry of the endpoint."""
+    context.warm_up.record_entry("e", "models", left_s=left, version=version, now=now)
+
+
+@when("at {at:g} s a newer entry says that it is cold for {left:g} s")
+def newer_entry(context, at, left):
+    record_entry(context, left, LATER_VERSION, at)
+
+
+@when("at {at:g} s the same entry says that it is cold for {left:g} s")
+def same_entry(context, at, left):
+    record_entry(context, left, ENTRY_VERSION, at)
+
+
+@when("at {at:g} s the evacuation of its failure domain ends")
+def evacuation_ends(context, at):
+    context.warm_up.restart(["e", "unknown"], at)
+    record_entry(context, 0.0, ENTRY_VERSION, at + 0.1)
+
+
+@when("at {at:g} s another gateway says that it is cold for {left:g} s")
+def told(context, at, left):
+    context.warm_up.record_told("e", left_s=left, now=at)
+
+
+@then("it is cold at {cold:g} s, and warm at {warm:g} s")
+def cold_then_warm(context, cold, warm):
+    limit = context.warm_up.cold_limit("e", cold)
+    assert limit is not None and limit.per_s == SERVICE.cold_per_s, limit
+    warm_at(context, warm)
+
+
+@then("it is warm at {warm:g} s")
+def warm_at(context, warm):
+    assert context.warm_up.cold_limit("e", warm) is None
+
+
+@then("an entry is read with coldLeftMs of")
+def entries_read(context):
+    entry = {"service": "s", "address": "127.0.0.1:80", "zone": "z", "slots": 4}
+    for row in context.table:
+        value = {**entry, "state": "ready", "coldLeftMs": json.loads(row["value"])}
+        found = decode_endpoint_value("e", value).cold_left_s
+        wanted = None if row["seconds"] == "none" else float(row["seconds"])
+        assert found == wanted, (row["value"], found)
+
+
+@given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
+def schedule(context, per_s, left):
+    schedules(context, 1, per_s, left)
+
+
+@given(
+    "{count:d} schedules of endpoints that warm up at {per_s:g} a second for {left:g} s"
+)
+def schedules(context, count, per_s, left):
+    context.clock = FleetClock()
+    context.limits = RateLimits(clock=context.clock)
+    context.names = [f"e{number}" for number in range(count)]
+    for name in context.names:
+        context.limits.set_warm_up(name, per_s, context.clock.now + left)
+    context.stamp = 0
+
+
+@when("its answer names a limit of {per_s:g} a second")
+@when("its answer names no limit")
+def names_limit(context, per_s=None):
+    context.stamp += 1
+    context.limits.set_limit("e0", per_s, stamp=context.stamp)
+
+
+@when("{seconds:g} s pass")
+def seconds_pass(context, seconds):
+    context.clock.now += seconds
+
+
+@then("it takes {per_s:g} a second")
+def takes(context, per_s):
+    found = context.limits.limited("e0")
+    assert found is not None and found.allowed_per_s == per_s, found
+
+
+@then("it takes any number")
+def takes_any(context):
+    assert context.limits.limited("e0") is None
+    assert context.limits.delay_s("e0") == 0
+
+
+@then("a request behind {count:d} others would wait for {seconds:g} s")
+def would_wait(context, count, seconds):
+    found = context.limits.queue_delay_s(context.names, count)
+    assert abs(found - seconds) < 0.01, found
+
+
+class CountedLimits:
+    """Limits that keep how many requests go ahead of one."""
+
+    def record_demand(self, endpoints):
+        """Do nothing."""
+
+    def queue_delay_s(self, endpoints, waiting):
+        """Keep how many requests go ahead, and permit no other."""
+        self.ahead = waiting
+        return 1.0
+
+
+@given(
+    "a pool whose engines are cold, with {count:d} requests of priority {priority:d}"
+    " that wait"
+)
+def pool_waiting(context, count, priority):
+    endpoints = SimpleNamespace(usable=lambda name: [])
+    program = Program(role="gateway", settings=SETTINGS)
+    context.pools = EnginePools(program=program, endpoints=endpoints)
+    context.pools.rate_limits = CountedLimits()
+    waiting = SimpleNamespace(admit=SimpleNamespace(priority=-priority))
+    state = SimpleNamespace(name="models", queue=dict.fromkeys(range(count), waiting))
+    context.pool = SimpleNamespace(state=state)
+
+
+@then(
+    "a request of priority {first:d} has {few:d} ahead of it, and one of priority"
+    " {second:d} has {many:d}"
+)
+def ahead_of(context, first, few, second, many):
+    for priority, wanted in ((first, few), (second, many)):
+        refusal = context.pools.limit_refusal(context.pool, 0.5, -priority)
+        assert refusal is not None and refusal.retry_after_s == 1.0, refusal
+        assert context.pools.rate_limits.ahead == wanted, context.pools.rate_limits
+
+
+@when("the gateway {number:d} is cut off from all others for {seconds:d} seconds")
+def gateway_cut_off(context, number, seconds):
+    gateways = context.fleet.gateways
+    cut = gateways[number]
+    for each in gateways:
+        each.deaf_to.add(cut.address)
+    cut.deaf_to = {each.address for each in gateways}
+    for _ in range(int(seconds / CUT_STEP_S)):
+        context.fleet.pass_time(CUT_STEP_S)
+
+
+@when(
+    "an endpoint returns cold for {left:g} seconds, known to all within {news:g}"
+    " seconds"
+)
+def returns_cold(context, left, news):
+    """Let all gateways have waiting requests, which they send as soon as they may."""
+    fleet = context.fleet
+    choice = random.Random(1)
+    record = SimpleNamespace(service=SERVICE.name, cold_left_s=left)
+    endpoint = SimpleNamespace(name=LIMITED_ENDPOINT, record=record)
+    running = fleet.running()
+    for gateway in running:
+        gateway.limits.cold.set_services([SERVICE])
+        gateway.limits.exchange_demand()
+    began_at = fleet.clock.now
+    waiting = {each: began_at + choice.random() * news for each in running}
+    informed = []
+    context.sent, context.cold_s = [], left
+    for step in range(int(left / STEP_S)):
+        fleet.clock.now += STEP_S
+        for gateway in [each for each, at in waiting.items() if at <= fleet.clock.now]:
+            del waiting[gateway]
+            informed.append(gateway)
+            gateway.limits.cold.record_entry(endpoint, ENTRY_VERSION)
+        choice.shuffle(informed)
+        for gateway in informed:
+            send_if_permitted(context, gateway)
+        fleet.deliver()
+        if step % HEARTBEAT_STEPS == 0:
+            for gateway in running:
+                gateway.peers.send_heartbeat()
+            fleet.deliver()
+            fleet.exchange_loads()
+
+
+def send_if_permitted(context, gateway):
+    """Send a request to the cold endpoint if its turn has come."""
+    gateway.limits.record_demand([LIMITED_ENDPOINT])
+    if not gateway.limits.delay_s(LIMITED_ENDPOINT):
+        gateway.limits.book(LIMITED_ENDPOINT)
+        context.sent.append((context.fleet.clock.now, gateway.name))
+
+
+def busiest_second(times):
+    """Return the largest number of times within a second."""
+    return max(
+        (sum(at <= other < at + 1 for other in times) for at in times), default=0
+    )
+
+
+@then(
+    "the cold endpoint gets at most {most:d} requests in any second, and {least:d} a"
+    " second or more"
+)
+def within_cold_bound(context, most, least):
+    assert busiest_second([at for at, _ in context.sent]) <= most, context.sent
+    assert len(context.sent) >= least * context.cold_s, len(context.sent)
+
+
+@then("the gateway {number:d} has sent at most {most:d} requests")
+def has_sent(context, number, most):
+    sent = [name for _, name in context.sent if name == f"g{number}"]
+    assert 1 <= len(sent) <= most, len(sent)
+
+
+@then("news without the new field leave the endpoint cold")
+def old_news(context):
+    gateway, peer = context.fleet.gateways
+    item = EndpointLimit(endpoint=LIMITED_ENDPOINT, stamp=2**60, is_request=True)
+    news = LimitNews(node=peer.name, items=[item])
+    envelope = codec.unpack_small(codec.pack_small(codec.Envelope(body=news)))
+    assert envelope.body.items[0].cold_left_ms == 0
+    limits = gateway.limits
+    limits.cold.restart([LIMITED_ENDPOINT])
+    limits.handle_news(envelope.body, gateway.peers.table.peers[peer.name])
+    assert limits.limits.is_warming_up(LIMITED_ENDPOINT)
+
+
+@then("the news of a request there name no limit, so that an older peer knows none")
+def news_name_no_limit(context):
+    limits = context.fleet.gateways[1].limits
+    limits.cold.warm_up.restart([LIMITED_ENDPOINT], limits.limits.clock())
+    limits.cold.apply(LIMITED_ENDPOINT)
+    item = limits.item(LIMITED_ENDPOINT, is_request=True, with_debt=True)
+    assert item.cold_left_ms and not item.limited and not item.per_s, item
+    # An older peer does no more with it than one without a schedule does.
+    older = RateLimits()
+    assert not older.set_limit(item.endpoint, None, stamp=item.stamp)
+    assert not older.book(item.endpoint) and not older.delay_s(item.endpoint)
+
+
+@given("cold endpoints take {per_s:g} requests a second")
+def site_config(context, per_s):
+    value = configuration(version=2)
+    for service in value["services"]:
+        service.update(coldStartS=1.0, coldPerS=per_s)
+    context.case.store.write("config", "main", value)
+
+
+@when("one of them starts again and is cold for {seconds:g} seconds")
+def one_returns(context, seconds):
+    start_again(context, list(context.case.endpoints)[:1], seconds)
+
+
+@when("all of them start again and are cold for {seconds:g} seconds")
+def all_return(context, seconds):
+    start_again(context, list(context.case.endpoints), seconds)
+
+
+def start_again(context, names, seconds):
+    """Let endpoints start again, and wait until the gateways know."""
+    context.cold = [context.case.endpoints[name] for name in names]
+    run(context, asyncio.sleep(0.5))
+    for endpoint in context.cold:
+        entry = endpoint.entry(
+            born=int(time.time() * 1000), coldLeftMs=int(seconds * 1000)
+        )
+        context.case.store.write("servers", endpoint.name, entry)
+    run(
+        context,
+        eventually(
+            lambda: all(
+                gateway.gauge("cold_endpoints") == len(names)
+                for gateway in context.case.gateways
+            ),
+            "the gateways know",
+        ),
+    )
+    for gateway in context.case.gateways:
+        assert gateway.logged(Event.ENDPOINT_COLD), "no line on a cold endpoint"
+
+
+@then("it gets at most {most:d} requests in any second")
+@then("each of them gets at most {most:d} requests in any second")
+def real_bound(context, most):
+    for endpoint in context.cold:
+        times = [request.arrived_at for request in endpoint.ran]
+        assert 2 <= busiest_second(times) <= most, (endpoint.name, len(times))
--- a/src/baobabturn/gateway/limitnews.py
+++ b/src/baobabturn/gateway/limitnews.py
@@ -47,8 +47,8 @@
     ``far_loads`` returns the aggregates of other failure domains in a large fleet.
     ``paused_until`` holds, by endpoint, until when one that refused wants no request of
     this gateway; that concerns no other.  ``lately_booked`` names the endpoints that
-    this gateway has sent a request since the last exchange of demand.  ``brittle`` bounds refusals, ``cold`` the
-    rate of endpoints that warm up.
+    this gateway has sent a request since the last exchange of demand.  ``brittle``
+    bounds refusals, ``cold`` the rate of endpoints that warm up.
     """
 
     def __init__(
--- a/src/baobabturn/scheduler/ratelimits.py
+++ b/src/baobabturn/scheduler/ratelimits.py
@@ -37,9 +37,9 @@
 # A share that falls to less than this part of itself has been used by hosts that didn't
 # know of others; these then begin at different times.
 SPREAD_RATIO = 0.5
-# Where a limit is divided, the hosts of a group spread a turn over this part of the time
-# between two turns: each group sends by itself, so that none makes good for the
-# requests that several hosts of another one send at once.
+# Where a limit is divided, the hosts of a group spread a turn over this part of the
+# time between two turns: requests that several of them send at once make no other
+# group wait.
 DIVIDED_TURN_RATIO = 0.2
 # Endpoints of which others send requests before this host knows of a limit.
 MAX_EARLY_DEBTS = 256
@@ -83,9 +83,9 @@
     The hosts that wait for the same turn take it at different times within
     ``spread_s``, so that most hear of the request that is sent first.  ``group`` names
     the hosts that share a part of the limits; each group begins at another time.
-    ``on_warm`` is called with each endpoint whose warm-up has ended, and its limit until
-    then.  ``early_debts`` holds until when the requests of others fill the schedules of
-    endpoints that have no limit here yet.
+    ``on_warm`` is called with each endpoint whose warm-up has ended, and its limit
+    until then.  ``early_debts`` holds until when the requests of others fill the
+    schedules of endpoints that have no limit here yet.
     """
 
     def __init__(
@@ -222,11 +222,8 @@
         schedule = self.limited(endpoint)
         if schedule is None:
             return 0.0
-        interval_s, spread_s, burst = (
-            self.interval_s(schedule),
-            self.spread_s,
-            BURST_REQUESTS,
-        )
+        interval_s = self.interval_s(schedule)
+        spread_s, burst = self.spread_s, BURST_REQUESTS
         if schedule.share < 1:
             burst = DIVIDED_BURST_REQUESTS
             spread_s = max(spread_s, DIVIDED_TURN_RATIO * interval_s)
