--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -99,6 +99,25 @@
     Given a pool whose engines are cold, with 10 requests of priority 2 that wait
     Then a request of priority 0 has 0 ahead of it, and one of priority 5 has 10
 
+  # Guards against urgent requests that wait behind those that came before them.
+  Scenario: A turn goes to the most urgent request that waits for it
+    When requests of priority 2, 1, 1 and 0 book turns one after another
+    Then the turns go to those of priority 0, 1, 1 and 2
+    And one of priority 0 would get the first of the turns that the others booked
+
+  # Guards against answers that say how cold an endpoint is, and aren't read.
+  Scenario: An answer says that its endpoint is cold
+    Then an answer is read with X-Cold-Ms of
+      | value | seconds |
+      | 800   | 0.8     |
+      | 0     | 0       |
+      |       | none    |
+      | -1    | none    |
+      | nan   | none    |
+      | text  | none    |
+    When an answer of an endpoint that was warm says that it is cold for 0.5 s
+    Then it is cold at 0.49 s, and warm at 0.51 s
+
   # Guards against an endpoint that returns empty and attracts every gateway at once.
   Scenario Outline: An endpoint returns empty while all <size> gateways have requests
     Given a fleet of <size> gateways in <domains> failure domains
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -12,8 +12,10 @@
 from baobabturn.core.program import Program
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
+from baobabturn.gateway.turns import Turns
 from baobabturn.placement.warmup import WarmUp
 from baobabturn.platform.documents import decode_endpoint_value
+from baobabturn.platform.headers import PlatformHeaderTranslator
 from baobabturn.scheduler.ratelimits import RateLimits
 from baobabturn.store.version import StoreVersion
 from baobabturn.wire import codec
@@ -27,6 +29,7 @@
 ENTRY_VERSION, LATER_VERSION = StoreVersion(1, 5), StoreVersion(1, 6)
 # Gateways hear of one another's requests after this time.
 STEP_S = 0.005
+TURN_INTERVAL_S = 0.02
 HEARTBEAT_STEPS = 120
 CUT_STEP_S = 0.6
 
@@ -87,6 +90,59 @@
         assert found == wanted, (row["value"], found)
 
 
+@then("an answer is read with X-Cold-Ms of")
+def answers_read(context):
+    translator = PlatformHeaderTranslator()
+    for row in context.table:
+        headers = [(b"x-cold-ms", row["value"].encode())]
+        found = translator.response_metadata(200, headers).cold_left_s
+        wanted = None if row["seconds"] == "none" else float(row["seconds"])
+        assert found == wanted, (row["value"], found)
+
+
+@when("an answer of an endpoint that was warm says that it is cold for {left:g} s")
+def cold_answer(context, left):
+    cold_endpoint(context, 0.0)
+    context.warm_up.record_answer("e", left_s=left, now=0.0)
+    context.warm_up.record_answer("e", left_s=0.0, now=0.1)
+
+
+@when(
+    "requests of priority {first:d}, {second:d}, {third:d} and {last:d} book turns one"
+    " after another"
+)
+def turns_booked(context, first, second, third, last):
+    context.turns_taken = []
+
+    async def wait(turns, number, priority):
+        delay_s = (number + 1) * TURN_INTERVAL_S
+        if await turns.wait("e", priority, delay_s=delay_s, limit_s=1.0):
+            context.turns_taken.append(priority)
+
+    async def book():
+        turns = Turns()
+        waits = [
+            asyncio.create_task(wait(turns, number, priority))
+            for number, priority in enumerate((first, second, third, last))
+        ]
+        await asyncio.sleep(0)
+        context.first_turn_s = turns.delay_s("e", 0, 1.0)
+        await asyncio.gather(*waits)
+        assert not turns.waiting, turns.waiting
+
+    run(context, book())
+
+
+@then("the turns go to those of priority {first:d}, {second:d}, {third:d} and {last:d}")
+def turns_taken(context, first, second, third, last):
+    assert context.turns_taken == [first, second, third, last], context.turns_taken
+
+
+@then("one of priority 0 would get the first of the turns that the others booked")
+def first_turn(context):
+    assert 0 < context.first_turn_s <= TURN_INTERVAL_S, context.first_turn_s
+
+
 @given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
 def schedule(context, per_s, left):
     schedules(context, 1, per_s, left)
--- a/src/baobabturn/gateway/limitnews.py
+++ b/src/baobabturn/gateway/limitnews.py
@@ -34,9 +34,9 @@
 # Limits in one datagram.
 MAX_LIMITS_PER_MESSAGE = 32
 # The gateways that wait for the same turn take it at different times, on average so
-# far apart.  Within 5 ms, which a request takes to be heard of at all others, two or
-# three of them send one.
-SPREAD_S_PER_GATEWAY = 0.002
+# far apart.  In the 5 ms that the news of a request take to reach all others, one or
+# two more of them send one.
+SPREAD_S_PER_GATEWAY = 0.003
 # A gateway that has been silent for longer isn't cut off but gone.
 GONE_SILENCE_S = 600.0
 
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 
 from baobabturn.core.events import Event
@@ -18,6 +17,7 @@
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.slotroom import SlotRoom
+from baobabturn.gateway.turns import Turns
 
 # With less time left than this, no endpoint could respond.
 MIN_REMAINING_S = 0.02
@@ -52,6 +52,7 @@
         self.rate_limits = rate_limits
         self.paths = paths
         self.slot_room = slot_room
+        self.turns = Turns()
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -98,7 +99,9 @@
 
         ``endpoint`` is the one whose limit permits a request first.
         """
-        delay_s = self.rate_limits.delay_s(endpoint.name)
+        delay_s = self.turns.delay_s(
+            endpoint.name, request.priority, self.rate_limits.delay_s(endpoint.name)
+        )
         if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
             return limit_failure(request, delay_s)
         return await self.crash_watch.admit(request)
@@ -119,13 +122,18 @@
     async def wait_for_turn(self, request: CallerRequest, endpoint: Endpoint) -> bool:
         """Book a request to an endpoint and wait until its limit permits it.
 
-        Return whether it may still be sent there then.
+        More urgent requests are sent before it.  Return whether it may still be sent
+        there then.
         """
         delay_s = self.rate_limits.delay_s(endpoint.name)
         self.rate_limits.book(endpoint.name)
         if not delay_s:
             return True
-        await asyncio.sleep(delay_s)
+        limit_s = MAX_LIMIT_WAIT_RATIO * request.remaining_s()
+        if not await self.turns.wait(
+            endpoint.name, request.priority, delay_s=delay_s, limit_s=limit_s
+        ):
+            return False
         return not endpoint.leaving and self.crash_watch.refusal(request) is None
 
     def choose_endpoint(
--- /dev/null
+++ b/src/baobabturn/gateway/turns.py
@@ -0,0 +1,82 @@
+"""Gives the turns that are booked at limited endpoints to the most urgent requests.
+
+A request that waits for its turn books the next one.  When a turn comes, the most
+urgent request that waits for the endpoint is sent, so that the others wait for a later
+turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+
+import attrs
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingTurn:
+    """A request that waits; ``turn_at`` is the loop's time of the turn it has booked.
+
+    Those with a smaller ``priority`` are more urgent.
+    """
+
+    priority: int
+    number: int
+    turn_at: float
+    comes: asyncio.Future[None]
+
+
+class Turns:
+    """The requests of this gateway that wait for a turn, by endpoint."""
+
+    def __init__(self) -> None:
+        self.waiting: dict[str, list[WaitingTurn]] = collections.defaultdict(list)
+        self.counter = itertools.count()
+
+    def delay_s(self, endpoint: str, priority: int, delay_s: float) -> float:
+        """Return when a request's turn comes that would book one in ``delay_s``.
+
+        It gets the first turn of those that are less urgent.
+        """
+        now = asyncio.get_running_loop().time()
+        others = self.waiting.get(endpoint, ())
+        turns = [each.turn_at - now for each in others if each.priority > priority]
+        return max(0.0, min([delay_s, *turns]))
+
+    async def wait(
+        self, endpoint: str, priority: int, *, delay_s: float, limit_s: float
+    ) -> bool:
+        """Wait for a turn, given that one comes in ``delay_s``; return whether it came.
+
+        It hasn't if more urgent requests have got the turns until ``limit_s``.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = WaitingTurn(
+            priority=priority,
+            number=next(self.counter),
+            turn_at=loop.time() + delay_s,
+            comes=loop.create_future(),
+        )
+        self.waiting[endpoint].append(waiting)
+        loop.call_at(waiting.turn_at, self.give_turn, endpoint)
+        try:
+            async with asyncio.timeout(max(limit_s, delay_s)):
+                await waiting.comes
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            if waiting in self.waiting[endpoint]:
+                self.waiting[endpoint].remove(waiting)
+            if not self.waiting[endpoint]:
+                del self.waiting[endpoint]
+
+    def give_turn(self, endpoint: str) -> None:
+        """Give a turn that has come to the most urgent request that still waits."""
+        candidates = [
+            each for each in self.waiting.get(endpoint, ()) if not each.comes.done()
+        ]
+        if candidates:
+            chosen = min(candidates, key=lambda each: (each.priority, each.number))
+            chosen.comes.set_result(None)
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -56,6 +56,7 @@
         self.workspaces = workspaces
         self.limits = WorkspaceLimits()
         self.dispatch_scheduled = False
+        self.limited_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.owned_since = time.monotonic()
@@ -166,13 +167,17 @@
         self.schedule_limited_dispatch()
 
     def schedule_limited_dispatch(self) -> None:
-        """Dispatch again as soon as the limit of an endpoint permits a request."""
-        if not self.state.queue or self.dispatch_scheduled:
-            return
-        delay_s = self.state.limit_delay_s()
+        """Dispatch again as soon as the limit of an endpoint permits a request.
+
+        This doesn't delay a dispatch for what other endpoints have released.
+        """
+        if self.limited_dispatch is not None:
+            self.limited_dispatch.cancel()
+            self.limited_dispatch = None
+        delay_s = self.state.limit_delay_s() if self.state.queue else 0.0
         if delay_s:
-            self.dispatch_scheduled = True
-            asyncio.get_running_loop().call_later(delay_s, self.dispatch)
+            loop = asyncio.get_running_loop()
+            self.limited_dispatch = loop.call_later(delay_s, self.dispatch)
 
     def grant(
         self, waiting: WaitingRequest, endpoint: EndpointState, now: float
