--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 
 from baobabturn.core.events import Event
@@ -20,6 +19,7 @@
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.slotroom import SlotRoom
+from baobabturn.gateway.turns import Turns
 
 # With less time left than this, no endpoint could respond.
 MIN_REMAINING_S = 0.02
@@ -28,8 +28,6 @@
 RETRY_AFTER_S = 0.3
 # A request waits for an endpoint at its limit for this part of its time at most.
 MAX_LIMIT_WAIT_RATIO = 0.5
-# How often a request that waits for its turn checks whether its endpoint was closed.
-CLOSED_CHECK_INTERVAL_S = 0.05
 SERVER_ERRORS = range(500, 600)
 
 
@@ -56,6 +54,8 @@
         self.rate_limits = rate_limits
         self.paths = paths
         self.slot_room = slot_room
+        self.turns = Turns()
+        endpoints.change_listeners.append(self.end_waits_for_closed)
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -102,7 +102,9 @@
 
         ``endpoint`` is the one whose limit permits a request first.
         """
-        delay_s = self.rate_limits.delay_s(endpoint.name)
+        delay_s = self.turns.delay_s(
+            endpoint.name, request.priority, self.rate_limits.delay_s(endpoint.name)
+        )
         if delay_s > MAX_LIMIT_WAIT_RATIO * request.remaining_s():
             return limit_failure(request, delay_s)
         return await self.crash_watch.admit(request)
@@ -123,21 +125,29 @@
     async def wait_for_turn(self, request: CallerRequest, endpoint: Endpoint) -> bool:
         """Book a request to an endpoint and wait until its limit permits it.
 
-        Return whether it may still be sent there then.
+        More urgent requests are sent before it.  Return whether it may still be sent
+        there then.
         """
         delay_s = self.rate_limits.delay_s(endpoint.name)
         self.rate_limits.book(endpoint.name)
         if not delay_s:
             return True
-        turn_at = time.monotonic() + delay_s
-        while (left_s := turn_at - time.monotonic()) > 0:
-            if self.endpoints.is_closed(endpoint):
-                return False
-            await asyncio.sleep(min(left_s, CLOSED_CHECK_INTERVAL_S))
+        limit_s = MAX_LIMIT_WAIT_RATIO * request.remaining_s()
+        if not await self.turns.wait(
+            endpoint.name, request.priority, delay_s=delay_s, limit_s=limit_s
+        ):
+            return False
         if endpoint.leaving or self.endpoints.is_closed(endpoint):
             return False
         return self.crash_watch.refusal(request) is None
 
+    def end_waits_for_closed(self) -> None:
+        """End the waits for the turns of endpoints that have been closed or left."""
+        for name in list(self.turns.waiting):
+            endpoint = self.endpoints.by_name.get(name)
+            if endpoint is None or self.endpoints.is_closed(endpoint):
+                self.turns.end_waits(name)
+
     def choose_endpoint(
         self, request: CallerRequest, tried_endpoints: set[str]
     ) -> Endpoint | None:
