--- a/dev/reference.py
+++ b/dev/reference.py
@@ -27,7 +27,7 @@
 BEGIN = "<!-- begin: written by dev/reference.py -->\n"
 END = "<!-- end -->\n"
 SECTION = re.compile(r'^  "(\w+)": \{')
-FIELD = re.compile(r'^    "(\w+)": .*?(?:"|\d|\]|e),?\s+// (.*)$')
+FIELD = re.compile(r'^    "(\w+)": .*?(?:"|\d|\]|\}|e),?\s+// (.*)$')
 SCHEMA_MEMBER = re.compile(r"^\s+(\w+) @(\d+) :(\w+);", re.MULTILINE)
 PARAMETER = re.compile(r"^(\w+):\n    (.*?)(?=\n\w+:\n|\Z)", re.MULTILINE | re.DOTALL)
 
@@ -53,6 +53,8 @@
         return f"{kind}, {field.metadata['low']:,} to {field.metadata['high']:,}"
     if "choices" in field.metadata:
         return " or ".join(f"`{word}`" for word in field.metadata["choices"])
+    if "table" in field.metadata:
+        return "table of texts"
     return {str: "text", bool: "true or false"}.get(field.type, "list of texts")
 
 
--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -16,7 +16,9 @@
 from baobabturn.gateway.partnews import PartNewsExchange
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.platforminterface import GatewayRecord
+from baobabturn.gateway.routes import RouteTable
 from baobabturn.gateway.watchers import Watchers
+from baobabturn.placement.homes import DomainRegions
 from baobabturn.quarantine.ledger import CrashLedger
 from baobabturn.settings.load import load
 from baobabturn.wire.gatewaymessages import EngineLoad
@@ -132,7 +134,12 @@
             pools=self.reservations,
             watchers=self.watchers,
         )
-        self.directory = Directory(peers=self.peers, domain_loads=self.loads)
+        self.directory = Directory(
+            peers=self.peers,
+            domain_loads=self.loads,
+            regions=DomainRegions(by_domain=self.fleet.regions),
+            table=lambda: self.fleet.table,
+        )
         self.ledger = CrashLedger(clock=self.fleet.clock)
         self.part_news = PartNewsExchange(
             peers=self.peers,
@@ -203,6 +210,8 @@
         self.loss_ratio = 0.0
         self.random = random.Random(size)
         self.scheduled: list[tuple[float, Callable[[], None]]] = []
+        self.regions: dict[str, str] = {}
+        self.table: RouteTable | None = None
         self.gateways = [
             FleetGateway(number=number, domain=f"z{number % domains}", fleet=self)
             for number in range(size)
--- a/features/sitecase.py
+++ b/features/sitecase.py
@@ -41,6 +41,7 @@
         options: dict[str, Any],
         domain: str = "z1",
         settings_path: str = "",
+        regions: dict[str, str] | None = None,
     ):
         ports = {
             part: f"127.0.0.1:{free_port()}"
@@ -49,6 +50,7 @@
         self.name = name
         self.addresses = ports
         flags = [f'host.name="{name}"', f'host.failure_domain="{domain}"']
+        flags.append(f"host.regions={json.dumps(regions or {})}")
         flags += [f'gateway.{part}="{address}"' for part, address in ports.items()]
         flags.append(f'gateway.platform="{platform}"')
         flags += [f"gateway.{key}={json.dumps(v)}" for key, v in options.items()]
@@ -106,9 +108,9 @@
             return False
         return reply.status == 200
 
-    async def named(self) -> set[str]:
+    async def named(self, place: str = "region=r&zone=z1") -> set[str]:
         """Return the addresses that the gateway's directory names."""
-        path = f"/baobabturn/resolve?name={SITE_HOST_NAME}&region=r&zone=z1"
+        path = f"/baobabturn/resolve?name={SITE_HOST_NAME}&{place}"
         reply = await send_request(self.addresses["directory"], "GET", path, {}, b"")
         return set(json.loads(reply.body)["addresses"])
 
@@ -122,6 +124,7 @@
         page: int = 500,
         settings_path: str = "",
         endpoint_type: type[SiteEndpoint] = SiteEndpoint,
+        regions: dict[str, str] | None = None,
         **options: Any,
     ):
         self.store = SiteStore(page=page)
@@ -130,6 +133,7 @@
         self.gateways: list[Gateway] = []
         self.links: list[Proxy] = []
         self.settings_path = settings_path
+        self.regions = regions
         self.options = options
 
     async def start(
@@ -161,6 +165,7 @@
                 options=self.options,
                 domain=f"z{1 + number % domains}",
                 settings_path=self.settings_path,
+                regions=self.regions,
             )
             gateway.start()
             self.gateways.append(gateway)
@@ -168,7 +173,7 @@
             await eventually(gateway.is_ready, "a gateway is ready")
 
     async def add(
-        self, name: str, service: str, events: int, *, version: str = "v1"
+        self, name: str, service: str, events: int, *, version: str = "v1", **fields: str
     ) -> SiteEndpoint:
         """Start an endpoint and write its entry."""
         endpoint = self.endpoint_type(
@@ -179,7 +184,7 @@
         by_address = {each.address: each for each in self.endpoints.values()}
         for each in self.endpoints.values():
             each.peers = by_address
-        self.store.write("servers", name, endpoint.entry())
+        self.store.write("servers", name, endpoint.entry(**fields))
         return endpoint
 
     def leave(self, name: str) -> None:
--- a/features/steps/gatewayfleet.py
+++ b/features/steps/gatewayfleet.py
@@ -15,6 +15,7 @@
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.gateway.watchers import rank
+from baobabturn.placement.homes import DomainRegions
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.store.interface import Change, Changes
@@ -428,7 +429,9 @@
     policy = POLICIES["baobabturn"](settings=SETTINGS.scheduler, seed=1)
     pool = PoolScheduler(name=POOL, program=program, policy=policy)
     pool.settle()
-    context.pools = EnginePools(program=program, endpoints=None)
+    context.pools = EnginePools(
+        program=program, endpoints=None, regions=DomainRegions(by_domain={})
+    )
     context.pools.pools[POOL] = pool
     context.pool = pool
     set_engines(pool)
--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -89,6 +89,8 @@
     CAUGHT_UP = "caught-up"
     GATEWAY_SEEN = "gateway-seen"
     GATEWAY_SILENT = "gateway-silent"
+    HOMES_UNUSABLE = "homes-unusable"
+    CALLERS_PLACED = "callers-placed"
     PROCESS_LATE = "process-late"
     GATEWAY_GONE = "gateway-gone"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
@@ -221,6 +223,14 @@
         "An endpoint's entry is ignored, as it has announced that it is leaving."
     ),
     Event.ENTRY_UNREADABLE: "A record on the platform can't be read and is ignored.",
+    Event.HOMES_UNUSABLE: (
+        "No known failure domain is in the home regions of a route or workspace, so its"
+        " requests are refused."
+    ),
+    Event.CALLERS_PLACED: (
+        "Why callers of a failure domain are sent to gateways of others: its own are"
+        " `few`, `crowded` or there are `none`; `own` says that they no longer are."
+    ),
     Event.GATEWAY_SEEN: (
         "Another gateway sends heartbeats; `address` is its address for callers."
     ),
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -17,6 +17,7 @@
 
 PREFIX = "baobabturn_"
 HELP = {
+    "addresses_listed": "Addresses listed for callers, by whose failure domain it is.",
     "answer_us": "Time from a request's arrival to the end of its response, by route.",
     "attempt_us": "Duration of an attempt at an endpoint of a plain service.",
     "crashes_seen": "Responses that broke off because their endpoint crashed.",
@@ -47,6 +48,7 @@
     "pools_owned": "Pools that the scheduler owns.",
     "process_cpu_seconds": "Processor time of the process, user and system.",
     "process_resident_bytes": "Resident memory of the process.",
+    "own_load": "Used part of the processor time that this host may use.",
     "quarantines": "Quarantines of parts of prompts that crash engines.",
     "queue_time_us": "Time from a request's arrival to its reservation, by kind.",
     "reports_read": "Engine reports read directly while the store did not respond.",
--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -84,6 +84,7 @@
     STOPPING = 1609
     REQUEST_QUARANTINED = 1610
     STREAM_ORIGIN_UNKNOWN = 1611
+    NO_HOME_REGION = 1612
     SCHEDULER_UNREACHABLE = 1603
     POOL_MOVED = 1604
 
@@ -261,6 +262,12 @@
         True,
         "It can't be shown which software version began the stream to resume.",
     ),
+    Code.NO_HOME_REGION: CodeRow(
+        503,
+        _N,
+        True,
+        "No known failure domain is in a home region of both route and workspace.",
+    ),
     Code.SCHEDULER_UNREACHABLE: CodeRow(
         503, _N, True, "No scheduler responded and the entry chose no endpoint itself."
     ),
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -28,6 +28,7 @@
 from baobabturn.gateway.relaysigner import RELAY_HEADER, request_head
 from baobabturn.gateway.request import CallerRequest, Headers, request_digest
 from baobabturn.gateway.routes import Route, RouteKind, RouteTable
+from baobabturn.placement.homes import Homes, combined_homes
 
 MS_PER_S = 1000
 US_PER_S = 1_000_000
@@ -86,7 +87,9 @@
             )
             return
         lifetime_s = self.node.program.settings.gateway.address_lifetime_s
-        body = self.paths.directory_body(self.node.directory.addresses(), lifetime_s)
+        caller = self.paths.caller_place(scope["query_string"])
+        addresses = self.node.directory.addresses(caller)
+        body = self.paths.directory_body(addresses, lifetime_s)
         data = json.dumps(body).encode()
         await send_bytes(
             send, data, 200, b"application/json", self.node.connection_headers()
@@ -146,7 +149,10 @@
         authorized = self.authorize(table, scope, headers)
         if isinstance(authorized, Failure):
             return authorized
-        route, workspace, priority = authorized
+        route, workspace, priority, homes = authorized
+        refusal = self.node.home_regions.refusal(homes)
+        if refusal is not None:
+            return refusal
         reader = BodyReader(
             memory=self.node.body_memory,
             settings=self.node.program.settings.entry,
@@ -186,6 +192,7 @@
             if route.is_generation
             else None,
             relayed=IS_RELAYED in scope,
+            homes=homes,
             resumption=self.header_translator.resumption(headers)
             if route.kind is RouteKind.STREAM
             else None,
@@ -193,15 +200,18 @@
 
     def authorize(
         self, table: RouteTable, scope: Any, headers: Headers
-    ) -> tuple[Route, str, int] | Failure:
-        """Return a request's route, workspace and priority, or why it isn't allowed."""
+    ) -> tuple[Route, str, int, Homes] | Failure:
+        """Return a request's route, workspace, priority and home regions.
+
+        Return why it isn't allowed if it isn't.
+        """
         host = first_value(headers, b"host").decode("latin-1").partition(":")[0].lower()
         path = scope["raw_path"].decode("latin-1")
         route = table.match(host, path)
         if route is None:
             return Failure(Code.NO_ROUTE, "")
         if route.keyless or not table.keys_required:
-            return route, "", route.priority
+            return route, "", route.priority, route.homes
         if not self.node.config_staleness.allows_keys():
             reason = f"last confirmed {self.node.config_staleness.age_s():.1f} s ago"
             return Failure(Code.KEYS_UNCONFIRMED, reason, retry_after_s=RETRY_AFTER_S)
@@ -213,7 +223,8 @@
         priority = (
             route.priority if key_holder.priority is None else key_holder.priority
         )
-        return route, key_holder.workspace, priority
+        homes = combined_homes(route.homes, key_holder.homes)
+        return route, key_holder.workspace, priority, homes
 
     async def process(self, request: CallerRequest, receive: Any, send: Any) -> None:
         """Respond to a request until it ends or its caller disconnects."""
--- a/src/baobabturn/gateway/domainloads.py
+++ b/src/baobabturn/gateway/domainloads.py
@@ -94,7 +94,7 @@
         Those that can't reach a service are left out unless no other is left.
         """
         serving = [
-            peer for peer in self.table.near_alive() if peer.serving and peer.callers
+            peer for peer in self.table.near_listed() if peer.serving and peer.callers
         ]
         callers = [peer.callers for peer in serving]
         with_paths = [peer.callers for peer in serving if not peer.unreachable]
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -84,6 +84,7 @@
         transport=transport,
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
+    program.metrics.gauge("own_load", lambda: node.peers.own_load.ratio)
     program.metrics.gauge("places_held", lambda: len(node.pools.reservations))
     program.metrics.gauge("platform_calls", lambda: platform.store.calls)
     await node.start()
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -20,6 +20,7 @@
 from baobabturn.gateway.endpointclient import EndpointClient
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoints
+from baobabturn.gateway.homeregions import HomeRegions
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
 from baobabturn.gateway.incarnations import IncarnationCheck
 from baobabturn.gateway.limitnews import LimitExchange
@@ -95,11 +96,15 @@
             contact=self.contact,
             lapse_grace_s=settings.lapse_grace_s,
         )
-        self.pools = EnginePools(program=program, endpoints=self.endpoints)
+        self.home_regions = HomeRegions(program=program)
+        regions = self.home_regions.regions
+        self.pools = EnginePools(
+            program=program, endpoints=self.endpoints, regions=regions
+        )
         self.config = ConfigInForce(
             object_codec=object_codec,
             events=program.events,
-            on_table=self.pools.apply_table,
+            on_table=self.apply_table,
         )
         self.endpoints.change_listeners.append(self.pools.refresh_endpoints)
         record = GatewayRecord(
@@ -131,7 +136,12 @@
             pools=self.pools,
             watchers=self.watchers,
         )
-        self.directory = Directory(peers=self.peers, domain_loads=self.domain_loads)
+        self.directory = Directory(
+            peers=self.peers,
+            domain_loads=self.domain_loads,
+            regions=regions,
+            table=lambda: self.table,
+        )
         self.pools.prefer_own_domain = self.peers.table.is_large_fleet
         self.pools.on_reserved = self.peers.publish_reservation
         self.pools.on_released = self.peers.publish_release
@@ -178,6 +188,7 @@
             transport=transport,
             header_translator=header_translator,
             connection_headers=self.connection_headers,
+            regions=regions,
         )
         conditions = EndpointConditions(
             endpoints=self.endpoints, rate_limits=self.rate_limits
@@ -206,6 +217,7 @@
                 brittle=self.rate_limits.brittle,
                 table=self.peers.table,
             ),
+            regions=regions,
         )
         self.version_recorder = VersionRecorder(
             store=store,
@@ -378,6 +390,11 @@
         for service in self.paths.unreachable:
             self.pools.refuse_waiting(service)
 
+    def apply_table(self, table: RouteTable) -> None:
+        """Apply a configuration that is in force from now on."""
+        self.pools.apply_table(table)
+        self.home_regions.log_unusable(table)
+
     def apply_settings(self, settings: Gateway) -> None:
         """Apply new settings to the objects that copied them at the start."""
         self.config_staleness.set_limit(settings.revoke_ms / MS_PER_S)
--- a/src/baobabturn/gateway/peer.py
+++ b/src/baobabturn/gateway/peer.py
@@ -37,7 +37,8 @@
     to be silent, by this gateway or another one, at ``silent_since``.  ``introduced``
     says that this gateway has sent it its own state.  ``relay`` is where it takes
     requests that other gateways pass on, ``unreachable`` names the services that it
-    can't reach.
+    can't reach.  ``capacity`` is in thousandths of a core and ``load`` in thousandths
+    of the capacity, 0 from a gateway that doesn't tell them.
     """
 
     name: str
@@ -56,6 +57,8 @@
     introduced: bool = False
     relay: str = ""
     unreachable: frozenset[str] = frozenset()
+    capacity: int = 0
+    load: int = 0
 
     @property
     def heard(self) -> bool:
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -18,6 +18,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
+from baobabturn.gateway.ownload import OwnLoad
 from baobabturn.gateway.peer import NEVER, Address, Peer, parse_address
 from baobabturn.gateway.peertable import ROUND_S, PeerTable
 from baobabturn.gateway.platforminterface import GatewayRecord
@@ -74,6 +75,7 @@
         self.reservations = reservations
         self.serving = serving
         self.unreachable: Callable[[], set[str]] = set
+        self.own_load = OwnLoad(host=program.settings.host)
         self.signer = DatagramSigner(secret=program.settings.inner.secret)
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
@@ -233,6 +235,7 @@
         peer.serving = state.serving
         peer.relay = state.relay
         peer.unreachable = frozenset(state.unreachable)
+        peer.capacity, peer.load = state.capacity, state.load
         if state.next_ms:
             peer.heartbeat_interval_s = state.next_ms / MS_PER_S
 
@@ -320,6 +323,8 @@
             next_ms=int(interval_s * MS_PER_S),
             relay=self.record.relay,
             unreachable=sorted(self.unreachable()),
+            capacity=self.own_load.capacity,
+            load=self.own_load.told(),
         )
 
     def send_message(self, message: Any, peers: list[Peer]) -> None:
@@ -337,6 +342,7 @@
         A gateway that is no monitor any more is told so, as it would take this one
         for silent.
         """
+        self.own_load.measure()
         interval_s = self.table.settings.heartbeat_s
         monitors = self.table.monitors()
         if self.table.is_mesh():
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -33,6 +33,10 @@
 # A peer is silent after this many of its announced heartbeat intervals, and not
 # before the setting ``silent_s``.
 SILENT_HEARTBEAT_INTERVALS = 2.5
+# A gateway that hasn't been heard for longer isn't named to callers: each is heard once
+# in a round, and a dead one may be named for 7 s at most.  Monitors notice it before,
+# unless many that follow each other on the ring die together.
+MAX_LISTED_SILENCE_S = 6.6
 # A report of silence is ignored if the gateway was heard within this share of
 # ``silent_s``: its monitors may have lost messages that came here.
 RECENTLY_HEARD_RATIO = 0.6
@@ -125,6 +129,15 @@
         """Return the near gateways that are alive."""
         return [peer for peer in self.near() if self.is_alive(peer)]
 
+    def near_listed(self) -> list[Peer]:
+        """Return the near gateways that callers may be told of, serving or not."""
+        limit_s = max(
+            MAX_LISTED_SILENCE_S,
+            SILENT_HEARTBEAT_INTERVALS * self.settings.heartbeat_s,
+        )
+        heard_after = self.clock() - limit_s
+        return [peer for peer in self.near_alive() if peer.heard_at > heard_after]
+
     def all_heard_in_domain(self) -> bool:
         """Return whether all gateways of the own failure domain are known by now."""
         domain = self.record.failure_domain
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -18,6 +18,7 @@
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.slotroom import SlotRoom
+from baobabturn.placement.homes import DomainRegions
 
 # With less time left than this, no endpoint could respond.
 MIN_REMAINING_S = 0.02
@@ -43,6 +44,7 @@
         rate_limits: LimitExchange,
         paths: Paths,
         slot_room: SlotRoom,
+        regions: DomainRegions,
     ):
         self.program = program
         self.endpoints = endpoints
@@ -52,6 +54,7 @@
         self.rate_limits = rate_limits
         self.paths = paths
         self.slot_room = slot_room
+        self.regions = regions
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -162,11 +165,15 @@
     def untried(
         self, request: CallerRequest, tried_endpoints: set[str]
     ) -> list[Endpoint]:
-        """Return the endpoints of a request's service that may still be tried."""
+        """Return the endpoints of a request's service that may still be tried.
+
+        Those are in its home regions.
+        """
         return [
             endpoint
             for endpoint in self.endpoints.usable(request.service.name)
             if endpoint.name not in tried_endpoints
+            and self.regions.allows(request.homes, endpoint.record.failure_domain)
         ]
 
     def unsent_failure(self, request: CallerRequest) -> Failure:
--- a/src/baobabturn/gateway/platforminterface.py
+++ b/src/baobabturn/gateway/platforminterface.py
@@ -141,6 +141,15 @@
     incarnation: int
 
 
+@attrs.frozen(kw_only=True)
+class CallerPlace:
+    """Where the caller of a directory is and whom it calls, empty for not stated."""
+
+    host: str = ""
+    region: str = ""
+    failure_domain: str = ""
+
+
 class HeaderTranslator(Protocol):
     """Translates the headers of requests and responses."""
 
@@ -261,5 +270,8 @@
     ready_path: str
     directory_path: str
 
+    def caller_place(self, query: bytes) -> CallerPlace:
+        """Return what the query of a directory call says of its caller."""
+
     def directory_body(self, addresses: list[str], lifetime_s: float) -> Any:
         """Return the body that lists the addresses which callers should use."""
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -25,6 +25,7 @@
     StreamOrigins,
     stream_digest,
 )
+from baobabturn.placement.homes import DomainRegions, Homes
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import (
@@ -80,8 +81,11 @@
     origins of all streams that are known here.
     """
 
-    def __init__(self, *, program: Program, endpoints: Endpoints):
+    def __init__(
+        self, *, program: Program, endpoints: Endpoints, regions: DomainRegions
+    ):
         self.program = program
+        self.regions = regions
         self.endpoints = endpoints
         self.pools: dict[str, PoolScheduler] = {}
         self.traits: dict[str, EngineTraits] = {}
@@ -224,7 +228,11 @@
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
-        refusal = self.limit_refusal(pool, queue_timeout_s)
+        homes = request.homes
+        if homes is not None and not self.usable_in(service, homes):
+            reason = f"no engine of {service} is in its home regions"
+            return Failure(Code.NO_ENDPOINT, reason)
+        refusal = self.limit_refusal(pool, queue_timeout_s, homes)
         if refusal is not None:
             return refusal
         admission = Admit(
@@ -241,6 +249,7 @@
             excluded=excluded,
             attempt=attempt,
             software_version=software_version,
+            failure_domains=[] if homes is None else self.regions.domains_of(homes),
         )
         grant = await pool.admit(None, admission)
         if isinstance(grant, Failure):
@@ -257,12 +266,32 @@
                 reason = f"no engine of {service} can be reached from here"
                 waiting.future.set_result(Failure(Code.CONNECT_FAILED, reason))
 
+    def usable_in(self, service: str, homes: Homes) -> list[str]:
+        """Return a service's engines in some home regions that take new requests."""
+        return [
+            endpoint.name
+            for endpoint in self.endpoints.usable(service)
+            if self.regions.allows(homes, endpoint.record.failure_domain)
+        ]
+
+    def home_refusal(
+        self, request: CallerRequest, endpoint: Endpoint
+    ) -> Failure | None:
+        """Return why an engine may not run a request, None if it is in a home region.
+
+        Its entry may have changed since the engine was chosen.
+        """
+        if self.regions.allows(request.homes, endpoint.record.failure_domain):
+            return None
+        reason = f"{endpoint.name} isn't in a home region"
+        return Failure(Code.NO_ENDPOINT, reason)
+
     def limit_refusal(
-        self, pool: PoolScheduler, queue_timeout_s: float
+        self, pool: PoolScheduler, queue_timeout_s: float, homes: Homes
     ) -> Failure | None:
         """Return the refusal of a request that no engine's limit permits in time."""
         name = pool.state.name
-        usable = [endpoint.name for endpoint in self.endpoints.usable(name)]
+        usable = self.usable_in(name, homes)
         self.rate_limits.record_demand(usable)
         delay_s = self.rate_limits.queue_delay_s(usable, len(pool.state.queue))
         if delay_s <= queue_timeout_s:
@@ -393,7 +422,9 @@
     ) -> HeldReservation | None:
         """Make a reservation at another engine for a generation to migrate there."""
         pool = self.pools[reservation.pool]
-        target = self.migration_target(pool, reservation, tried_endpoints)
+        target = self.migration_target(
+            pool, reservation, tried_endpoints, request.homes
+        )
         if target is None:
             return None
         holding = attrs.evolve(
@@ -415,11 +446,12 @@
         pool: PoolScheduler,
         reservation: HeldReservation,
         tried_endpoints: set[str],
+        homes: Homes,
     ) -> EndpointState | None:
         """Return the least used engine with enough free KV cache, None without one.
 
-        It has the software version of the reservation's engine, and is preferably of
-        the same failure domain.
+        It has the software version of the reservation's engine, is in a home region,
+        and preferably of the same failure domain.
         """
         needed = (
             reservation.holding.prompt_tokens
@@ -435,6 +467,8 @@
                 continue
             if state.software_version != reservation.holding.software_version:
                 continue
+            if not self.regions.allows(homes, self.failure_domain_of(name)):
+                continue
             if free_tokens < needed or state.in_flight >= state.concurrency:
                 continue
             if not pool.policy.accepts_requests(state, now):
--- a/src/baobabturn/gateway/relay.py
+++ b/src/baobabturn/gateway/relay.py
@@ -30,6 +30,7 @@
 from baobabturn.gateway.relaysigner import RELAY_HEADER, RelaySigner, request_head
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.transport import Transport
+from baobabturn.placement.homes import ANY_REGION, DomainRegions, Homes
 
 CODE_HEADER = b"x-baobabturn-code"
 MAX_GATEWAYS_TRIED = 3
@@ -78,17 +79,21 @@
         transport: Transport,
         header_translator: HeaderTranslator,
         connection_headers: Callable[[], Headers],
+        regions: DomainRegions,
     ):
         self.program = program
         self.peers = peers
         self.transport = transport
         self.header_translator = header_translator
         self.connection_headers = connection_headers
+        self.regions = regions
         self.signer = RelaySigner(secret=program.settings.inner.secret)
 
-    def candidates(self, service: str) -> list[Peer]:
+    def candidates(self, service: str, homes: Homes = ANY_REGION) -> list[Peer]:
         """Return some gateways that reach a service, in random order.
 
+        Those outside of a request's home regions aren't, as its body may not go there.
+
         Those that weren't serving when they were last heard come later.  In a large
         fleet those of other failure domains come last, as this gateway doesn't hear
         whether they live.
@@ -97,12 +102,16 @@
         near = [
             peer
             for peer in table.near_alive()
-            if peer.relay and service not in peer.unreachable
+            if peer.relay
+            and service not in peer.unreachable
+            and self.regions.allows(homes, peer.failure_domain)
         ]
         far = [
             peer
             for peer in table.peers.values()
-            if peer.relay and not table.is_near(peer)
+            if peer.relay
+            and not table.is_near(peer)
+            and self.regions.allows(homes, peer.failure_domain)
         ]
         random.shuffle(near)
         near.sort(key=lambda peer: not peer.serving)
@@ -120,7 +129,7 @@
             f"no gateway is known to reach {request.service.name}",
             retry_after_s=RETRY_AFTER_S,
         )
-        for peer in self.candidates(request.service.name):
+        for peer in self.candidates(request.service.name, request.homes):
             if request.remaining_s() < MIN_REMAINING_S:
                 break
             self.program.events.emit(
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -233,6 +233,7 @@
             self.pools.release(reservation, REFUSED)
             return Failure(Code.NO_ENDPOINT, f"{reservation.endpoint} is unknown")
         refusal = self.version.refusal(endpoint)
+        refusal = refusal or self.pools.home_refusal(self.request, endpoint)
         if refusal is None and self.version.key and continuation_is_rerun(continuation):
             refusal = await self.parts.incarnations.refusal(
                 endpoint, self.request.remaining_s()
--- a/src/baobabturn/gateway/request.py
+++ b/src/baobabturn/gateway/request.py
@@ -9,6 +9,7 @@
 import attrs
 
 from baobabturn.gateway.routes import Route, Service
+from baobabturn.placement.homes import ANY_REGION, Homes
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -51,7 +52,7 @@
     ``digest`` is the same for all requests that a caller sends alike.
     ``deadline`` is the earlier of the caller's deadline and the route's timeout;
     ``sent`` says that an endpoint may have got the request, ``relayed`` that it came
-    through another gateway, which can't reach its service.
+    through another gateway, which can't reach its service.  Only ``homes`` may run it.
     """
 
     request_id: str
@@ -69,6 +70,7 @@
     generation_size: GenerationSize | None = None
     resumption: Resumption | None = None
     relayed: bool = False
+    homes: Homes = ANY_REGION
     sent: bool = False
 
     def remaining_s(self) -> float:
--- a/src/baobabturn/gateway/routes.py
+++ b/src/baobabturn/gateway/routes.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from baobabturn.placement.homes import ANY_REGION, Homes
+
 
 class RouteKind(str, enum.Enum):
     """How often the requests of a route may run.
@@ -55,7 +57,8 @@
     time to the response (of a stream: to its first event) and ``event_gap_goal_s``
     the promised longest pause between events.  ``keyless`` routes need no key,
     ``is_generation`` marks requests for a model's generation, and a stream of a
-    ``continuable`` route may be continued at another engine.
+    ``continuable`` route may be continued at another engine.  ``homes`` are its home
+    regions.
     """
 
     name: str
@@ -71,6 +74,7 @@
     keyless: bool
     is_generation: bool
     continuable: bool
+    homes: Homes = ANY_REGION
 
     @property
     def repeatable(self) -> bool:
@@ -96,11 +100,13 @@
 class KeyHolder:
     """The workspace that a key belongs to.
 
-    ``priority`` overrides the route's priority unless it is None.
+    ``priority`` overrides the route's priority unless it is None.  ``homes`` are the
+    workspace's home regions.
     """
 
     workspace: str
     priority: int | None = None
+    homes: Homes = ANY_REGION
 
 
 @attrs.frozen(kw_only=True)
@@ -128,6 +134,20 @@
     keys_required: bool
     limits: CallerLimits = CallerLimits()
 
+    def homes_of_host(self, host: str) -> Homes:
+        """Return the regions that the routes of a host have as homes, any if none has.
+
+        Those that all its routes allow, or if there are none, those that some allow.
+        """
+        homes = [
+            route.homes
+            for route in self.routes.values()
+            if route.host == host and route.homes is not None
+        ]
+        if not homes:
+            return ANY_REGION
+        return frozenset.intersection(*homes) or frozenset.union(*homes)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, None if none matches.
 
--- /dev/null
+++ b/src/baobabturn/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where work may go, without network or clock."""
--- a/src/baobabturn/platform/documents.py
+++ b/src/baobabturn/platform/documents.py
@@ -25,6 +25,7 @@
 )
 from baobabturn.gateway.softwareversion import SoftwareVersion
 from baobabturn.gateway.streamorigins import StreamOrigin
+from baobabturn.placement.homes import ANY_REGION, Homes
 
 MS_PER_S = 1000
 BITS_PER_BYTE = 8
@@ -36,6 +37,7 @@
 }
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_TOKENS_PER_EVENT = 1
+HOME_REGIONS = "allowedRegions"
 
 # What fits into the whole numbers of messages between gateways.
 MAX_COUNT = 2**63 - 1
@@ -235,7 +237,11 @@
     tenants = value.get("tenants")
     key_holders: dict[str, KeyHolder] = {}
     for tenant in tenants or ():
-        holder = KeyHolder(workspace=tenant["name"], priority=tenant.get("priority"))
+        holder = KeyHolder(
+            workspace=tenant["name"],
+            priority=tenant.get("priority"),
+            homes=decode_homes(tenant),
+        )
         key_holders.update((key, holder) for key in tenant.get("apiKeys") or ())
     return RouteTable(
         version=required_int(value["version"]),
@@ -285,9 +291,31 @@
         keyless=bool(value.get("authExempt")),
         is_generation=bool(value.get("stickySessions")),
         continuable=bool(value.get("streamResume")),
+        homes=decode_homes(value),
     )
 
 
+def decode_homes(value: Any) -> Homes:
+    """Return the home regions of a route or workspace, any region if it names none.
+
+    What can't be read allows no region: it must not run where it may not.
+    """
+    if HOME_REGIONS not in value:
+        return ANY_REGION
+    regions = value[HOME_REGIONS]
+    if not isinstance(regions, list):
+        return frozenset()
+    return frozenset(each for each in regions if is_text(each))
+
+
+def is_text(value: Any) -> bool:
+    """Return whether a value is a non-empty text that messages can hold."""
+    try:
+        return bool(required_text(value))
+    except ValueError:
+        return False
+
+
 def decode_service(value: Any) -> Service:
     """Return a service; raise one of ``DECODE_ERRORS`` for an invalid one."""
     engine = value.get("engine")
--- a/src/baobabturn/platform/edge.py
+++ b/src/baobabturn/platform/edge.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import urllib.parse
 from typing import Any
 
+from baobabturn.gateway.platforminterface import CallerPlace
+
 
 class PlatformGatewayPaths:
     """Paths of a gateway's readiness check and directory, and their bodies."""
@@ -11,6 +14,15 @@
     ready_path = "/baobabturn/readyz"
     directory_path = "/baobabturn/resolve"
 
+    def caller_place(self, query: bytes) -> CallerPlace:
+        """Return what the query of a directory call says of its caller."""
+        fields = dict(urllib.parse.parse_qsl(query.decode("latin-1")))
+        return CallerPlace(
+            host=fields.get("name", "").lower(),
+            region=fields.get("region", ""),
+            failure_domain=fields.get("zone", ""),
+        )
+
     def directory_body(self, addresses: list[str], lifetime_s: float) -> Any:
         """Return the body that tells a caller which addresses to use."""
         return {"addresses": addresses, "ttlS": lifetime_s}
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -164,8 +164,8 @@
         """Return the cheapest endpoint with capacity for a request, None without one.
 
         If a short request doesn't fit, a long one doesn't either.  A request that
-        excludes endpoints, or needs a software version, doesn't mark its length class
-        as full, since others may fit the other endpoints.
+        excludes endpoints, or needs a software version or some failure domains,
+        doesn't mark its length class as full, since others may fit the other endpoints.
         """
         admit = waiting.admit
         candidates = []
@@ -180,7 +180,7 @@
         for _, uncached_tokens, endpoint in candidates:
             if self.has_capacity(endpoint, waiting, uncached_tokens):
                 return endpoint
-        if not admit.excluded and not admit.software_version:
+        if not (admit.excluded or admit.software_version or admit.failure_domains):
             self.full_classes.add(waiting.short)
             if waiting.short:
                 self.full_classes.add(False)
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -79,6 +79,7 @@
             state.memory_tokens = endpoint.memory_tokens
             state.concurrency = endpoint.concurrency
             state.models = endpoint.models
+            state.failure_domain = endpoint.failure_domain
             state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
         self.dispatch()
 
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -74,7 +74,8 @@
     the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
     ``remote_tokens`` and ``remote_requests`` are the load by requests that are known
     here only in aggregate: the KV memory that they need at their peak, and their
-    number.  ``software_version`` is empty where endpoints name none to their pool.
+    number.  ``software_version`` is empty where endpoints name none to their pool,
+    ``failure_domain`` where it isn't known.
     """
 
     name: str
@@ -83,6 +84,7 @@
     concurrency: int = 0
     models: tuple[str, ...] = ()
     software_version: str = ""
+    failure_domain: str = ""
     report: EndpointReport | None = None
     reported_at: float = 0.0
     leaving: bool = False
@@ -222,8 +224,8 @@
     def available_endpoints(self, admit: Admit) -> list[EndpointState]:
         """Return the endpoints that may get a request now.
 
-        Those aren't leaving, excluded, unreachable, at a limit or of another software
-        version than the request needs.
+        Those aren't leaving, excluded, unreachable, at a limit, or of another software
+        version or failure domain than the request needs.
         """
         available = []
         for endpoint in self.endpoints.values():
@@ -231,6 +233,9 @@
                 continue
             if admit.software_version not in ("", endpoint.software_version):
                 continue
+            domains = admit.failure_domains
+            if domains and endpoint.failure_domain not in domains:
+                continue
             report = endpoint.report
             if report is not None and (report.leaving or not report.reachable):
                 continue
--- a/src/baobabturn/settings/load.py
+++ b/src/baobabturn/settings/load.py
@@ -63,6 +63,8 @@
             words = ", ".join(field.metadata["choices"])
             return wrong(path, value, f"one of {words}", source)
         return None
+    if "table" in field.metadata:
+        return check_table(path, value, source)
     if field.type is bool and not isinstance(value, bool):
         return wrong(path, value, "true or false", source)
     if field.type is str and not isinstance(value, str):
@@ -84,6 +86,15 @@
     return None
 
 
+def check_table(path, value, source) -> Failure | None:
+    """Return a failure where a table doesn't hold non-empty texts by such texts."""
+    if isinstance(value, dict) and all(
+        isinstance(each, str) and each for pair in value.items() for each in pair
+    ):
+        return None
+    return wrong(path, value, "a table of texts", source)
+
+
 def check_layer(kind, layer, source, prefix="") -> Failure | None:
     """Return the first failure in one layer of settings, None where it is good."""
     if not isinstance(layer, dict):
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -31,6 +31,11 @@
     return attrs.field(metadata={"least": least})
 
 
+def table() -> Any:
+    """Return a field for a table of non-empty texts by non-empty texts."""
+    return attrs.field(metadata={"table": True})
+
+
 def addresses() -> Any:
     """Return a field for a list of ``address:port``."""
     return attrs.field(metadata={"least": 0, "addresses": True})
@@ -44,6 +49,9 @@
     failure_domain: str
     region: str
     address: str
+    regions: dict[str, str] = table()
+    cpu_share: float = number(0.001, 1024)
+    core_speed: float = number(0.001, 1024)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -17,7 +17,8 @@
     sent there.  With ``full`` the holdings are all that it holds.  ``next_ms`` is the
     interval until its next heartbeat to the receiver, 0 in other messages.  ``relay``
     is where it takes requests that other gateways pass on, ``unreachable`` names the
-    services whose endpoints it can't connect to.
+    services whose endpoints it can't connect to.  ``capacity`` is in thousandths of a
+    core and ``load`` in thousandths of the capacity, each 0 if it isn't told.
     """
 
     node: str = ""
@@ -32,6 +33,8 @@
     next_ms: int = 0
     relay: str = ""
     unreachable: list[str] = attrs.Factory(list)
+    capacity: int = 0
+    load: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -170,7 +170,7 @@
     """Asks a pool's scheduler for a place at an endpoint.
 
     ``software_version`` is the only version of endpoints that may serve the request,
-    empty for any.
+    ``failure_domains`` are the only ones whose endpoints may, each empty for any.
     """
 
     request: str = ""
@@ -189,6 +189,7 @@
     hedgeable: bool = False
     hedges: str = ""
     software_version: str = ""
+    failure_domains: list[str] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -176,6 +176,7 @@
   hedgeable @13 :Bool;   # the caller has no token of it yet
   hedges @14 :Text;      # the reservation whose second attempt this is
   softwareVersion @15 :Text;  # the only one that may serve it, empty for any
+  failureDomains @16 :List(Text);  # the only ones that may serve it, empty for any
 }
 
 struct Grant {
@@ -320,6 +321,8 @@
   nextMs @10 :UInt32;      # until its next heartbeat to the receiver, 0 in other messages
   relay @11 :Text;         # address:port for requests that other gateways pass on
   unreachable @12 :List(Text);  # services whose endpoints it can't connect to
+  capacity @13 :UInt32;    # in thousandths of a core, 0 from gateways that don't tell it
+  load @14 :UInt32;        # in thousandths of the capacity, 0 for not told
 }
 
 # Reports a gateway that `node`, one of its monitors, hears nothing of.
