--- a/features/sitecase.py
+++ b/features/sitecase.py
@@ -173,7 +173,13 @@
             await eventually(gateway.is_ready, "a gateway is ready")
 
     async def add(
-        self, name: str, service: str, events: int, *, version: str = "v1", **fields: str
+        self,
+        name: str,
+        service: str,
+        events: int,
+        *,
+        version: str = "v1",
+        **fields: str,
     ) -> SiteEndpoint:
         """Start an endpoint and write its entry."""
         endpoint = self.endpoint_type(
--- a/src/baobabturn/gateway/ownload.py
+++ b/src/baobabturn/gateway/ownload.py
@@ -11,7 +11,7 @@
 PER_THOUSAND = 1000
 # Loads are averaged over about this time: long against the delays with which other
 # gateways hear of them and callers follow, so that callers don't swing.
-AVERAGE_S = 5.0
+AVERAGE_S = 8.0
 # A shorter interval says little of the load.
 MIN_INTERVAL_S = 0.05
 
--- a/src/baobabturn/placement/callershares.py
+++ b/src/baobabturn/placement/callershares.py
@@ -24,10 +24,10 @@
 # A failure domain whose gateways use more than this part of their capacity sends
 # callers elsewhere, if those of other failure domains use less.
 CROWDED_LOAD = 0.6
-# The part of callers sent elsewhere for each unit of load above that.  A domain with
-# twice the callers of the others settles within a minute; three times this ratio swings
-# if loads are known 6 s late.
-SPILL_PER_LOAD = 1.25
+# The part of callers sent elsewhere for each unit of load above that.  At twice this
+# ratio callers swing between failure domains, if demand has risen by half in one of them
+# and loads are known 6 s late.
+SPILL_PER_LOAD = 1.0
 # A failure domain with less than this part of the others' mean capacity has too little
 # for its callers, whatever load it has told so far.
 FEW_RATIO = 0.5
@@ -191,7 +191,7 @@
     total = sum(each.capacity for each in others)
     other_load = sum(each.load * each.capacity for each in others) / total
     excess = min(own.load - CROWDED_LOAD, own.load - other_load)
-    return max(0.0, SPILL_PER_LOAD * excess)
+    return min(1.0, max(0.0, SPILL_PER_LOAD * excess))
 
 
 def sample_weighted(
