--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -84,6 +84,7 @@
         transport=transport,
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
+    program.metrics.gauge("own_load", lambda: node.peers.own_load.ratio)
     program.metrics.gauge("places_held", lambda: len(node.pools.reservations))
     program.metrics.gauge("slow_engines", node.pools.slow_engine_count)
     program.metrics.gauge("urgent_reserve_tokens", node.pools.urgent_reserve_tokens)
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -22,6 +22,7 @@
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.evacuations import EvacuationWatch
+from baobabturn.gateway.homeregions import HomeRegions
 from baobabturn.gateway.httpheaders import CONNECTION_CLOSE
 from baobabturn.gateway.incarnations import IncarnationCheck
 from baobabturn.gateway.limitnews import LimitExchange
@@ -97,7 +98,11 @@
             contact=self.contact,
             lapse_grace_s=settings.lapse_grace_s,
         )
-        self.pools = EnginePools(program=program, endpoints=self.endpoints)
+        self.home_regions = HomeRegions(program=program)
+        regions = self.home_regions.regions
+        self.pools = EnginePools(
+            program=program, endpoints=self.endpoints, regions=regions
+        )
         self.config = ConfigInForce(
             object_codec=object_codec,
             events=program.events,
@@ -133,7 +138,12 @@
             pools=self.pools,
             watchers=self.watchers,
         )
-        self.directory = Directory(peers=self.peers, domain_loads=self.domain_loads)
+        self.directory = Directory(
+            peers=self.peers,
+            domain_loads=self.domain_loads,
+            regions=regions,
+            table=lambda: self.table,
+        )
         self.pools.prefer_own_domain = self.peers.table.is_large_fleet
         self.pools.on_reserved = self.peers.publish_reservation
         self.pools.on_released = self.peers.publish_release
@@ -180,6 +190,7 @@
             transport=transport,
             header_translator=header_translator,
             connection_headers=self.connection_headers,
+            regions=regions,
         )
         conditions = EndpointConditions(
             endpoints=self.endpoints, rate_limits=self.rate_limits
@@ -220,6 +231,7 @@
                 brittle=self.rate_limits.brittle,
                 table=self.peers.table,
             ),
+            regions=regions,
         )
         self.version_recorder = VersionRecorder(
             store=store,
@@ -386,9 +398,10 @@
         return self.evacuation_watch is None or self.evacuation_watch.list_received
 
     def apply_table(self, table: RouteTable) -> None:
-        """Apply a configuration."""
+        """Apply a configuration that is in force from now on."""
         self.rate_limits.cold.set_services(table.services.values())
         self.pools.apply_table(table)
+        self.home_regions.log_unusable(table)
 
     async def log_key_acceptance(self) -> None:
         """Log when keys begin and cease to be accepted; check the store's version."""
--- a/src/baobabturn/gateway/peer.py
+++ b/src/baobabturn/gateway/peer.py
@@ -40,7 +40,9 @@
     says that this gateway has sent it its own state.  ``relay`` is where it takes
     requests that other gateways pass on, ``unreachable`` names the services that it
     can't reach.  ``forwards`` says that it sends changes of reservations on within its
-    failure domain, ``reservation_order`` orders those of its own.
+    failure domain, ``reservation_order`` orders those of its own.  ``capacity`` is in
+    thousandths of a core and ``load`` in thousandths of the capacity, 0 from a gateway
+    that doesn't tell them.
     """
 
     name: str
@@ -61,6 +63,8 @@
     unreachable: frozenset[str] = frozenset()
     forwards: bool = False
     reservation_order: ReservationOrder = attrs.Factory(ReservationOrder)
+    capacity: int = 0
+    load: int = 0
 
     @property
     def heard(self) -> bool:
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -20,6 +20,7 @@
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.slotroom import SlotRoom
 from baobabturn.gateway.turns import Turns
+from baobabturn.placement.homes import DomainRegions
 
 # With less time left than this, no endpoint could respond.
 MIN_REMAINING_S = 0.02
@@ -45,6 +46,7 @@
         rate_limits: LimitExchange,
         paths: Paths,
         slot_room: SlotRoom,
+        regions: DomainRegions,
     ):
         self.program = program
         self.endpoints = endpoints
@@ -56,6 +58,7 @@
         self.slot_room = slot_room
         self.turns = Turns()
         endpoints.change_listeners.append(self.end_waits_for_closed)
+        self.regions = regions
         self.ranking = EndpointRanking()
 
     async def forward(self, request: CallerRequest) -> CompleteResponse | Failure:
@@ -182,11 +185,15 @@
     def untried(
         self, request: CallerRequest, tried_endpoints: set[str]
     ) -> list[Endpoint]:
-        """Return the endpoints of a request's service that may still be tried."""
+        """Return the endpoints of a request's service that may still be tried.
+
+        Those are in its home regions.
+        """
         return [
             endpoint
             for endpoint in self.endpoints.usable(request.service.name)
             if endpoint.name not in tried_endpoints
+            and self.regions.allows(request.homes, endpoint.record.failure_domain)
         ]
 
     def unsent_failure(self, request: CallerRequest) -> Failure:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -26,6 +26,7 @@
     StreamOrigins,
     stream_digest,
 )
+from baobabturn.placement.homes import DomainRegions, Homes
 from baobabturn.scheduler.overflowpolicy import OverflowBoundPolicy
 from baobabturn.scheduler.policy import POLICIES
 from baobabturn.scheduler.pool import PoolScheduler
@@ -88,8 +89,11 @@
     origins of all streams that are known here.
     """
 
-    def __init__(self, *, program: Program, endpoints: Endpoints):
+    def __init__(
+        self, *, program: Program, endpoints: Endpoints, regions: DomainRegions
+    ):
         self.program = program
+        self.regions = regions
         self.endpoints = endpoints
         self.pools: dict[str, PoolScheduler] = {}
         self.traits: dict[str, EngineTraits] = {}
@@ -266,7 +270,11 @@
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
-        refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority)
+        homes = request.homes
+        if homes is not None and not self.usable_in(service, homes):
+            reason = f"no engine of {service} is in its home regions"
+            return Failure(Code.NO_ENDPOINT, reason)
+        refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority, homes)
         if refusal is not None:
             return refusal
         admission = Admit(
@@ -283,6 +291,7 @@
             excluded=excluded,
             attempt=attempt,
             software_version=software_version,
+            failure_domains=[] if homes is None else self.regions.domains_of(homes),
         )
         is_any_closed = bool(self.endpoints.closed_domains)
         if is_any_closed and pool.state.only_closed_could_serve(admission):
@@ -321,15 +330,39 @@
             if self.failure_domain_of(name) in domains
         )
 
+    def usable_in(self, service: str, homes: Homes) -> list[str]:
+        """Return a service's engines in some home regions that take new requests."""
+        return [
+            endpoint.name
+            for endpoint in self.endpoints.usable(service)
+            if self.regions.allows(homes, endpoint.record.failure_domain)
+        ]
+
+    def home_refusal(
+        self, request: CallerRequest, endpoint: Endpoint
+    ) -> Failure | None:
+        """Return why an engine may not run a request, None if it is in a home region.
+
+        Its entry may have changed since the engine was chosen.
+        """
+        if self.regions.allows(request.homes, endpoint.record.failure_domain):
+            return None
+        reason = f"{endpoint.name} isn't in a home region"
+        return Failure(Code.NO_ENDPOINT, reason)
+
     def limit_refusal(
-        self, pool: PoolScheduler, queue_timeout_s: float, priority: int
+        self,
+        pool: PoolScheduler,
+        queue_timeout_s: float,
+        priority: int,
+        homes: Homes,
     ) -> Failure | None:
         """Return the refusal of a request that no engine's limit permits in time.
 
         Only those that are at least as urgent go ahead of it.
         """
         name = pool.state.name
-        usable = [endpoint.name for endpoint in self.endpoints.usable(name)]
+        usable = self.usable_in(name, homes)
         self.rate_limits.record_demand(usable)
         queue = pool.state.queue.values()
         ahead = sum(waiting.admit.priority >= priority for waiting in queue)
@@ -462,7 +495,9 @@
     ) -> HeldReservation | None:
         """Make a reservation at another engine for a generation to migrate there."""
         pool = self.pools[reservation.pool]
-        target = self.migration_target(pool, reservation, tried_endpoints)
+        target = self.migration_target(
+            pool, reservation, tried_endpoints, request.homes
+        )
         if target is None:
             return None
         holding = attrs.evolve(
@@ -484,11 +519,12 @@
         pool: PoolScheduler,
         reservation: HeldReservation,
         tried_endpoints: set[str],
+        homes: Homes,
     ) -> EndpointState | None:
         """Return the least used engine with enough free KV cache, None without one.
 
-        It has the software version of the reservation's engine, isn't closed, and is
-        preferably of the same failure domain.
+        It has the software version of the reservation's engine, is in a home region,
+        isn't closed, and is preferably of the same failure domain.
         """
         needed = (
             reservation.holding.prompt_tokens
@@ -506,6 +542,8 @@
                 continue
             if state.software_version != reservation.holding.software_version:
                 continue
+            if not self.regions.allows(homes, self.failure_domain_of(name)):
+                continue
             if free_tokens < needed or state.in_flight >= state.concurrency:
                 continue
             if not pool.policy.accepts_requests(state, now):
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -236,6 +236,7 @@
         refusal = self.version.refusal(endpoint)
         if self.parts.endpoints.is_closed(endpoint):
             refusal = Failure(Code.NO_ENDPOINT, f"{endpoint.name} is evacuated")
+        refusal = refusal or self.pools.home_refusal(self.request, endpoint)
         if refusal is None and self.version.key and continuation_is_rerun(continuation):
             refusal = await self.parts.incarnations.refusal(
                 endpoint, self.request.remaining_s()
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -172,8 +172,8 @@
         """Return the cheapest endpoint with capacity for a request, None without one.
 
         If an urgent request doesn't fit, another one doesn't either.  A request that
-        excludes endpoints, or needs a software version, doesn't mark its class as
-        full, since others may fit the other endpoints.
+        excludes endpoints, or needs a software version or some failure domains,
+        doesn't mark its class as full, since others may fit the other endpoints.
         """
         admit = waiting.admit
         own_tokens = max((mean for mean, _ in waiting.growth_terms), default=0.0)
@@ -188,7 +188,7 @@
         for _, uncached_tokens, endpoint in candidates:
             if self.has_capacity(endpoint, waiting, uncached_tokens):
                 return endpoint
-        if not admit.excluded and not admit.software_version:
+        if not (admit.excluded or admit.software_version or admit.failure_domains):
             self.full_classes.add(waiting.urgent)
             if waiting.urgent:
                 self.full_classes.add(False)
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -85,6 +85,7 @@
             state.memory_tokens = endpoint.memory_tokens
             state.concurrency = endpoint.concurrency
             state.models = endpoint.models
+            state.failure_domain = endpoint.failure_domain
             state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
             state.closed = name in closed
         self.dispatch()
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -86,7 +86,7 @@
     here only in aggregate: the KV memory that they need at their peak, and their
     number.  ``closed`` says that its failure domain is evacuated: it gets no new
     requests, and what runs there goes on.  ``software_version`` is empty where
-    endpoints name none to their pool.
+    endpoints name none to their pool, ``failure_domain`` where it isn't known.
     """
 
     name: str
@@ -95,6 +95,7 @@
     concurrency: int = 0
     models: tuple[str, ...] = ()
     software_version: str = ""
+    failure_domain: str = ""
     report: EndpointReport | None = None
     reported_at: float = 0.0
     leaving: bool = False
@@ -236,8 +237,8 @@
     def available_endpoints(self, admit: Admit) -> list[EndpointState]:
         """Return the endpoints that may get a request now.
 
-        Those aren't leaving, closed, excluded, unreachable, at a limit or of another
-        software version than the request needs.
+        Those aren't leaving, closed, excluded, unreachable, at a limit, or of another
+        software version or failure domain than the request needs.
         """
         available = []
         for endpoint in self.endpoints.values():
@@ -245,6 +246,9 @@
                 continue
             if admit.software_version not in ("", endpoint.software_version):
                 continue
+            domains = admit.failure_domains
+            if domains and endpoint.failure_domain not in domains:
+                continue
             report = endpoint.report
             if report is not None and (report.leaving or not report.reachable):
                 continue
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -18,7 +18,9 @@
     interval until its next heartbeat to the receiver, 0 in other messages.  ``relay``
     is where it takes requests that other gateways pass on, ``unreachable`` names the
     services whose endpoints it can't connect to.  ``forwards`` says that it takes
-    ``ReservationNews`` and sends them on within its failure domain.
+    ``ReservationNews`` and sends them on within its failure domain.  ``capacity`` is in
+    thousandths of a core and ``load`` in thousandths of the capacity, each 0 if it
+    isn't told.
     """
 
     node: str = ""
@@ -34,6 +36,8 @@
     relay: str = ""
     unreachable: list[str] = attrs.Factory(list)
     forwards: bool = False
+    capacity: int = 0
+    load: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -178,6 +178,7 @@
   hedgeable @13 :Bool;   # the caller has no token of it yet
   hedges @14 :Text;      # the reservation whose second attempt this is
   softwareVersion @15 :Text;  # the only one that may serve it, empty for any
+  failureDomains @16 :List(Text);  # the only ones that may serve it, empty for any
 }
 
 struct Grant {
@@ -323,6 +324,8 @@
   relay @11 :Text;         # address:port for requests that other gateways pass on
   unreachable @12 :List(Text);  # services whose endpoints it can't connect to
   forwards @13 :Bool;      # whether it takes and forwards ReservationNews
+  capacity @14 :UInt32;    # in thousandths of a core, 0 from gateways that don't tell it
+  load @15 :UInt32;        # in thousandths of the capacity, 0 for not told
 }
 
 # Changes of reservations, for the failure domain of the receiver.
