--- a/features/gatewayevacuation.feature
+++ b/features/gatewayevacuation.feature
@@ -137,7 +137,7 @@
     Given a site in 2 failure domains with 4 gateways
     Then in 8 seconds the store gets at most 4 calls for evacuations
     When the root ends
-    Then in 8 seconds the store gets at most 10 calls for evacuations
+    Then in 8 seconds the store gets at most 6 calls for evacuations
 
   Scenario: Without the setting there is no call and no evacuation
     Given a site in 2 failure domains with 2 gateways that don't know evacuations
