--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -30,6 +30,24 @@
     When at 5 s a newer entry says that it is cold for 1.2 s
     Then it is cold at 6.19 s, and warm at 6.21 s
 
+  # Guards against services without a limit that get one, and against odd rates.
+  Scenario: The configuration says how the endpoints of a service warm up
+    Then a service is read with these fields
+      | fields                            | start | rate |
+      | {}                                | 1.0   | 0    |
+      | {"coldPerS": 21}                  | 1.0   | 21   |
+      | {"coldStartS": 2.5, "coldPerS": 4} | 2.5  | 4    |
+      | {"coldPerS": -1}                  | odd   | odd  |
+      | {"coldPerS": "21"}                | odd   | odd  |
+      | {"coldStartS": 1e999}             | odd   | odd  |
+
+  # Guards against a restart that only the endpoint's own report shows.
+  Scenario: An endpoint's report names another incarnation than its entry
+    Given an endpoint whose entry is read by a gateway, with coldLeftMs 0
+    Then the gateway takes it for warm
+    When its report names another incarnation
+    Then the gateway takes it for cold until its new entry says coldLeftMs 0
+
   # Guards against endpoints that an evacuation left without traffic and that are cold.
   Scenario: The endpoints of a failure domain may be cold after its evacuation
     Given an endpoint whose entry says that it is cold for 0 s
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -10,13 +10,18 @@
 
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
+from baobabturn.core.results import Failure
+from baobabturn.gateway.coldendpoints import ColdEndpoints
+from baobabturn.gateway.endpoints import Endpoints
+from baobabturn.gateway.mirror import StoreContact
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
 from baobabturn.gateway.turns import Turns
 from baobabturn.placement.warmup import WarmUp
-from baobabturn.platform.documents import decode_endpoint_value
+from baobabturn.platform.documents import PlatformObjectCodec, decode_endpoint_value
 from baobabturn.platform.headers import PlatformHeaderTranslator
 from baobabturn.scheduler.ratelimits import RateLimits
+from baobabturn.store.interface import Change
 from baobabturn.store.version import StoreVersion
 from baobabturn.wire import codec
 from baobabturn.wire.gatewaymessages import EndpointLimit, LimitNews
@@ -29,6 +34,13 @@
 ENTRY_VERSION, LATER_VERSION = StoreVersion(1, 5), StoreVersion(1, 6)
 # Gateways hear of one another's requests after this time.
 STEP_S = 0.005
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+}
 TURN_INTERVAL_S = 0.02
 HEARTBEAT_STEPS = 120
 CUT_STEP_S = 0.6
@@ -80,11 +92,77 @@
     assert context.warm_up.cold_limit("e", warm) is None
 
 
+@then("a service is read with these fields")
+def services_read(context):
+    for row in context.table:
+        value = {**configuration(), "services": [{"name": "s"}], "routes": []}
+        value["services"][0].update(json.loads(row["fields"]))
+        found = PlatformObjectCodec().decode_table(value)
+        if row["rate"] == "odd":
+            assert isinstance(found, Failure), found
+            continue
+        service = found.services["s"]
+        wanted = float(row["start"]), float(row["rate"])
+        assert (service.cold_start_s, service.cold_per_s) == wanted, service
+
+
+@given("an endpoint whose entry is read by a gateway, with coldLeftMs {left:d}")
+def entry_read(context, left):
+    program = Program(role="gateway", settings=SETTINGS)
+    context.endpoints = Endpoints(
+        object_codec=PlatformObjectCodec(),
+        events=program.events,
+        contact=StoreContact(events=program.events),
+        lapse_grace_s=0.0,
+    )
+    context.limits = RateLimits()
+    context.cold_endpoints = ColdEndpoints(
+        program=program,
+        endpoints=context.endpoints,
+        limits=context.limits,
+        reach=lambda: 1.0,
+    )
+    context.cold_endpoints.set_services([SERVICE])
+    apply_entry(context, ENTRY_VERSION, left, born=7)
+
+
+def apply_entry(context, version, left, born):
+    """Apply an entry of the endpoint as a watch of the store brings it."""
+    value = {**ENTRY, "service": SERVICE.name, "coldLeftMs": left, "born": born}
+    change = Change(name="e", version=version, value=value)
+
+    async def apply():
+        context.endpoints.apply_change(change)
+
+    run(context, apply())
+
+
+@when("its report names another incarnation")
+def report_read(context):
+    async def apply():
+        context.endpoints.apply_report(context.endpoints.by_name["e"], 8)
+
+    run(context, apply())
+
+
+@then("the gateway takes it for warm")
+def taken_for_warm(context):
+    assert not context.limits.is_warming_up("e")
+    assert context.cold_endpoints.count() == 0
+
+
+@then("the gateway takes it for cold until its new entry says coldLeftMs {left:d}")
+def cold_until_entry(context, left):
+    assert context.limits.is_warming_up("e")
+    assert context.cold_endpoints.count() == 1
+    apply_entry(context, LATER_VERSION, left, born=8)
+    taken_for_warm(context)
+
+
 @then("an entry is read with coldLeftMs of")
 def entries_read(context):
-    entry = {"service": "s", "address": "127.0.0.1:80", "zone": "z", "slots": 4}
     for row in context.table:
-        value = {**entry, "state": "ready", "coldLeftMs": json.loads(row["value"])}
+        value = {**ENTRY, "coldLeftMs": json.loads(row["value"])}
         found = decode_endpoint_value("e", value).cold_left_s
         wanted = None if row["seconds"] == "none" else float(row["seconds"])
         assert found == wanted, (row["value"], found)
--- a/src/baobabturn/gateway/coldendpoints.py
+++ b/src/baobabturn/gateway/coldendpoints.py
@@ -70,6 +70,8 @@
 
     def record_told(self, endpoint: str, left_s: float) -> None:
         """Record that another gateway takes an endpoint for cold."""
+        if self.limits.is_warming_up(endpoint):
+            return
         now = self.limits.clock()
         self.warm_up.record_told(endpoint, left_s=left_s, now=now)
         self.apply(endpoint)
