--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -348,8 +348,8 @@
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the monitors and to those whose turn it is.
 
-        Those whose turn it is, monitors among them, get the whole state.  A gateway that is no monitor any more is told so, as it would take this one
-        for silent.
+        Those whose turn it is, monitors among them, get the whole state.  A gateway
+        that is no monitor any more is told so, as it would take this one for silent.
         """
         interval_s = self.table.settings.heartbeat_s
         monitors = self.table.monitors()
