--- a/features/reservationexchange.feature
+++ b/features/reservationexchange.feature
@@ -126,6 +126,14 @@
     And 0.01 seconds pass
     Then all gateways of "z2" that hear it hold the reservation
 
+  # Guards against timers that run only on a clock of a test.
+  Scenario: A change on the way through a running event loop
+    Given a fleet of 63 gateways in 3 failure domains
+    When the fleet runs for 7 seconds
+    And the gateway 1 makes a reservation in a running event loop
+    Then all gateways of "z2" that hear it hold the reservation
+    And the gateway 1 awaits no confirmation
+
   # Guards against reservations of a process that has ended.
   Scenario: Changes of an earlier incarnation are still on their way
     Given a fleet of 63 gateways in 3 failure domains
--- a/features/steps/reservationexchange.py
+++ b/features/steps/reservationexchange.py
@@ -1,12 +1,19 @@
 """Steps on the exchange of reservations between failure domains."""
 
+import asyncio
 import itertools
 import random
 
 from behave import given, then, when
 
 from baobabturn.gateway.mirror import StoreContact, boot_time_s
-from baobabturn.gateway.reservationexchange import MAX_NEWS_BYTES
+from baobabturn.gateway.peers import CHANGE_BATCH_S
+from baobabturn.gateway.reservationexchange import (
+    FORWARD_BATCH_S,
+    MAX_NEWS_BYTES,
+    RECEIPT_DELAY_S,
+    call_later,
+)
 from baobabturn.gateway.reservationorder import ReservationOrder
 from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.membership.datagrams import TAG_BYTES
@@ -18,6 +25,7 @@
     ReservationReceipt,
 )
 from baobabturn.wire.messages import Holding, Holdings, ProgressItem, Release
+from features.steps.gateway import run
 from features.steps.gatewayfleet import near
 
 CHANGE_COUNT = 400
@@ -312,6 +320,30 @@
         assert "r1" in gateway.reservations.by_peer[subject.name], gateway.name
 
 
+@when("the gateway {number:d} makes a reservation in a running event loop")
+def in_event_loop(context, number):
+    fleet = context.fleet
+    context.subject = fleet.gateways[number]
+    for gateway in fleet.gateways:
+        gateway.peers.exchange.schedule = call_later
+
+    async def play():
+        holding = Holding(reservation="r1", endpoint="e")
+        context.subject.reservations.own["r1"] = holding
+        context.subject.peers.publish_reservation("p", holding)
+        for pause_s in (CHANGE_BATCH_S, FORWARD_BATCH_S, RECEIPT_DELAY_S):
+            await asyncio.sleep(2 * pause_s)
+            fleet.deliver()
+
+    run(context, play())
+
+
+@then("the gateway {number:d} awaits no confirmation")
+def awaits_none(context, number):
+    awaited = context.fleet.gateways[number].peers.exchange.forwarders.awaited
+    assert len(awaited) == 2 and not any(awaited.values()), awaited
+
+
 @when("the gateway {number:d} makes a reservation, and its forwarders hold that back")
 def held_at_forwarders(context, number):
     context.subject = context.fleet.gateways[number]
