--- a/features/placementcase.py
+++ b/features/placementcase.py
@@ -9,13 +9,12 @@
 import time
 from unittest import mock
 
-from steps.policy import Future, make_pool
-
 from baobabturn.config.declared import Endpoint
 from baobabturn.placement.enginespeed import EngineSpeeds
 from baobabturn.scheduler.state import WaitingRequest
 from baobabturn.wire.messages import Admit, ProgressItem, Release
 from baobabturn.wire.words import FINISHED
+from features.steps.policy import Future, make_pool
 
 TICK_S = 0.005
 CLASSIFY_S = 0.2
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -5,7 +5,6 @@
 from unittest import mock
 
 from behave import given, then, when
-from placementcase import AllAlike, Placement
 
 from baobabturn.config.declared import Workspace
 from baobabturn.core.results import Code, Failure
@@ -15,6 +14,7 @@
 from baobabturn.placement.urgentreserve import PriorityMix, UrgentReserve
 from baobabturn.wire.messages import Holding, ProgressItem, Release
 from baobabturn.wire.words import FAILED, FINISHED
+from features.placementcase import AllAlike, Placement
 
 BEGIN_S = 1000.0
 MS = 0.001
