--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -27,6 +27,7 @@
 from baobabturn.gateway.platforminterface import GatewayPaths, HeaderTranslator
 from baobabturn.gateway.relaysigner import RELAY_HEADER, request_head
 from baobabturn.gateway.request import CallerRequest, Headers, request_digest
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import Route, RouteKind, RouteTable
 
 MS_PER_S = 1000
@@ -404,7 +405,7 @@
             status = NOT_RUN_STATUS
         headers = [(b"x-baobabturn-code", str(int(failure.code)).encode())]
         if not_run and status == NOT_RUN_STATUS:
-            retry_after_s = failure.retry_after_s or RETRY_AFTER_S
+            retry_after_s = failure.retry_after_s or spread_retry_s(RETRY_AFTER_S)
             headers.append((b"retry-after", f"{retry_after_s:.3g}".encode()))
         if status in (400, 413):
             headers.append(CONNECTION_CLOSE)
