--- a/features/homeregions.feature
+++ b/features/homeregions.feature
@@ -135,3 +135,8 @@
   Scenario: A gateway measures its load
     When a gateway with 0.5 of a core twice as fast uses 0 s, then 0.25 s of each second
     Then it tells a capacity of 1000 and loads from 1 to 500, after 8 s about 316
+
+  # Guards against a gateway that divides by a share of nothing, or is taken for crowded.
+  Scenario: A gateway whose share of a core isn't known
+    When a gateway with 0 of a core twice as fast uses 0 s, then 0.25 s of each second
+    Then it tells a capacity of 0 and loads from 0 to 0, after 8 s about 0
--- a/src/baobabturn/gateway/ownload.py
+++ b/src/baobabturn/gateway/ownload.py
@@ -19,8 +19,9 @@
 class OwnLoad:
     """The capacity of this host, and the part of it that the process uses.
 
-    ``capacity`` is in thousandths of a core of usual speed.  ``ratio`` is the processor
-    time used over that which the host's share of a core permits, whatever its speed.
+    ``capacity`` is in thousandths of a core of usual speed, 0 if it isn't known.
+    ``ratio`` is the processor time used over that which the host's share of a core
+    permits, whatever its speed.
     """
 
     def __init__(
@@ -31,7 +32,7 @@
         used_s: Callable[[], float] = time.process_time,
     ):
         self.cpu_share = host.cpu_share
-        self.capacity = max(1, round(PER_THOUSAND * host.cpu_share * host.core_speed))
+        self.capacity = round(PER_THOUSAND * host.cpu_share * host.core_speed)
         self.clock = clock
         self.used_s = used_s
         self.ratio = 0.0
@@ -42,7 +43,7 @@
         """Add what has been used since the last call to the average."""
         now = self.clock()
         elapsed_s = now - self.measured_at
-        if elapsed_s < MIN_INTERVAL_S:
+        if elapsed_s < MIN_INTERVAL_S or not self.cpu_share:
             return
         used_s = self.used_s()
         used = (used_s - self.measured_used_s) / (elapsed_s * self.cpu_share)
@@ -51,5 +52,7 @@
         self.ratio += weight * (min(1.0, used) - self.ratio)
 
     def told(self) -> int:
-        """Return the load to tell others, in thousandths; 0 would mean not told."""
+        """Return the load to tell others, in thousandths, 0 if it isn't known."""
+        if not self.cpu_share:
+            return 0
         return min(PER_THOUSAND, max(1, round(PER_THOUSAND * self.ratio)))
