--- a/features/directory.feature
+++ b/features/directory.feature
@@ -85,3 +85,8 @@
       | 6    | 3       | isl fjord lake         | z0       | z1    |
       | 63   | 3       | isl fjord lake         | z0       | z1    |
       | 145  | 5       | isl fjord lake isl isl | z0 z3 z4 | z1    |
+
+  # Guards against a rolling replacement in which gateways don't understand each other.
+  Scenario: Builds with and without capacity and load read each other's state
+    Given a build that doesn't know capacity and load
+    Then its state tells neither here, and it reads the rest of a state of this build
--- a/features/steps/directory.py
+++ b/features/steps/directory.py
@@ -1,15 +1,24 @@
 """Steps on what the directories of a fleet answer to callers."""
 
+import importlib.resources
+import pathlib
+import tempfile
+
+import capnp
 from behave import given, then, when
 
+from baobabturn import wire
 from baobabturn.core.events import Event
 from baobabturn.gateway.peer import parse_address, ring_position
 from baobabturn.gateway.platforminterface import CallerPlace
 from baobabturn.platform.documents import PlatformObjectCodec
+from baobabturn.wire.codec import pack_item, unpack_item
+from baobabturn.wire.gatewaymessages import GatewayState
 from fakes.siteconfig import SITE_HOST_NAME, configuration
 
 CALLS = 20
 USUAL_LOAD = 0.4
+OLDER_SCHEMA_ID = "@0xb8d1f0c45e2a9d18"
 
 
 @given('the failure domains are in the regions "{regions}"')
@@ -129,3 +138,31 @@
         assert not dead, (gateway.name, dead)
     named = {each.name for answer in answers(context) for each in answer}
     assert named == running, running - named
+
+
+@given("a build that doesn't know capacity and load")
+def older_build(context):
+    text = importlib.resources.files(wire).joinpath("schema.capnp").read_text()
+    lines = [
+        line
+        for line in text.splitlines()
+        if not line.startswith(("  capacity @13 ", "  load @14 "))
+    ]
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "older.capnp"
+        # Two schemas of one id can't be loaded.
+        older = "\n".join(lines).replace("@0xb8d1f0c45e2a9d17", OLDER_SCHEMA_ID)
+        path.write_text(older)
+        context.older = capnp.load(str(path)).GatewayState
+
+
+@then("its state tells neither here, and it reads the rest of a state of this build")
+def read_each_other(context):
+    data = context.older.new_message(node="g", serving=True).to_bytes_packed()
+    state = unpack_item(GatewayState, data)
+    assert (state.node, state.serving) == ("g", True), state
+    assert (state.capacity, state.load) == (0, 0), state
+    data = pack_item(GatewayState(node="g", relay="r", capacity=7, load=9))
+    older = context.older.from_bytes_packed(data)
+    assert (older.node, older.relay) == ("g", "r"), older
+    assert not hasattr(older, "capacity")
