--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -12,6 +12,18 @@
     When news bring an endpoint's end, and the watch then brings its older entry
     Then the mirror has applied the end alone
 
+  # Guards against calls that grow with the number of gateways while the store is away.
+  Scenario: Gateways that others tell of the store's return call it less often
+    Given a mirror of a store that is away
+    Then after 20 failed calls it waits for 0.3 to 0.6 seconds
+    When another gateway is the watcher and the kind was listed before
+    Then after 20 failed calls it waits for 1 to 2 seconds
+
+  # The delay overflowed after 1,024 failures in a row, some eight minutes.
+  Scenario: A mirror goes on after an outage of an hour
+    Given a mirror of a store that is away
+    Then after 8000 failed calls it waits for 0.3 to 0.6 seconds
+
   # One lost datagram made every gateway of a failure domain list the store.
   Scenario: A change that was lost between gateways is asked for
     Given a gateway that knows the store up to revision 5
--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import time
+import unittest.mock
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from baobabturn.core.clock import HybridClock
 from baobabturn.core.events import Event, EventLog
+from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.mirror import Mirror, StoreContact
 from baobabturn.gateway.peers import Peer
 from baobabturn.gateway.storeupdates import StoreUpdates
@@ -112,6 +114,42 @@
     assert context.mirror.last_change_version == at(12)
 
 
+@given("a mirror of a store that is away")
+def store_away(context):
+    events = EventLog(node="n", role="r", failure_domain="d", clock=HybridClock())
+    context.mirror = Mirror(
+        store=None,
+        contact=StoreContact(events=events),
+        kind="things",
+        wait_s=1.0,
+        on_list=lambda changes: None,
+        on_change=lambda change: None,
+    )
+
+
+@when("another gateway is the watcher and the kind was listed before")
+def follows_another(context):
+    context.mirror.is_follower = lambda: True
+    context.mirror.complete_version = at(1)
+
+
+@then("after {count:d} failed calls it waits for {low:g} to {high:g} seconds")
+def waits_after_failures(context, count, low, high):
+    waits = []
+
+    async def note(delay_s):
+        waits.append(delay_s)
+
+    async def play():
+        failure = Failure(Code.PLATFORM_UNREACHABLE, "away")
+        with unittest.mock.patch("asyncio.sleep", note):
+            for _ in range(count):
+                await context.mirror.wait_after(failure)
+
+    run(context, play())
+    assert low <= min(waits[-10:]) and max(waits[-10:]) <= high, waits[-10:]
+
+
 class OnlyWatched:
     """The election as a gateway sees it that watches for nobody."""
 
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -15,11 +15,16 @@
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.6
+# A gateway that others tell of the store's return calls it less often while it's away,
+# or an outage multiplies the calls by the number of gateways.
+MAX_FOLLOWER_RETRY_DELAY_S = 2.0
 # Changes often come in quick succession; a pause before the next watch lets one
 # call return them together.
 BATCH_DELAY_S = 0.05
 # How often a mirror that doesn't watch the store checks whether it should.
 INACTIVE_CHECK_INTERVAL_S = 0.25
+# More doublings of the delay don't fit into a float after some hundred failures.
+MAX_RETRY_DOUBLINGS = 8
 # Lists in vain are logged at most this often.
 VAIN_LIST_LOG_INTERVAL_S = 1.0
 # Failures for at least this long are an outage, after which entries may be missing.
@@ -136,6 +141,7 @@
         self.vain_list_logged_at = 0.0
         self.invalidated = asyncio.Event()
         self.is_active: Callable[[], bool] = lambda: True
+        self.is_follower: Callable[[], bool] = lambda: False
         self.on_watch_changes: Callable[[Mirror, StoreVersion, Changes], None] = (
             lambda mirror, before, changes: None
         )
@@ -170,9 +176,13 @@
     async def wait_after(self, failure: Failure) -> None:
         """Back off after a failure, or after a list that was older than is known."""
         self.failures += 1
+        max_delay_s = MAX_RETRY_DELAY_S
         if failure.code is not Code.VERSION_TOO_OLD:
             self.contact.record_failure(failure, self.kind)
-        delay_s = min(MIN_RETRY_DELAY_S * 2 ** (self.failures - 1), MAX_RETRY_DELAY_S)
+            if self.is_follower() and self.complete_version > NO_VERSION:
+                max_delay_s = MAX_FOLLOWER_RETRY_DELAY_S
+        doublings = min(self.failures - 1, MAX_RETRY_DOUBLINGS)
+        delay_s = min(MIN_RETRY_DELAY_S * 2**doublings, max_delay_s)
         await asyncio.sleep(random.uniform(delay_s / 2, delay_s))
 
     async def list(self) -> Failure | None:
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -120,6 +120,7 @@
         self.gaps: dict[str, StoreVersion] = {}
         for mirror in self.mirrors.values():
             mirror.is_active = functools.partial(self.should_watch_kind, mirror)
+            mirror.is_follower = self.is_follower
             mirror.on_watch_changes = self.publish
             mirror.on_gap_listed = self.publish_all
         peers.handlers[StoreNews] = self.handle_update
@@ -135,6 +136,10 @@
             return True
         return self.is_in_charge()
 
+    def is_follower(self) -> bool:
+        """Return whether the watcher of this failure domain is another gateway."""
+        return not self.watchers.is_watcher()
+
     def is_in_charge(self) -> bool:
         """Return whether this gateway should watch the store for others.
 
