--- a/src/baobabturn/gateway/migration.py
+++ b/src/baobabturn/gateway/migration.py
@@ -15,6 +15,7 @@
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
 from baobabturn.gateway.migrationplan import CopySchedule
+from baobabturn.gateway.migrationtargets import MigrationTargets
 from baobabturn.gateway.platforminterface import (
     CacheCopier,
     CacheCopy,
@@ -55,6 +56,7 @@
         self.program = program
         self.endpoints = endpoints
         self.pools = pools
+        self.targets = MigrationTargets(pools=pools)
         self.streams = streams
         self.cache_copier = cache_copier
         self.conditions = conditions
@@ -73,7 +75,7 @@
         traits = self.pools.traits.get(service)
         if traits is None or not traits.supports_migration:
             return
-        plan = self.pools.migration_plan(service, endpoint.name)
+        plan = self.targets.plan(service, endpoint.name)
         for stream in self.streams.active_at(endpoint):
             reservation = stream.reservation
             schedule = (
@@ -105,7 +107,7 @@
         tried_endpoints: set[str] = set()
         pool, name = source.record.service, source.name
         while not schedule.may_start(
-            self.pools.reservations_at(pool, name), time.monotonic() - noticed_at
+            self.targets.reservations_at(pool, name), time.monotonic() - noticed_at
         ):
             await asyncio.sleep(SCHEDULE_CHECK_INTERVAL_S)
         while time.monotonic() - noticed_at < MIGRATION_WINDOW_S:
@@ -115,7 +117,7 @@
                 or stream.reservation is None
             ):
                 return
-            target = self.pools.reserve_for_migration(
+            target = self.targets.reserve(
                 stream.request, stream.reservation, tried_endpoints
             )
             if target is None:
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import itertools
-import time
 from collections.abc import Callable, Container, Iterator
 
 import attrs
@@ -17,7 +16,6 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
-from baobabturn.gateway.migrationplan import CopySchedule, migration_plan
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
@@ -32,7 +30,6 @@
 from baobabturn.scheduler.pool import PoolScheduler
 from baobabturn.scheduler.state import (
     EndpointRateLimits,
-    EndpointState,
     NoRateLimits,
     Reservation,
 )
@@ -61,8 +58,6 @@
 RESUME_MARGIN_S = 30.0
 # Evacuations last for a while, so callers needn't return at once.
 CLOSED_RETRY_AFTER_S = 1.0
-# Free KV cache that a migrated generation needs beyond what it uses.
-MIGRATION_SPARE_TOKENS = 512
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -453,110 +448,6 @@
         self.pools[reservation.pool].release(release)
         self.on_released(release)
 
-    def migration_plan(self, pool: str, endpoint: str) -> dict[str, CopySchedule]:
-        """Return the copy schedules for a leaving engine, by reservation."""
-        scheduler = self.pools[pool]
-        state = scheduler.state.endpoints.get(endpoint)
-        if state is None:
-            return {}
-        gap_s = scheduler.policy.typical_token_gap_s()
-        return migration_plan(
-            state.reservations.values(),
-            self.traits[pool],
-            gap_s,
-            nearby_free_tokens=self.nearby_free_tokens(pool, endpoint),
-        )
-
-    def nearby_free_tokens(self, pool: str, endpoint: str) -> list[int]:
-        """Return the free tokens of the engines near an engine that may take its work.
-
-        Those are in its failure domain and of its software version.
-        """
-        domain = self.failure_domain_of(endpoint)
-        software_version = self.software_version_of(endpoint)
-        states = self.pools[pool].state.endpoints
-        return [
-            states[other.name].free_tokens - MIGRATION_SPARE_TOKENS
-            for other in self.endpoints.usable(pool)
-            if other.name != endpoint
-            and other.name in states
-            and other.record.failure_domain == domain
-            and other.record.software_version.key == software_version
-        ]
-
-    def reservations_at(self, pool: str, endpoint: str) -> Container[str]:
-        """Return the names of all gateways' reservations at an engine."""
-        state = self.pools[pool].state.endpoints.get(endpoint)
-        return state.reservations if state is not None else ()
-
-    def reserve_for_migration(
-        self,
-        request: CallerRequest,
-        reservation: HeldReservation,
-        tried_endpoints: set[str],
-    ) -> HeldReservation | None:
-        """Make a reservation at another engine for a generation to migrate there."""
-        pool = self.pools[reservation.pool]
-        target = self.migration_target(
-            pool, reservation, tried_endpoints, request.homes
-        )
-        if target is None:
-            return None
-        holding = attrs.evolve(
-            reservation.holding,
-            reservation=self.reservation_name(request),
-            endpoint=target.name,
-            taken=self.program.clock.now(),
-        )
-        pool.hold(None, holding)
-        pool.state.rate_limits.book(target.name)
-        return self.record_reservation(
-            HeldReservation(
-                pool=reservation.pool, holding=holding, urgent=reservation.urgent
-            )
-        )
-
-    def migration_target(
-        self,
-        pool: PoolScheduler,
-        reservation: HeldReservation,
-        tried_endpoints: set[str],
-        homes: Homes,
-    ) -> EndpointState | None:
-        """Return the least used engine with enough free KV cache, None without one.
-
-        It has the software version of the reservation's engine, is in a home region,
-        isn't closed, and is preferably of the same failure domain.
-        """
-        needed = (
-            reservation.holding.prompt_tokens
-            + reservation.holding.produced
-            + MIGRATION_SPARE_TOKENS
-        )
-        domain = self.failure_domain_of(reservation.endpoint)
-        now = time.monotonic()
-        candidates = []
-        for name, state in pool.state.endpoints.items():
-            free_tokens = state.free_tokens
-            if name == reservation.endpoint or name in tried_endpoints:
-                continue
-            if state.leaving or state.closed:
-                continue
-            if state.software_version != reservation.holding.software_version:
-                continue
-            if not self.regions.allows(homes, self.failure_domain_of(name)):
-                continue
-            if free_tokens < needed or state.in_flight >= state.concurrency:
-                continue
-            if not pool.policy.accepts_requests(state, now):
-                continue
-            if pool.state.rate_limits.delay_s(name):
-                continue
-            candidates.append(
-                (self.failure_domain_of(name) != domain, state.used_tokens, name, state)
-            )
-        return min(candidates)[3] if candidates else None
-
     def failure_domain_of(self, name: str) -> str:
         """Return an endpoint's failure domain, empty if it isn't known."""
         endpoint = self.endpoints.by_name.get(name)
