--- a/features/steps/gatewaynews.py
+++ b/features/steps/gatewaynews.py
@@ -157,6 +157,10 @@
         """Return that another gateway is the watcher."""
         return False
 
+    def is_root(self):
+        """Return that another gateway is the root."""
+        return False
+
 
 @given("a gateway that knows the store up to revision {revision:d}")
 def knows_revision(context, revision):
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+import unittest.mock
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -12,12 +13,14 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
+from baobabturn.gateway import retrytimes
 from baobabturn.gateway.coldendpoints import ColdEndpoints
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.mirror import StoreContact
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
 from baobabturn.gateway.turns import Turns
+from baobabturn.placement.homes import DomainRegions
 from baobabturn.placement.warmup import WarmUp
 from baobabturn.platform.documents import PlatformObjectCodec, decode_endpoint_value
 from baobabturn.platform.headers import PlatformHeaderTranslator
@@ -293,7 +296,11 @@
 def pool_waiting(context, count, priority):
     endpoints = SimpleNamespace(usable=lambda name: [])
     program = Program(role="gateway", settings=SETTINGS)
-    context.pools = EnginePools(program=program, endpoints=endpoints)
+    context.pools = EnginePools(
+        program=program,
+        endpoints=endpoints,
+        regions=DomainRegions(by_domain={}),
+    )
     context.pools.rate_limits = CountedLimits()
     waiting = SimpleNamespace(admit=SimpleNamespace(priority=-priority))
     state = SimpleNamespace(name="models", queue=dict.fromkeys(range(count), waiting))
@@ -306,7 +313,8 @@
 )
 def ahead_of(context, first, few, second, many):
     for priority, wanted in ((first, few), (second, many)):
-        refusal = context.pools.limit_refusal(context.pool, 0.5, -priority)
+        with unittest.mock.patch.object(retrytimes, "draw", return_value=0.0):
+            refusal = context.pools.limit_refusal(context.pool, 0.5, -priority, None)
         assert refusal is not None and refusal.retry_after_s == 1.0, refusal
         assert context.pools.rate_limits.ahead == wanted, context.pools.rate_limits
 
--- a/src/baobabturn/gateway/evacuations.py
+++ b/src/baobabturn/gateway/evacuations.py
@@ -153,7 +153,8 @@
     def check_pause(self) -> None:
         """Have the list confirmed again if this process was paused for long."""
         now = boot_time_s()
-        if now - self.ticked_at > LONG_PAUSE_RATIO * self.evacuate_s:
+        long_pause_s = max(LONG_PAUSE_RATIO * self.evacuate_s, 2 * TICK_INTERVAL_S)
+        if now - self.ticked_at > long_pause_s:
             self.resumed_at = now
             self.ask()
         self.ticked_at = now
--- a/src/baobabturn/gateway/forwarders.py
+++ b/src/baobabturn/gateway/forwarders.py
@@ -89,24 +89,28 @@
         for sequence in sequences:
             awaited.pop(sequence, None)
 
-    def avoid_overdue(self, now: float) -> dict[str, str]:
+    def avoid_overdue(self, now: float) -> dict[str, set[str]]:
         """Avoid the forwarders whose confirmations are overdue.
 
         Return them by the failure domains that may have missed changes.
         """
-        overdue = {}
+        overdue: dict[str, set[str]] = {}
         for domain, awaited in self.awaited.items():
             for confirmation in awaited.values():
                 if now - confirmation.sent_at >= CONFIRMATION_TIMEOUT_S:
-                    overdue[domain] = confirmation.forwarder
+                    overdue.setdefault(domain, set()).add(confirmation.forwarder)
         self.avoided_until = {
             name: until for name, until in self.avoided_until.items() if until > now
         }
-        for domain, name in overdue.items():
-            self.avoided_until[name] = now + AVOIDANCE_S
-            del self.awaited[domain]
+        for domain, names in overdue.items():
+            self.avoided_until.update(dict.fromkeys(names, now + AVOIDANCE_S))
+            self.awaited[domain] = {
+                sequence: confirmation
+                for sequence, confirmation in self.awaited[domain].items()
+                if confirmation.forwarder not in names
+            }
         return overdue
 
     def restart(self) -> None:
-        """Await nothing any more: this process was paused, or has sent all again."""
+        """Await nothing any more: this process was paused."""
         self.awaited.clear()
--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -23,7 +23,7 @@
 BATCH_DELAY_S = 0.05
 # How often a mirror that doesn't watch the store checks whether it should.
 INACTIVE_CHECK_INTERVAL_S = 0.25
-# More doublings of the delay don't fit into a float after some hundred failures.
+# Bounds the exponent of the delay: 2**1024 overflows a float.
 MAX_RETRY_DOUBLINGS = 8
 # Lists in vain are logged at most this often.
 VAIN_LIST_LOG_INTERVAL_S = 1.0
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -193,6 +193,7 @@
         """Remove the silent gateways that are not among those named."""
         for peer in list(self.table.peers.values()):
             if peer.name not in names and not self.table.is_alive(peer):
+                self.reservations.retain_peer_reservations(peer.name, set())
                 del self.table.peers[peer.name]
 
     def silence_s(self, name: str) -> float:
--- a/src/baobabturn/gateway/reservationexchange.py
+++ b/src/baobabturn/gateway/reservationexchange.py
@@ -130,14 +130,17 @@
             self.peers.send_data(data, news, peers)
 
     def handle_news(self, news: ReservationNews, sender: Peer) -> None:
-        """Apply the changes of other gateways; forward those that come directly."""
+        """Forward the changes of other gateways that come directly; apply all.
+
+        Changes that can't be applied here may be sound at others.
+        """
+        if not news.forwarded:
+            self.confirm(news, sender)
+            self.forward(news)
         for changes in news.changes:
             peer = self.peers.table.peers.get(changes.node)
             if peer is not None:
                 self.apply(peer, lengthened(changes))
-        if not news.forwarded:
-            self.confirm(news, sender)
-            self.forward(news)
 
     def apply(self, peer: Peer, changes: ReservationChanges) -> None:
         """Apply a gateway's changes, if its present incarnation has been heard.
@@ -220,10 +223,11 @@
         overdue = self.forwarders.avoid_overdue(now)
         if not overdue or table.is_mesh():
             return
-        for domain, name in overdue.items():
-            self.peers.program.events.emit(
-                Event.FORWARDER_AVOIDED, gateway=name, failure_domain=domain
-            )
+        for domain, names in overdue.items():
+            for name in sorted(names):
+                self.peers.program.events.emit(
+                    Event.FORWARDER_AVOIDED, gateway=name, failure_domain=domain
+                )
         delivery = self.forwarders.delivery(table.near_alive(), now)
         replaced = [
             peer for peer in delivery.forwarders if peer.failure_domain in overdue
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -365,8 +365,12 @@
         """Ask a watcher for the changes missed before a version.
 
         If they don't come, the store is listed.  One lost datagram of the root would
-        otherwise make all gateways of a failure domain list it at once.
+        otherwise make all gateways of a failure domain list it at once.  The root lists
+        the store itself: its questions say that the store doesn't answer it.
         """
+        if self.watchers.is_root():
+            mirror.invalidate()
+            return
         is_asked = mirror.kind in self.gaps
         self.gaps[mirror.kind] = max(version, self.gaps.get(mirror.kind, version))
         if is_asked:
