--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -123,6 +123,11 @@
     Then the turns go to those of priority 0, 1, 1 and 2
     And one of priority 0 would get the first of the turns that the others booked
 
+  # Guards against a turn that is lost because the wait for it ends at the same time.
+  Scenario: A turn comes when the time for waiting ends
+    When a request waits for a turn in 0.02 s, for 0.01 s at most
+    Then the turn comes
+
   # Guards against requests that wait for a cold engine while another one is free.
   Scenario: A warm engine has room again before the turn of a cold one comes
     Given a pool with a warm engine for one request, and one whose turn comes in 9 s
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -227,6 +227,21 @@
     assert 0 < context.first_turn_s <= TURN_INTERVAL_S, context.first_turn_s
 
 
+@when("a request waits for a turn in {delay:g} s, for {limit:g} s at most")
+def turn_at_limit(context, delay, limit):
+    async def wait():
+        # Until the loop goes on, both the turn and the end of the wait are due.
+        asyncio.get_running_loop().call_later(0, time.sleep, 2 * delay)
+        return await Turns().wait("e", 1, delay_s=delay, limit_s=limit)
+
+    context.turn_came = run(context, wait())
+
+
+@then("the turn comes")
+def turn_comes(context):
+    assert context.turn_came
+
+
 @given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
 def schedule(context, per_s, left):
     schedules(context, 1, per_s, left)
--- a/src/baobabturn/gateway/turns.py
+++ b/src/baobabturn/gateway/turns.py
@@ -49,8 +49,8 @@
     ) -> bool:
         """Wait for a turn, given that one comes in ``delay_s``; return whether it came.
 
-        It hasn't if more urgent requests have got the turns until ``limit_s``, or if
-        the endpoint takes no requests any more.
+        It hasn't if more urgent requests have got the turns until ``limit_s``, or until
+        ``delay_s`` if that is longer, or if the endpoint takes no requests any more.
         """
         loop = asyncio.get_running_loop()
         waiting = WaitingTurn(
@@ -65,7 +65,9 @@
             async with asyncio.timeout(max(limit_s, delay_s)):
                 return await waiting.comes
         except TimeoutError:
-            return False
+            # The turn may have come in the same iteration of the loop.
+            comes = waiting.comes
+            return not comes.cancelled() and comes.result()
         finally:
             if waiting in self.waiting[endpoint]:
                 self.waiting[endpoint].remove(waiting)
