--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -123,6 +123,12 @@
     Then the turns go to those of priority 0, 1, 1 and 2
     And one of priority 0 would get the first of the turns that the others booked
 
+  # Guards against urgent requests that are told of a turn which another one has got.
+  Scenario: An urgent request has taken the turn of a less urgent one
+    When a request books a turn in 0.02 s, and a more urgent one that in 5 s
+    And the more urgent one has got the first turn
+    Then the turn of another urgent one comes in 4 s or later
+
   # Guards against a turn that is lost because the wait for it ends at the same time.
   Scenario: A turn comes when the time for waiting ends
     When a request waits for a turn in 0.02 s, for 0.01 s at most
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -242,6 +242,36 @@
     assert context.turn_came
 
 
+@when(
+    "a request books a turn in {first:g} s, and a more urgent one that in {second:g} s"
+)
+def two_book(context, first, second):
+    context.turns = Turns()
+    context.booked = (2, first), (1, second)
+
+
+@when("the more urgent one has got the first turn")
+def first_turn_taken(context):
+    async def wait():
+        displaced, urgent = (
+            asyncio.create_task(
+                context.turns.wait("e", priority, delay_s=delay_s, limit_s=9.0)
+            )
+            for priority, delay_s in context.booked
+        )
+        assert await urgent and not displaced.done()
+        context.next_turn_s = context.turns.delay_s("e", 0, 9.0)
+        displaced.cancel()
+        await asyncio.wait([displaced])
+
+    run(context, wait())
+
+
+@then("the turn of another urgent one comes in {least:g} s or later")
+def later_turn(context, least):
+    assert least <= context.next_turn_s < 9.0, context.next_turn_s
+
+
 @given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
 def schedule(context, per_s, left):
     schedules(context, 1, per_s, left)
--- a/src/baobabturn/gateway/turns.py
+++ b/src/baobabturn/gateway/turns.py
@@ -35,12 +35,13 @@
         self.counter = itertools.count()
 
     def delay_s(self, endpoint: str, priority: int, delay_s: float) -> float:
-        """Return when a request's turn comes that would book one in ``delay_s``.
+        """Return in how many seconds a request's turn comes that would book one.
 
-        It gets the first turn of those that are less urgent.
+        The one that it would book comes in ``delay_s``; it gets the first turn of
+        those that are less urgent.
         """
         now = asyncio.get_running_loop().time()
-        others = self.waiting.get(endpoint, ())
+        others = self.candidates(endpoint)
         turns = [each.turn_at - now for each in others if each.priority > priority]
         return max(0.0, min([delay_s, *turns]))
 
@@ -60,7 +61,7 @@
             comes=loop.create_future(),
         )
         self.waiting[endpoint].append(waiting)
-        loop.call_at(waiting.turn_at, self.give_turn, endpoint)
+        loop.call_at(waiting.turn_at, self.give_turn, endpoint, waiting.turn_at)
         try:
             async with asyncio.timeout(max(limit_s, delay_s)):
                 return await waiting.comes
@@ -74,17 +75,27 @@
             if not self.waiting[endpoint]:
                 del self.waiting[endpoint]
 
-    def give_turn(self, endpoint: str) -> None:
-        """Give a turn that has come to the most urgent request that still waits."""
-        candidates = [
-            each for each in self.waiting.get(endpoint, ()) if not each.comes.done()
-        ]
-        if candidates:
-            chosen = min(candidates, key=lambda each: (each.priority, each.number))
-            chosen.comes.set_result(True)
+    def candidates(self, endpoint: str) -> list[WaitingTurn]:
+        """Return the requests that wait for an endpoint and have got no turn yet."""
+        waiting = self.waiting.get(endpoint, ())
+        return [each for each in waiting if not each.comes.done()]
+
+    def give_turn(self, endpoint: str, turn_at: float) -> None:
+        """Give a turn that has come to the most urgent request that still waits.
+
+        The request that has booked this turn gets the other one's later turn for it.
+        """
+        candidates = self.candidates(endpoint)
+        if not candidates:
+            return
+        chosen = min(candidates, key=lambda each: (each.priority, each.number))
+        chosen.comes.set_result(True)
+        for each in candidates:
+            if each.turn_at == turn_at:
+                each.turn_at, chosen.turn_at = chosen.turn_at, turn_at
+                return
 
     def end_waits(self, endpoint: str) -> None:
         """End the waits for an endpoint that takes no requests any more."""
-        for each in self.waiting.get(endpoint, ()):
-            if not each.comes.done():
-                each.comes.set_result(False)
+        for each in self.candidates(endpoint):
+            each.comes.set_result(False)
