--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -105,6 +105,16 @@
     When 1.1 s pass
     Then it takes any number
 
+  # Guards against schedules without a limit that are kept, and told to other failure
+  # domains, for every endpoint that ever was cold.
+  Scenario: An endpoint without a limit has no schedule after its warm-up
+    Given a schedule of an endpoint that warms up at 20 a second for 1 s
+    When its answer names no limit
+    Then it takes 20 a second
+    When 1.1 s pass
+    Then it takes any number
+    And no schedule is kept
+
   # Guards against requests that wait for a turn which they can't get in time, and
   # against those that are refused although the endpoints are warm soon.
   Scenario: All endpoints of a service are cold at once
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -313,6 +313,11 @@
     assert context.limits.delay_s("e0") == 0
 
 
+@then("no schedule is kept")
+def no_schedule(context):
+    assert not context.limits.schedules, context.limits.schedules
+
+
 @then("a request behind {count:d} others would wait for {seconds:g} s")
 def would_wait(context, count, seconds):
     found = context.limits.queue_delay_s(context.names, count)
--- a/src/baobabturn/scheduler/ratelimits.py
+++ b/src/baobabturn/scheduler/ratelimits.py
@@ -32,7 +32,7 @@
 # An endpoint that takes nothing still gets a request now and then, whose answer shows
 # when that ends.
 MIN_RATE_PER_S = 0.1
-# The stamp of a schedule of which no answer has said anything.
+# The stamp of a schedule of which no answer has named a limit.
 NEVER_ANSWERED = 0
 # A share that falls to less than this part of itself has been used by hosts that didn't
 # know of others; these then begin at different times.
@@ -110,8 +110,10 @@
         """Set the limit that an answer named; return whether that changes it.
 
         ``stamp`` is the hybrid clock's time of the answer; an older one is ignored.
+        A first answer that names no limit isn't kept: it says nothing new.
         """
-        if endpoint not in self.schedules and per_s is None:
+        known = self.schedules.get(endpoint)
+        if per_s is None and (known is None or known.stamp == NEVER_ANSWERED):
             return False
         schedule = self.schedule_of(endpoint)
         if stamp <= schedule.stamp:
