--- a/src/baobabturn/scheduler/ratelimits.py
+++ b/src/baobabturn/scheduler/ratelimits.py
@@ -145,11 +145,6 @@
             del self.schedules[endpoint]
         self.on_warm(endpoint, cold_per_s)
 
-    def end_warm_ups(self) -> None:
-        """End the warm-ups whose time has passed."""
-        for endpoint in list(self.schedules):
-            self.limited(endpoint)
-
     def schedule_of(self, endpoint: str) -> Schedule:
         """Return the schedule of an endpoint, a new one without a limit if need be."""
         schedule = self.schedules.get(endpoint)
