--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -139,6 +139,12 @@
     And the more urgent one has got the first turn
     Then the turn of another urgent one comes in 4 s or later
 
+  # Guards against requests that wait in vain while other endpoints could take them.
+  Scenario: An endpoint leaves while a request waits for its turn there
+    Given an endpoint whose entry is read by a gateway, with coldLeftMs 0
+    When it says that it is leaving while a request waits for a turn in 9 s
+    Then the wait has ended without a turn within 1 s
+
   # Guards against a turn that is lost because the wait for it ends at the same time.
   Scenario: A turn comes when the time for waiting ends
     When a request waits for a turn in 0.02 s, for 0.01 s at most
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -15,6 +15,7 @@
 from baobabturn.gateway.coldendpoints import ColdEndpoints
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.mirror import StoreContact
+from baobabturn.gateway.plain import PlainForwarder
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
 from baobabturn.gateway.turns import Turns
@@ -272,6 +273,32 @@
     assert least <= context.next_turn_s < 9.0, context.next_turn_s
 
 
+@when("it says that it is leaving while a request waits for a turn in {delay:g} s")
+def leaves_while_waiting(context, delay):
+    unused = ("endpoint_client", "budget", "crash_watch", "rate_limits", "paths")
+    forwarder = PlainForwarder(
+        program=Program(role="gateway", settings=SETTINGS),
+        endpoints=context.endpoints,
+        **dict.fromkeys((*unused, "slot_room", "regions")),
+    )
+
+    async def wait():
+        wait = forwarder.turns.wait("e", 1, delay_s=delay, limit_s=delay)
+        waiting = asyncio.create_task(wait)
+        await asyncio.sleep(0)
+        endpoint = context.endpoints.by_name["e"]
+        context.endpoints.mark_announced_leaving(endpoint, "it says so")
+        async with asyncio.timeout(1.0):
+            context.turn_came = await waiting
+
+    run(context, wait())
+
+
+@then("the wait has ended without a turn within 1 s")
+def ended_without_turn(context):
+    assert not context.turn_came
+
+
 @given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
 def schedule(context, per_s, left):
     schedules(context, 1, per_s, left)
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -145,10 +145,14 @@
         return self.crash_watch.refusal(request) is None
 
     def end_waits_for_closed(self) -> None:
-        """End the waits for the turns of endpoints that have been closed or left."""
+        """End the waits for the turns of endpoints that are closed or leaving."""
         for name in list(self.turns.waiting):
             endpoint = self.endpoints.by_name.get(name)
-            if endpoint is None or self.endpoints.is_closed(endpoint):
+            if (
+                endpoint is None
+                or endpoint.leaving
+                or self.endpoints.is_closed(endpoint)
+            ):
                 self.turns.end_waits(name)
 
     def choose_endpoint(
