--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -194,6 +194,14 @@
     Then the gateway 8 has sent at most 7 requests
     And the cold endpoint gets at most 36 requests in any second, and 14 a second or more
 
+  # Guards against warm-ups at a part of the rate after each pause of a process.
+  Scenario: Gateways that are long gone don't count as cut off after a pause
+    Given a fleet of 9 gateways in 3 failure domains
+    When the fleet runs for 4 seconds
+    And 3 gateways end, and the others pause for 700 seconds
+    And the fleet runs for 4 seconds
+    Then each of the others hears all gateways that count
+
   # Guards against old peers whose news end a warm-up, or that take one for a limit.
   Scenario: An older peer says nothing of a warm-up
     Given a fleet of 2 gateways in 1 failure domains
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -457,6 +457,25 @@
         context.fleet.pass_time(CUT_STEP_S)
 
 
+@when("{count:d} gateways end, and the others pause for {seconds:d} seconds")
+def others_pause(context, count, seconds):
+    fleet = context.fleet
+    for gateway in fleet.gateways[:count]:
+        gateway.alive = False
+    for gateway in fleet.running():
+        for peer in gateway.peers.table.peers.values():
+            peer.known_since = fleet.clock.now
+    fleet.clock.now += seconds
+    for gateway in fleet.running():
+        gateway.peers.resume_after_pause()
+
+
+@then("each of the others hears all gateways that count")
+def hears_all(context):
+    found = [gateway.limits.reach() for gateway in context.fleet.running()]
+    assert found == [1.0] * len(found), found
+
+
 @when(
     "an endpoint returns cold for {left:g} seconds, known to all within {news:g}"
     " seconds"
--- a/src/baobabturn/gateway/limitnews.py
+++ b/src/baobabturn/gateway/limitnews.py
@@ -37,7 +37,7 @@
 # far apart.  In the 5 ms that the news of a request take to reach all others, one or
 # two more of them send one.
 SPREAD_S_PER_GATEWAY = 0.003
-# A gateway that has been silent for longer isn't cut off but gone.
+# A gateway that hasn't been heard for longer isn't cut off but gone.
 GONE_SILENCE_S = 600.0
 
 
@@ -104,7 +104,7 @@
         if table.is_large_fleet():
             heard += sum(load.serving for load in self.demand.far_loads())
         else:
-            peers = [each for each in peers if table.silence_s(each) < GONE_SILENCE_S]
+            peers = [each for each in peers if table.unheard_s(each) < GONE_SILENCE_S]
         return min(1.0, heard / (1 + len(peers)))
 
     def update_spread(self) -> None:
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -203,7 +203,7 @@
         peer = self.table.peers.get(name)
         if peer is None or not self.table.is_near(peer):
             return 0.0
-        return self.table.clock() - max(peer.heard_at, peer.known_since)
+        return self.table.unheard_s(peer)
 
     def handle_state(self, state: GatewayState, address: Address) -> None:
         """Handle a gateway's state, unless a newer one of it came before."""
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -93,6 +93,10 @@
         """Return for how many seconds nothing came although it could have."""
         return self.clock() - max(peer.heard_at, self.silence_counted_from)
 
+    def unheard_s(self, peer: Peer) -> float:
+        """Return for how many seconds nothing came, pauses of this process included."""
+        return self.clock() - max(peer.heard_at, peer.known_since)
+
     def silence_limit_s(self, peer: Peer) -> float:
         """Return after how many seconds of silence a gateway counts as silent."""
         interval_s = peer.heartbeat_interval_s or ROUND_S
