--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -202,6 +202,12 @@
     And the fleet runs for 4 seconds
     Then each of the others hears all gateways that count
 
+  # Guards against a count of all gateways for each of many cold endpoints.
+  Scenario: Many endpoints are cold in a large fleet
+    Given an endpoint whose entry is read by a gateway, with coldLeftMs 800
+    And 20 more endpoints are cold
+    Then an update of their limits counts the gateways that are heard once
+
   # Guards against old peers whose news end a warm-up, or that take one for a limit.
   Scenario: An older peer says nothing of a warm-up
     Given a fleet of 2 gateways in 1 failure domains
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -476,6 +476,24 @@
     assert found == [1.0] * len(found), found
 
 
+@given("{count:d} more endpoints are cold")
+def more_cold(context, count):
+    for number in range(count):
+        record = SimpleNamespace(service=SERVICE.name, cold_left_s=60.0)
+        endpoint = SimpleNamespace(name=f"e{number}", record=record)
+        context.cold_endpoints.record_entry(endpoint, ENTRY_VERSION)
+
+
+@then("an update of their limits counts the gateways that are heard once")
+def counted_once(context):
+    counted = []
+    context.cold_endpoints.reach = lambda: counted.append(1) or 0.5
+    context.cold_endpoints.update()
+    assert len(counted) == 1, len(counted)
+    schedule = context.limits.limited("e0")
+    assert schedule.allowed_per_s == SERVICE.cold_per_s / 2, schedule
+
+
 @when(
     "an endpoint returns cold for {left:g} seconds, known to all within {news:g}"
     " seconds"
--- a/src/baobabturn/gateway/coldendpoints.py
+++ b/src/baobabturn/gateway/coldendpoints.py
@@ -11,7 +11,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
-from baobabturn.placement.warmup import WarmedService, WarmUp
+from baobabturn.placement.warmup import ColdLimit, WarmedService, WarmUp
 from baobabturn.scheduler.ratelimits import RateLimits
 from baobabturn.store.version import StoreVersion
 
@@ -48,8 +48,7 @@
     def set_services(self, services: Iterable[WarmedService]) -> None:
         """Apply how the endpoints of each service warm up."""
         self.warm_up.set_services(services)
-        for endpoint in self.warm_up.endpoints:
-            self.apply(endpoint)
+        self.apply_all(self.warm_up.endpoints)
 
     def record_entry(self, endpoint: Endpoint, version: StoreVersion) -> None:
         """Record what a version of an endpoint's entry says."""
@@ -92,22 +91,36 @@
         """
         names = list(endpoints)
         self.warm_up.restart(names, self.limits.clock())
-        for name in names:
-            self.apply(name)
+        self.apply_all(names)
 
     def update(self) -> None:
         """End warm-ups whose time has passed; apply how many gateways are heard now."""
-        for endpoint in list(self.cold_since):
-            self.apply(endpoint)
+        self.apply_all(list(self.cold_since))
 
     def apply(self, endpoint: str) -> None:
         """Let the limit of an endpoint be what its warm-up permits now."""
+        self.apply_all([endpoint])
+
+    def apply_all(self, endpoints: Iterable[str]) -> None:
+        """Let the limits of some endpoints be what their warm-ups permit now.
+
+        The part of the gateways that is heard is counted once, and only if any of the
+        endpoints is cold: that looks at every gateway of the fleet.
+        """
         now = self.limits.clock()
-        limit = self.warm_up.cold_limit(endpoint, now)
-        if limit is None:
-            self.limits.end_warm_up(endpoint)
-            return
-        self.limits.set_warm_up(endpoint, limit.per_s * self.reach(), limit.until)
+        reach: float | None = None
+        for endpoint in endpoints:
+            limit = self.warm_up.cold_limit(endpoint, now)
+            if limit is None:
+                self.limits.end_warm_up(endpoint)
+                continue
+            if reach is None:
+                reach = self.reach()
+            self.limits.set_warm_up(endpoint, limit.per_s * reach, limit.until)
+            self.record_cold(endpoint, limit, now)
+
+    def record_cold(self, endpoint: str, limit: ColdLimit, now: float) -> None:
+        """Record and log that an endpoint has become cold."""
         if endpoint in self.cold_since:
             return
         self.cold_since[endpoint] = now
