--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -105,6 +105,16 @@
     When 1.1 s pass
     Then it takes any number
 
+  # Guards against schedules without a limit that are kept, and told to other failure
+  # domains, for every endpoint that ever was cold.
+  Scenario: An endpoint without a limit has no schedule after its warm-up
+    Given a schedule of an endpoint that warms up at 20 a second for 1 s
+    When its answer names no limit
+    Then it takes 20 a second
+    When 1.1 s pass
+    Then it takes any number
+    And no schedule is kept
+
   # Guards against requests that wait for a turn which they can't get in time, and
   # against those that are refused although the endpoints are warm soon.
   Scenario: All endpoints of a service are cold at once
@@ -123,6 +133,23 @@
     Then the turns go to those of priority 0, 1, 1 and 2
     And one of priority 0 would get the first of the turns that the others booked
 
+  # Guards against urgent requests that are told of a turn which another one has got.
+  Scenario: An urgent request has taken the turn of a less urgent one
+    When a request books a turn in 0.02 s, and a more urgent one that in 5 s
+    And the more urgent one has got the first turn
+    Then the turn of another urgent one comes in 4 s or later
+
+  # Guards against requests that wait in vain while other endpoints could take them.
+  Scenario: An endpoint leaves while a request waits for its turn there
+    Given an endpoint whose entry is read by a gateway, with coldLeftMs 0
+    When it says that it is leaving while a request waits for a turn in 9 s
+    Then the wait has ended without a turn within 1 s
+
+  # Guards against a turn that is lost because the wait for it ends at the same time.
+  Scenario: A turn comes when the time for waiting ends
+    When a request waits for a turn in 0.02 s, for 0.01 s at most
+    Then the turn comes
+
   # Guards against requests that wait for a cold engine while another one is free.
   Scenario: A warm engine has room again before the turn of a cold one comes
     Given a pool with a warm engine for one request, and one whose turn comes in 9 s
@@ -167,6 +194,20 @@
     Then the gateway 8 has sent at most 7 requests
     And the cold endpoint gets at most 36 requests in any second, and 14 a second or more
 
+  # Guards against warm-ups at a part of the rate after each pause of a process.
+  Scenario: Gateways that are long gone don't count as cut off after a pause
+    Given a fleet of 9 gateways in 3 failure domains
+    When the fleet runs for 4 seconds
+    And 3 gateways end, and the others pause for 700 seconds
+    And the fleet runs for 4 seconds
+    Then each of the others hears all gateways that count
+
+  # Guards against a count of all gateways for each of many cold endpoints.
+  Scenario: Many endpoints are cold in a large fleet
+    Given an endpoint whose entry is read by a gateway, with coldLeftMs 800
+    And 20 more endpoints are cold
+    Then an update of their limits counts the gateways that are heard once
+
   # Guards against old peers whose news end a warm-up, or that take one for a limit.
   Scenario: An older peer says nothing of a warm-up
     Given a fleet of 2 gateways in 1 failure domains
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -17,6 +17,7 @@
 from baobabturn.gateway.coldendpoints import ColdEndpoints
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.mirror import StoreContact
+from baobabturn.gateway.plain import PlainForwarder
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
 from baobabturn.gateway.turns import Turns
@@ -230,6 +231,77 @@
     assert 0 < context.first_turn_s <= TURN_INTERVAL_S, context.first_turn_s
 
 
+@when("a request waits for a turn in {delay:g} s, for {limit:g} s at most")
+def turn_at_limit(context, delay, limit):
+    async def wait():
+        # Until the loop goes on, both the turn and the end of the wait are due.
+        asyncio.get_running_loop().call_later(0, time.sleep, 2 * delay)
+        return await Turns().wait("e", 1, delay_s=delay, limit_s=limit)
+
+    context.turn_came = run(context, wait())
+
+
+@then("the turn comes")
+def turn_comes(context):
+    assert context.turn_came
+
+
+@when(
+    "a request books a turn in {first:g} s, and a more urgent one that in {second:g} s"
+)
+def two_book(context, first, second):
+    context.turns = Turns()
+    context.booked = (2, first), (1, second)
+
+
+@when("the more urgent one has got the first turn")
+def first_turn_taken(context):
+    async def wait():
+        displaced, urgent = (
+            asyncio.create_task(
+                context.turns.wait("e", priority, delay_s=delay_s, limit_s=9.0)
+            )
+            for priority, delay_s in context.booked
+        )
+        assert await urgent and not displaced.done()
+        context.next_turn_s = context.turns.delay_s("e", 0, 9.0)
+        displaced.cancel()
+        await asyncio.wait([displaced])
+
+    run(context, wait())
+
+
+@then("the turn of another urgent one comes in {least:g} s or later")
+def later_turn(context, least):
+    assert least <= context.next_turn_s < 9.0, context.next_turn_s
+
+
+@when("it says that it is leaving while a request waits for a turn in {delay:g} s")
+def leaves_while_waiting(context, delay):
+    unused = ("endpoint_client", "budget", "crash_watch", "rate_limits", "paths")
+    forwarder = PlainForwarder(
+        program=Program(role="gateway", settings=SETTINGS),
+        endpoints=context.endpoints,
+        **dict.fromkeys((*unused, "slot_room", "regions")),
+    )
+
+    async def wait():
+        wait = forwarder.turns.wait("e", 1, delay_s=delay, limit_s=delay)
+        waiting = asyncio.create_task(wait)
+        await asyncio.sleep(0)
+        endpoint = context.endpoints.by_name["e"]
+        context.endpoints.mark_announced_leaving(endpoint, "it says so")
+        async with asyncio.timeout(1.0):
+            context.turn_came = await waiting
+
+    run(context, wait())
+
+
+@then("the wait has ended without a turn within 1 s")
+def ended_without_turn(context):
+    assert not context.turn_came
+
+
 @given("a schedule of an endpoint that warms up at {per_s:g} a second for {left:g} s")
 def schedule(context, per_s, left):
     schedules(context, 1, per_s, left)
@@ -271,6 +343,11 @@
     assert context.limits.delay_s("e0") == 0
 
 
+@then("no schedule is kept")
+def no_schedule(context):
+    assert not context.limits.schedules, context.limits.schedules
+
+
 @then("a request behind {count:d} others would wait for {seconds:g} s")
 def would_wait(context, count, seconds):
     found = context.limits.queue_delay_s(context.names, count)
@@ -388,6 +465,43 @@
         context.fleet.pass_time(CUT_STEP_S)
 
 
+@when("{count:d} gateways end, and the others pause for {seconds:d} seconds")
+def others_pause(context, count, seconds):
+    fleet = context.fleet
+    for gateway in fleet.gateways[:count]:
+        gateway.alive = False
+    for gateway in fleet.running():
+        for peer in gateway.peers.table.peers.values():
+            peer.known_since = fleet.clock.now
+    fleet.clock.now += seconds
+    for gateway in fleet.running():
+        gateway.peers.resume_after_pause()
+
+
+@then("each of the others hears all gateways that count")
+def hears_all(context):
+    found = [gateway.limits.reach() for gateway in context.fleet.running()]
+    assert found == [1.0] * len(found), found
+
+
+@given("{count:d} more endpoints are cold")
+def more_cold(context, count):
+    for number in range(count):
+        record = SimpleNamespace(service=SERVICE.name, cold_left_s=60.0)
+        endpoint = SimpleNamespace(name=f"e{number}", record=record)
+        context.cold_endpoints.record_entry(endpoint, ENTRY_VERSION)
+
+
+@then("an update of their limits counts the gateways that are heard once")
+def counted_once(context):
+    counted = []
+    context.cold_endpoints.reach = lambda: counted.append(1) or 0.5
+    context.cold_endpoints.update()
+    assert len(counted) == 1, len(counted)
+    schedule = context.limits.limited("e0")
+    assert schedule.allowed_per_s == SERVICE.cold_per_s / 2, schedule
+
+
 @when(
     "an endpoint returns cold for {left:g} seconds, known to all within {news:g}"
     " seconds"
