--- a/features/homeregions.feature
+++ b/features/homeregions.feature
@@ -86,6 +86,16 @@
     When 2 requests of each kind come at each gateway
     Then all are refused at once as not run, with code 1401
 
+  # Guards against callers that aren't told that their home region is evacuated, and when
+  # to come back.
+  Scenario: The home region is evacuated
+    Given a site of two regions that may be evacuated
+    And its routes' home regions are "fjord", its workspace's "any"
+    And the region "fjord" is evacuated
+    When 2 requests of each kind come at each gateway
+    Then all are refused at once as not run, with code 1401
+    And refused generations are told of the evacuation
+
   # Guards against a stream that goes on outside of its home regions when its engine
   # breaks off.
   Scenario: The only engine of the home region breaks off
--- a/features/policy.feature
+++ b/features/policy.feature
@@ -45,6 +45,13 @@
     And 8 requests of "read" come
     Then the requests are at 1 engine
 
+  # Guards against requests that wait for closed engines of their home regions.
+  Scenario: All engines of the failure domains that a request needs are closed
+    Given a pool of 2 engines with 4000 tokens of memory
+    When the engine "e0" is in "z0" and closed, and "e1" is in "z1"
+    Then only closed engines could serve requests that need "z0"
+    And open engines could serve requests that need "z1", "z0 z1" or no failure domain
+
   Scenario: Prompts that other entries have sent are counted while they are read
     Given a pool of 2 engines with 30000 tokens of memory
     And "summary" answers are known to be of about 400 tokens, "read" of about 10
--- a/features/steps/homeregions.py
+++ b/features/steps/homeregions.py
@@ -20,6 +20,7 @@
 DOMAINS = {"isl": "z1", "fjord": "z2", "?": "z9"}
 REGIONS = {domain: name for name, domain in DOMAINS.items() if name != "?"}
 EVENTS = 60
+EVACUATE_MS = 5000
 AT_ONCE_S = 1.0
 KINDS = (
     ("GET", "/read/"),
@@ -65,8 +66,11 @@
 
 
 @given("a site of two regions")
-def two_regions(context):
+@given("a site of two regions that may be {evacuated:w}")
+def two_regions(context, evacuated=""):
     options = {"regions": REGIONS}
+    if evacuated:
+        options["evacuate_ms"] = EVACUATE_MS
     start(context, options=options, plain=0, gateways=4, domains=2)
     for region in DOMAINS:
         add(context, f"w-{region}", region, PLAIN_SERVICE, 0)
@@ -133,6 +137,23 @@
     run(context, eventually(known, "all know that they leave"))
 
 
+@given('the region "{region}" is evacuated')
+def region_evacuated(context, region):
+    context.case.store.write("evacuations", DOMAINS[region], {})
+
+    def known():
+        return all(each.logged(Event.DOMAIN_CLOSED) for each in context.case.gateways)
+
+    run(context, eventually(known, "all know of the evacuation"))
+
+
+@then("refused generations are told of the evacuation")
+def told_of_evacuation(context):
+    generations = sum(path in ("/draft/", "/check/") for _, path in KINDS)
+    told = sum(b"evacuated" in reply.body for reply, _ in context.replies)
+    assert told == len(context.replies) * generations // len(KINDS), context.replies
+
+
 @when("{count:d} requests of each kind come at each gateway")
 def requests_of_each_kind(context, count):
     send_requests(context, count, range(len(context.case.gateways)))
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -258,3 +258,30 @@
         assert endpoint.prefill_tokens == 0 and endpoint.in_flight == 0
         assert max(endpoint.growth.means) < 0.001
         assert max(endpoint.normal_growth.means) < 0.001
+
+
+@when(
+    'the engine "{closed}" is in "{domain}" and closed, and "{other}" is in "{second}"'
+)
+def close_engine(context, closed, domain, other, second):
+    states = context.pool.state.endpoints
+    states[closed].failure_domain, states[closed].closed = domain, True
+    states[other].failure_domain = second
+
+
+def only_closed_serves(context, domains):
+    admit = Admit(request="q", reservation="g", failure_domains=domains.split())
+    return context.pool.state.only_closed_could_serve(admit)
+
+
+@then('only closed engines could serve requests that need "{domains}"')
+def closed_serve(context, domains):
+    assert only_closed_serves(context, domains)
+
+
+@then(
+    'open engines could serve requests that need "{one}", "{more}" or no failure domain'
+)
+def open_serve(context, one, more):
+    for domains in (one, more, ""):
+        assert not only_closed_serves(context, domains), domains
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -16,7 +16,7 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
-from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.request import CallerRequest, GenerationSize
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
 from baobabturn.gateway.streamorigins import (
@@ -258,13 +258,20 @@
         """
         service = request.service.name
         pool = self.pools.get(service)
-        if pool is None or request.generation_size is None:
+        size = request.generation_size
+        if pool is None or size is None:
             return Failure(Code.NO_ENDPOINT, f"no engine of {service}")
         if self.endpoints.only_closed(service):
             return closed_failure(service)
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
+        admission = self.admission_of(
+            request, size, queue_timeout_s, excluded, attempt, software_version
+        )
+        is_any_closed = bool(self.endpoints.closed_domains)
+        if is_any_closed and pool.state.only_closed_could_serve(admission):
+            return closed_failure(service)
         homes = request.homes
         # A home region may have few engines.  With all tried, waiting is in vain,
         # while another gateway may reach one.
@@ -274,29 +281,38 @@
         refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority, homes)
         if refusal is not None:
             return refusal
-        admission = Admit(
+        grant = await pool.admit(None, admission)
+        if isinstance(grant, Failure):
+            return grant
+        return self.record_grant(request, pool, admission, grant)
+
+    def admission_of(
+        self,
+        request: CallerRequest,
+        size: GenerationSize,
+        queue_timeout_s: float,
+        excluded: list[str],
+        attempt: int,
+        software_version: str,
+    ) -> Admit:
+        """Return what the scheduler is asked for a request."""
+        homes = request.homes
+        return Admit(
             request=request.request_id,
             reservation=self.reservation_name(request),
             pool=request.service.name,
             workspace=request.workspace,
-            model=request.generation_size.model,
+            model=size.model,
             kind=request.route.name,
             priority=-request.priority,
-            prompt_tokens=request.generation_size.prompt_tokens,
-            max_tokens=request.generation_size.max_tokens,
+            prompt_tokens=size.prompt_tokens,
+            max_tokens=size.max_tokens,
             deadline_ms=int(queue_timeout_s * MS_PER_S),
             excluded=excluded,
             attempt=attempt,
             software_version=software_version,
             failure_domains=[] if homes is None else self.regions.domains_of(homes),
         )
-        is_any_closed = bool(self.endpoints.closed_domains)
-        if is_any_closed and pool.state.only_closed_could_serve(admission):
-            return closed_failure(service)
-        grant = await pool.admit(None, admission)
-        if isinstance(grant, Failure):
-            return grant
-        return self.record_grant(request, pool, admission, grant)
 
     def refuse_waiting(self, service: str) -> None:
         """End the wait of all requests for a service that can't be reached."""
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -242,12 +242,7 @@
         """
         available = []
         for endpoint in self.endpoints.values():
-            if endpoint.leaving or endpoint.closed or endpoint.name in admit.excluded:
-                continue
-            if admit.software_version not in ("", endpoint.software_version):
-                continue
-            domains = admit.failure_domains
-            if domains and endpoint.failure_domain not in domains:
+            if endpoint.closed or not allows(admit, endpoint):
                 continue
             report = endpoint.report
             if report is not None and (report.leaving or not report.reachable):
@@ -259,11 +254,22 @@
 
     def only_closed_could_serve(self, admit: Admit) -> bool:
         """Return whether no endpoint but closed ones could serve a request."""
-        candidates = [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if not endpoint.leaving
-            and endpoint.name not in admit.excluded
-            and admit.software_version in ("", endpoint.software_version)
-        ]
+        candidates = [each for each in self.endpoints.values() if allows(admit, each)]
         return bool(candidates) and all(each.closed for each in candidates)
+
+
+def allows(admit: Admit, endpoint: EndpointState) -> bool:
+    """Return whether a request may go to an endpoint as long as it isn't closed.
+
+    That is one that isn't leaving or excluded, of a software version and failure domain
+    that the request needs.
+    """
+    return (
+        not endpoint.leaving
+        and endpoint.name not in admit.excluded
+        and admit.software_version in ("", endpoint.software_version)
+        and (
+            not admit.failure_domains
+            or endpoint.failure_domain in admit.failure_domains
+        )
+    )
