--- a/features/gatewaywarmup.feature
+++ b/features/gatewaywarmup.feature
@@ -117,6 +117,13 @@
     Given a pool whose engines are cold, with 10 requests of priority 2 that wait
     Then a request of priority 0 has 0 ahead of it, and one of priority 5 has 10
 
+  # Guards against requests that are refused because of others, bound to other regions.
+  Scenario: Requests that are bound to another region aren't ahead of one
+    Given a pool whose engines are cold, with 10 requests of priority 2 that wait
+    And 4 of them need the failure domain "z1"
+    Then a request of priority 5 of "south" has 6 ahead of it, and one of "north" 10
+    And a request of priority 0 has 0 ahead of it, and one of priority 5 has 10
+
   # Guards against urgent requests that wait behind those that came before them.
   Scenario: A turn goes to the most urgent request that waits for it
     When requests of priority 2, 1, 1 and 0 book turns one after another
--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -5,6 +5,7 @@
 import random
 import time
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 
@@ -12,12 +13,14 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Failure
+from baobabturn.gateway import retrytimes
 from baobabturn.gateway.coldendpoints import ColdEndpoints
 from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.mirror import StoreContact
 from baobabturn.gateway.pools import EnginePools
 from baobabturn.gateway.routes import Service
 from baobabturn.gateway.turns import Turns
+from baobabturn.placement.homes import DomainRegions
 from baobabturn.placement.warmup import WarmUp
 from baobabturn.platform.documents import PlatformObjectCodec, decode_endpoint_value
 from baobabturn.platform.headers import PlatformHeaderTranslator
@@ -293,10 +296,14 @@
 def pool_waiting(context, count, priority):
     endpoints = SimpleNamespace(usable=lambda name: [])
     program = Program(role="gateway", settings=SETTINGS)
-    context.pools = EnginePools(program=program, endpoints=endpoints)
+    regions = DomainRegions(by_domain={"z1": "north", "z2": "south"})
+    context.pools = EnginePools(program=program, endpoints=endpoints, regions=regions)
     context.pools.rate_limits = CountedLimits()
-    waiting = SimpleNamespace(admit=SimpleNamespace(priority=-priority))
-    state = SimpleNamespace(name="models", queue=dict.fromkeys(range(count), waiting))
+    admits = [
+        Admit(request="q", reservation="g", priority=-priority) for _ in range(count)
+    ]
+    queue = {number: SimpleNamespace(admit=each) for number, each in enumerate(admits)}
+    state = SimpleNamespace(name="models", queue=queue)
     context.pool = SimpleNamespace(state=state)
 
 
@@ -306,9 +313,31 @@
 )
 def ahead_of(context, first, few, second, many):
     for priority, wanted in ((first, few), (second, many)):
-        refusal = context.pools.limit_refusal(context.pool, 0.5, -priority)
-        assert refusal is not None and refusal.retry_after_s == 1.0, refusal
-        assert context.pools.rate_limits.ahead == wanted, context.pools.rate_limits
+        assert counted_ahead(context, priority, None) == wanted
+
+
+def counted_ahead(context, priority, homes):
+    """Return how many requests go ahead of one, which is refused."""
+    with mock.patch.object(retrytimes, "draw", lambda: 0.0):
+        refusal = context.pools.limit_refusal(context.pool, 0.5, -priority, homes)
+    assert refusal is not None and refusal.retry_after_s == 1.0, refusal
+    return context.pools.rate_limits.ahead
+
+
+@given('{count:d} of them need the failure domain "{domain}"')
+def need_domain(context, count, domain):
+    for waiting in list(context.pool.state.queue.values())[:count]:
+        waiting.admit.failure_domains = [domain]
+
+
+@then(
+    'a request of priority {priority:d} of "{one}" has {few:d} ahead of it, and one of'
+    ' "{other}" {many:d}'
+)
+def ahead_in_region(context, priority, one, few, other, many):
+    for region, wanted in ((one, few), (other, many)):
+        ahead = counted_ahead(context, priority, frozenset({region}))
+        assert ahead == wanted, (region, ahead)
 
 
 class ColdEngineLimits(NoRateLimits):
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -372,13 +372,18 @@
     ) -> Failure | None:
         """Return the refusal of a request that no engine's limit permits in time.
 
-        Only those that are at least as urgent go ahead of it.
+        Only those go ahead of it that are at least as urgent and may go to engines of
+        the same failure domains.
         """
         name = pool.state.name
         usable = self.usable_in(name, homes)
         self.rate_limits.record_demand(usable)
-        queue = pool.state.queue.values()
-        ahead = sum(waiting.admit.priority >= priority for waiting in queue)
+        domains = [] if homes is None else self.regions.domains_of(homes)
+        ahead = sum(
+            waiting.admit.priority >= priority
+            and share_domains(waiting.admit.failure_domains, domains)
+            for waiting in pool.state.queue.values()
+        )
         delay_s = self.rate_limits.queue_delay_s(usable, ahead)
         if delay_s <= queue_timeout_s:
             return None
@@ -527,6 +532,14 @@
     )
 
 
+def share_domains(first: list[str], second: list[str]) -> bool:
+    """Return whether two requests may need engines of one failure domain.
+
+    Each is given by the failure domains that it needs, none for any.
+    """
+    return not (first and second) or not set(first).isdisjoint(second)
+
+
 def digest_of(reservation: Holding | Reservation) -> str:
     """Return the digest of the stream that a reservation is for.
 
