--- a/features/policy.feature
+++ b/features/policy.feature
@@ -52,6 +52,18 @@
     Then only closed engines could serve requests that need "z0"
     And open engines could serve requests that need "z1", "z0 z1" or no failure domain
 
+  # Guards against a reserve at engines that can't serve urgent requests.
+  Scenario Outline: The engine with the first room for urgent requests is <state>
+    Given a pool of 4 engines with 25000 tokens of memory
+    And urgent requests take 8000 tokens each
+    When the engine with a full reserve becomes <state> after 11 seconds
+    Then one other engine has a full reserve
+
+    Examples:
+      | state   |
+      | closed  |
+      | leaving |
+
   Scenario: Prompts that other entries have sent are counted while they are read
     Given a pool of 2 engines with 30000 tokens of memory
     And "summary" answers are known to be of about 400 tokens, "read" of about 10
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -285,3 +285,36 @@
 def open_serve(context, one, more):
     for domains in (one, more, ""):
         assert not only_closed_serves(context, domains), domains
+
+
+@given("urgent requests take {tokens:d} tokens each")
+def urgent_size(context, tokens):
+    context.pool.policy.reserve.record_request(tokens)
+
+
+def engines_with_full_reserve(context):
+    """Return the engines that new requests may use whose reserve is full."""
+    reserve = context.pool.policy.reserve
+    return [
+        name
+        for name, state in context.pool.state.endpoints.items()
+        if not (state.closed or state.leaving)
+        and reserve.ratio(name) == reserve.max_ratio
+    ]
+
+
+@when("the engine with a full reserve becomes {state:w} after {seconds:d} seconds")
+def reserve_moves(context, state, seconds):
+    policy, pool = context.pool.policy, context.pool.state
+    now = time.monotonic()
+    for second in range(seconds + 1):
+        policy.choose_hedges(pool, now + second)
+    (context.reserved,) = engines_with_full_reserve(context)
+    setattr(pool.endpoints[context.reserved], state, True)
+    policy.choose_hedges(pool, now + seconds + 1)
+
+
+@then("one other engine has a full reserve")
+def other_reserved(context):
+    (name,) = engines_with_full_reserve(context)
+    assert name != context.reserved
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -233,6 +233,7 @@
             policy.reserve.ratio(name) * state.memory_tokens
             for pool, policy in self.learning_policies()
             for name, state in pool.state.endpoints.items()
+            if state.takes_new_requests
         )
 
     async def detect_stragglers(self) -> None:
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -474,6 +474,7 @@
         memory_tokens = {
             endpoint.name: endpoint.memory_tokens
             for endpoint in pool.endpoints.values()
+            if endpoint.takes_new_requests
         }
         self.reserve.update(urgent_tokens(pool), memory_tokens, now)
         to_hedge = []
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -117,6 +117,11 @@
     growth: KVCacheGrowth = attrs.Factory(KVCacheGrowth)
     normal_growth: KVCacheGrowth = attrs.Factory(KVCacheGrowth)
 
+    @property
+    def takes_new_requests(self) -> bool:
+        """Return whether the endpoint is neither leaving nor closed."""
+        return not (self.leaving or self.closed)
+
     @property
     def prefill_tokens(self) -> int:
         """Return the sent prompt tokens whose prefill isn't finished."""
