--- a/features/directory.feature
+++ b/features/directory.feature
@@ -86,6 +86,15 @@
       | 63   | 3       | isl fjord lake         | z0       | z1    |
       | 145  | 5       | isl fjord lake isl isl | z0 z3 z4 | z1    |
 
+  # Guards against log lines and memory without bound by what callers state.
+  Scenario: Callers invent failure domains
+    Given a fleet of 63 gateways in 3 failure domains
+    And the failure domains are in the regions "isl fjord lake"
+    And the routes' home regions are "fjord"
+    When the fleet runs for 7 seconds
+    And callers state 50 invented failure domains, in no region and in "desert"
+    Then no gateway has kept or logged any of them
+
   # Guards against a rolling replacement in which gateways don't understand each other.
   Scenario: Builds with and without capacity and load read each other's state
     Given a build that doesn't know capacity and load
--- a/features/steps/directory.py
+++ b/features/steps/directory.py
@@ -129,6 +129,30 @@
         assert own > other > 0, (own, other)
 
 
+@when(
+    'callers state {count:d} invented failure domains, in no region and in "{region}"'
+)
+def invented_domains(context, count, region):
+    for number in range(count):
+        for stated in ("", region):
+            place = CallerPlace(
+                host=SITE_HOST_NAME, region=stated, failure_domain=f"invented{number}"
+            )
+            for gateway in context.fleet.running():
+                assert gateway.directory.addresses(place)
+
+
+@then("no gateway has kept or logged any of them")
+def none_kept(context):
+    for gateway in context.fleet.running():
+        kept = set(gateway.directory.logged)
+        assert kept <= set(context.fleet.regions), kept
+        lines = [
+            each for each in gateway.peers.program.events.ring if "invented" in each
+        ]
+        assert not lines, lines[:1]
+
+
 @then("no dead gateway is listed, and all others are")
 def no_dead_listed(context):
     running = {each.name for each in context.fleet.running()}
--- a/src/baobabturn/gateway/directory.py
+++ b/src/baobabturn/gateway/directory.py
@@ -111,8 +111,9 @@
         region = self.region_of(caller, homes)
         gateways = in_callers_reach(self.serving(), region=region, homes=homes or ())
         domain = caller.failure_domain
-        if self.regions.region_of(domain) != region:
-            # Nothing is known of this failure domain in the caller's region.
+        if not region or self.regions.region_of(domain) != region:
+            # Nothing is known of this failure domain in the caller's region.  Callers
+            # may state any name, so unknown ones aren't logged or kept.
             domain = ""
         shares = caller_shares(gateways, domain)
         listed = sample_weighted(shares.weights, limit=MAX_ADDRESSES, rng=self.random)
