--- a/features/directory.feature
+++ b/features/directory.feature
@@ -5,7 +5,7 @@
   # Guards against callers spread over all failure domains although their own has room.
   Scenario: Callers state their failure domain
     Given a fleet of 63 gateways in 3 failure domains
-    And the failure domains are in the regions "isl isl isl"
+    And the failure domains are in the regions "north north north"
     When the fleet runs for 7 seconds
     Then callers of "z1" are told of 3 or more, of "z1"
     And callers that state no failure domain are told of all 63 gateways
@@ -20,15 +20,15 @@
     Then callers of "z1" are told of all <size> gateways
 
     Examples:
-      | when                    | size | regions     |
-      | in a small fleet        | 16   | isl isl isl |
-      | if no regions are known | 63   |             |
+      | when                    | size | regions           |
+      | in a small fleet        | 16   | north north north |
+      | if no regions are known | 63   |                   |
 
   # Guards against gateways that stay crowded while others have room, and against a log
   # line for each answer.
   Scenario: The gateways of a failure domain are crowded
     Given a fleet of 63 gateways in 3 failure domains
-    And the failure domains are in the regions "isl isl isl"
+    And the failure domains are in the regions "north north north"
     When the gateways of "z1" use 95% of their capacity, and the others 40%
     And the fleet runs for 7 seconds
     Then callers of "z1" are told of 3 or more, of "z0 z1 z2"
@@ -39,7 +39,7 @@
   # is taken for crowded.
   Scenario: The gateways of a failure domain are of an older build
     Given a fleet of 63 gateways in 3 failure domains
-    And the failure domains are in the regions "isl isl isl"
+    And the failure domains are in the regions "north north north"
     When the gateways of "z1" tell neither capacity nor load, and the others use 40%
     And the fleet runs for 7 seconds
     Then callers of "z1" are told of 3 or more, of "z1"
@@ -47,7 +47,7 @@
   # Guards against answers without a gateway that lives.
   Scenario: A failure domain loses all gateways
     Given a fleet of 63 gateways in 3 failure domains
-    And the failure domains are in the regions "isl isl fjord"
+    And the failure domains are in the regions "north north south"
     When the fleet runs for 7 seconds
     And the failure domain "z1" goes dark
     And the fleet runs for 7 seconds
@@ -73,24 +73,24 @@
   Scenario Outline: Callers of a host with home regions, <size> gateways in <domains> domains
     Given a fleet of <size> gateways in <domains> failure domains
     And the failure domains are in the regions "<regions>"
-    And the routes' home regions are "fjord"
+    And the routes' home regions are "south"
     When the fleet runs for 7 seconds
-    Then callers of "z0" in "isl" are told of 2 or more, of "<isl>"
-    And callers of "z9" in "fjord" are told of 2 or more, of "<fjord>"
-    And callers from nowhere are told of 2 or more, of "<fjord>"
-    And callers of "z9" in "desert" are told of 2 or more, of "<fjord>"
+    Then callers of "z0" in "north" are told of 2 or more, of "<north>"
+    And callers of "z9" in "south" are told of 2 or more, of "<south>"
+    And callers from nowhere are told of 2 or more, of "<south>"
+    And callers of "z9" in "desert" are told of 2 or more, of "<south>"
 
     Examples:
-      | size | domains | regions                | isl      | fjord |
-      | 6    | 3       | isl fjord lake         | z0       | z1    |
-      | 63   | 3       | isl fjord lake         | z0       | z1    |
-      | 145  | 5       | isl fjord lake isl isl | z0 z3 z4 | z1    |
+      | size | domains | regions                      | north    | south |
+      | 6    | 3       | north south lake             | z0       | z1    |
+      | 63   | 3       | north south lake             | z0       | z1    |
+      | 145  | 5       | north south lake north north | z0 z3 z4 | z1    |
 
   # Guards against log lines and memory without bound by what callers state.
   Scenario: Callers invent failure domains
     Given a fleet of 63 gateways in 3 failure domains
-    And the failure domains are in the regions "isl fjord lake"
-    And the routes' home regions are "fjord"
+    And the failure domains are in the regions "north south lake"
+    And the routes' home regions are "south"
     When the fleet runs for 7 seconds
     And callers state 50 invented failure domains, in no region and in "desert"
     Then no gateway has kept or logged any of them
--- a/features/homeregions.feature
+++ b/features/homeregions.feature
@@ -1,5 +1,5 @@
 Feature: Home regions of routes and workspaces
-  A site has gateways, plain endpoints and engines in the regions isl and fjord, and
+  A site has gateways, plain endpoints and engines in the regions north and south, and
   endpoints in a failure domain of which no region is known.
 
   # Guards against home regions that can't be read and then don't restrict anything.
@@ -8,29 +8,29 @@
     Then requests may run in "<regions>"
 
     Examples:
-      | value               | regions     |
-      | nothing             | isl fjord ? |
-      | ["isl"]             | isl         |
-      | ["fjord", 7, null]  | fjord       |
-      | ["nowhere"]         |             |
-      | []                  |             |
-      | [""]                |             |
-      | null                |             |
-      | "isl"               |             |
-      | {"isl": true}       |             |
-      | true                |             |
+      | value              | regions       |
+      | nothing            | north south ? |
+      | ["north"]          | north         |
+      | ["south", 7, null] | south         |
+      | ["nowhere"]        |               |
+      | []                 |               |
+      | [""]               |               |
+      | null               |               |
+      | "north"            |               |
+      | {"north": true}    |               |
+      | true               |               |
 
   # Guards against a workspace that may run where a route may not, or the other way.
   Scenario Outline: Home regions of <route> and <workspace> together
     Then a route of "<route>" and a workspace of "<workspace>" may run in "<regions>"
 
     Examples:
-      | route     | workspace | regions     |
-      | any       | any       | isl fjord ? |
-      | isl fjord | any       | isl fjord   |
-      | any       | fjord     | fjord       |
-      | isl fjord | fjord     | fjord       |
-      | isl       | fjord     |             |
+      | route       | workspace | regions       |
+      | any         | any       | north south ? |
+      | north south | any       | north south   |
+      | any         | south     | south         |
+      | north south | south     | south         |
+      | north       | south     |               |
 
   # Guards against a table of regions that ends the program, or is half taken.
   Scenario Outline: The settings' table of regions is <value>
@@ -42,10 +42,10 @@
     Then it ends with code 2 and one line that has "<line>"
 
     Examples:
-      | value          | line                                                       |
-      | ["isl"]        | host.regions is ["isl"]; allowed: a table of texts         |
-      | {"sv-a": 3}    | host.regions is {"sv-a": 3}; allowed: a table of texts     |
-      | {"sv-a": ""}   | host.regions is {"sv-a": ""}; allowed: a table of texts    |
+      | value        | line                                                    |
+      | ["north"]    | host.regions is ["north"]; allowed: a table of texts    |
+      | {"sv-a": 3}  | host.regions is {"sv-a": 3}; allowed: a table of texts  |
+      | {"sv-a": ""} | host.regions is {"sv-a": ""}; allowed: a table of texts |
 
   # Guards against requests that leave their home regions, at any gateway.
   Scenario Outline: Requests run in their home regions only
@@ -55,10 +55,10 @@
     Then all are served, in "<regions>"
 
     Examples:
-      | route     | workspace | regions |
-      | fjord     | any       | fjord   |
-      | any       | isl       | isl     |
-      | isl fjord | fjord     | fjord   |
+      | route       | workspace | regions |
+      | south       | any       | south   |
+      | any         | north     | north   |
+      | north south | south     | south   |
 
   # Guards against requests that wait, or run somewhere, although no region may run them.
   Scenario Outline: No region may run the requests: <route>, <workspace>
@@ -69,7 +69,7 @@
 
     Examples:
       | route | workspace |
-      | isl   | fjord     |
+      | north | south     |
       | lake  | any       |
 
   # Guards against an operator who can't see which routes are refused.
@@ -81,8 +81,8 @@
   # Guards against requests that wait for a home region without endpoints, or leave it.
   Scenario: The home region's endpoints are gone
     Given a site of two regions
-    And its routes' home regions are "fjord", its workspace's "any"
-    And the endpoints in "fjord" leave
+    And its routes' home regions are "south", its workspace's "any"
+    And the endpoints in "south" leave
     When 2 requests of each kind come at each gateway
     Then all are refused at once as not run, with code 1401
 
@@ -90,8 +90,8 @@
   # to come back.
   Scenario: The home region is evacuated
     Given a site of two regions that may be evacuated
-    And its routes' home regions are "fjord", its workspace's "any"
-    And the region "fjord" is evacuated
+    And its routes' home regions are "south", its workspace's "any"
+    And the region "south" is evacuated
     When 2 requests of each kind come at each gateway
     Then all are refused at once as not run, with code 1401
     And refused generations are told of the evacuation
@@ -100,19 +100,19 @@
   # breaks off.
   Scenario: The only engine of the home region breaks off
     Given a site of two regions
-    And its routes' home regions are "fjord", its workspace's "any"
-    And the engine in "fjord" breaks off after 5 events
+    And its routes' home regions are "south", its workspace's "any"
+    And the engine in "south" breaks off after 5 events
     When a caller streams /check/x
-    Then the caller gets less than all events, all of "fjord"
+    Then the caller gets less than all events, all of "south"
 
   # Guards against a generation that is moved out of its home regions.
   Scenario Outline: An engine of the home region is reclaimed (<more> more there)
     Given a site of two regions
-    And <more> more engines in "isl"
-    And its routes' home regions are "isl", its workspace's "any"
+    And <more> more engines in "north"
+    And its routes' home regions are "north", its workspace's "any"
     When a caller streams /draft/x and the engine leaves after 10 events
     Then the caller gets events 1 to 60 and the end
-    And engines of "isl" alone have got its KV cache, <copies>
+    And engines of "north" alone have got its KV cache, <copies>
 
     Examples:
       | more | copies       |
@@ -129,16 +129,16 @@
 
     Examples:
       | homes |
-      | fjord |
-      | isl   |
+      | south |
+      | north |
 
   # Guards against callers sent to a gateway of a wrong region.
   Scenario: The directory of a small site
     Given a site of two regions
-    Then its directories list gateways of "isl fjord" for a caller in "isl"
-    When its routes' home regions become "fjord"
-    Then its directories list gateways of "isl" for a caller in "isl"
-    And its directories list gateways of "fjord" for a caller in "lake"
+    Then its directories list gateways of "north south" for a caller in "north"
+    When its routes' home regions become "south"
+    Then its directories list gateways of "north" for a caller in "north"
+    And its directories list gateways of "south" for a caller in "lake"
 
   # Guards against a load of nothing, which other gateways would take for not told, and
   # against one that jumps with each heartbeat.
--- a/features/steps/homeregions.py
+++ b/features/steps/homeregions.py
@@ -17,7 +17,7 @@
 from features.sitecase import eventually
 from features.steps.gateway import run, start
 
-DOMAINS = {"isl": "z1", "fjord": "z2", "?": "z9"}
+DOMAINS = {"north": "z1", "south": "z2", "?": "z9"}
 REGIONS = {domain: name for name, domain in DOMAINS.items() if name != "?"}
 EVENTS = 60
 EVACUATE_MS = 5000
@@ -239,7 +239,7 @@
     lines = context.case.gateways[0].logged(Event.REQUEST_RELAYED)
     names = {line.partition("gateway=")[2].split()[0] for line in lines}
     # Gateways of z1 and z2 take turns.
-    wanted = {"isl": {"g2"}, "fjord": {"g1", "g3"}}[region]
+    wanted = {"north": {"g2"}, "south": {"g1", "g3"}}[region]
     assert names and names <= wanted, names
     served = sum(reply.status == 200 for reply, _ in context.replies)
     assert served >= SERVED_RATIO * len(context.replies), served
@@ -251,7 +251,7 @@
     wanted = {
         gateway.addresses["callers"]
         for number, gateway in enumerate(gateways)
-        if ("isl", "fjord")[number % 2] in regions.split()
+        if ("north", "south")[number % 2] in regions.split()
     }
     place = f"region={region}&zone={DOMAINS.get(region, 'z7')}"
 
--- a/src/baobabturn/placement/homes.py
+++ b/src/baobabturn/placement/homes.py
@@ -21,9 +21,9 @@
     Example::
 
         >>> combined_homes(frozenset({"north", "south"}), frozenset({"north"}))
-        frozenset({'isl'})
+        frozenset({'north'})
         >>> combined_homes(ANY_REGION, frozenset({"north"}))
-        frozenset({'isl'})
+        frozenset({'north'})
     """
     if first is None:
         return second
