--- a/features/homeregions.feature
+++ b/features/homeregions.feature
@@ -72,6 +72,17 @@
       | north | south     |
       | lake  | any       |
 
+  # Guards against callers that all come back at the moment at which they are refused
+  # again.
+  Scenario Outline: The retry time of refusals is spread (<draw>)
+    When the spread of retry times is drawn as <draw>
+    Then refusals for evacuations and home regions state <seconds> s
+
+    Examples:
+      | draw | seconds |
+      | 0    | 1       |
+      | 0.5  | 1.5     |
+
   # Guards against an operator who can't see which routes are refused.
   Scenario: Home regions that no failure domain is in are logged
     Given a site of two regions
--- a/features/steps/homeregions.py
+++ b/features/steps/homeregions.py
@@ -4,12 +4,17 @@
 import itertools
 import json
 import time
+from unittest import mock
 
 import attrs
 from behave import given, then, when
 
 from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.gateway import retrytimes
+from baobabturn.gateway.homeregions import HomeRegions
 from baobabturn.gateway.ownload import OwnLoad
+from baobabturn.gateway.pools import closed_failure
 from baobabturn.placement.homes import DomainRegions, combined_homes
 from baobabturn.platform.documents import decode_homes
 from baobabturn.settings.load import load
@@ -208,6 +213,20 @@
     assert not ran, ran
 
 
+@when("the spread of retry times is drawn as {draw:g}")
+def refuse_with_draw(context, draw):
+    program = Program(role="gateway", settings=load(None, []).settings)
+    with mock.patch.object(retrytimes, "draw", lambda: draw):
+        home_refusal = HomeRegions(program=program).refusal(frozenset())
+        context.refusals = [home_refusal, closed_failure("models")]
+
+
+@then("refusals for evacuations and home regions state {seconds:g} s")
+def retry_times(context, seconds):
+    found = [refusal.retry_after_s for refusal in context.refusals]
+    assert found == [seconds, seconds], found
+
+
 @then("every gateway has logged that home regions are unusable")
 def logged_unusable(context):
     for gateway in context.case.gateways:
--- a/src/baobabturn/gateway/homeregions.py
+++ b/src/baobabturn/gateway/homeregions.py
@@ -5,6 +5,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import RouteTable
 from baobabturn.placement.homes import DomainRegions, Homes
 
@@ -22,7 +23,11 @@
         """Return the refusal of a request that no region may run, None for others."""
         if self.regions.may_run(homes):
             return None
-        return Failure(Code.NO_HOME_REGION, shown(homes), retry_after_s=RETRY_AFTER_S)
+        return Failure(
+            Code.NO_HOME_REGION,
+            shown(homes),
+            retry_after_s=spread_retry_s(RETRY_AFTER_S),
+        )
 
     def log_unusable(self, table: RouteTable) -> None:
         """Log the routes and workspaces of a configuration that no region may run."""
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -529,7 +529,7 @@
     return Failure(
         Code.NO_ENDPOINT,
         f"the failure domains of all endpoints of {service} are evacuated",
-        retry_after_s=CLOSED_RETRY_AFTER_S,
+        retry_after_s=spread_retry_s(CLOSED_RETRY_AFTER_S),
     )
 
 
