--- a/features/steps/homeregions.py
+++ b/features/steps/homeregions.py
@@ -4,12 +4,17 @@
 import itertools
 import json
 import time
+from unittest import mock
 
 import attrs
 from behave import given, then, when
 
 from baobabturn.core.events import Event
+from baobabturn.core.program import Program
+from baobabturn.gateway import retrytimes
+from baobabturn.gateway.homeregions import HomeRegions
 from baobabturn.gateway.ownload import OwnLoad
+from baobabturn.gateway.pools import closed_failure
 from baobabturn.placement.homes import DomainRegions, combined_homes
 from baobabturn.platform.documents import decode_homes
 from baobabturn.settings.load import load
@@ -17,9 +22,10 @@
 from features.sitecase import eventually
 from features.steps.gateway import run, start
 
-DOMAINS = {"isl": "z1", "fjord": "z2", "?": "z9"}
+DOMAINS = {"north": "z1", "south": "z2", "?": "z9"}
 REGIONS = {domain: name for name, domain in DOMAINS.items() if name != "?"}
 EVENTS = 60
+EVACUATE_MS = 5000
 AT_ONCE_S = 1.0
 KINDS = (
     ("GET", "/read/"),
@@ -65,8 +71,11 @@
 
 
 @given("a site of two regions")
-def two_regions(context):
+@given("a site of two regions that may be {evacuated:w}")
+def two_regions(context, evacuated=""):
     options = {"regions": REGIONS}
+    if evacuated:
+        options["evacuate_ms"] = EVACUATE_MS
     start(context, options=options, plain=0, gateways=4, domains=2)
     for region in DOMAINS:
         add(context, f"w-{region}", region, PLAIN_SERVICE, 0)
@@ -133,6 +142,23 @@
     run(context, eventually(known, "all know that they leave"))
 
 
+@given('the region "{region}" is evacuated')
+def region_evacuated(context, region):
+    context.case.store.write("evacuations", DOMAINS[region], {})
+
+    def known():
+        return all(each.logged(Event.DOMAIN_CLOSED) for each in context.case.gateways)
+
+    run(context, eventually(known, "all know of the evacuation"))
+
+
+@then("refused generations are told of the evacuation")
+def told_of_evacuation(context):
+    generations = sum(path in ("/draft/", "/check/") for _, path in KINDS)
+    told = sum(b"evacuated" in reply.body for reply, _ in context.replies)
+    assert told == len(context.replies) * generations // len(KINDS), context.replies
+
+
 @when("{count:d} requests of each kind come at each gateway")
 def requests_of_each_kind(context, count):
     send_requests(context, count, range(len(context.case.gateways)))
@@ -187,6 +213,20 @@
     assert not ran, ran
 
 
+@when("the spread of retry times is drawn as {draw:g}")
+def refuse_with_draw(context, draw):
+    program = Program(role="gateway", settings=load(None, []).settings)
+    with mock.patch.object(retrytimes, "draw", lambda: draw):
+        home_refusal = HomeRegions(program=program).refusal(frozenset())
+        context.refusals = [home_refusal, closed_failure("models")]
+
+
+@then("refusals for evacuations and home regions state {seconds:g} s")
+def retry_times(context, seconds):
+    found = [refusal.retry_after_s for refusal in context.refusals]
+    assert found == [seconds, seconds], found
+
+
 @then("every gateway has logged that home regions are unusable")
 def logged_unusable(context):
     for gateway in context.case.gateways:
@@ -218,7 +258,7 @@
     lines = context.case.gateways[0].logged(Event.REQUEST_RELAYED)
     names = {line.partition("gateway=")[2].split()[0] for line in lines}
     # Gateways of z1 and z2 take turns.
-    wanted = {"isl": {"g2"}, "fjord": {"g1", "g3"}}[region]
+    wanted = {"north": {"g2"}, "south": {"g1", "g3"}}[region]
     assert names and names <= wanted, names
     served = sum(reply.status == 200 for reply, _ in context.replies)
     assert served >= SERVED_RATIO * len(context.replies), served
@@ -230,7 +270,7 @@
     wanted = {
         gateway.addresses["callers"]
         for number, gateway in enumerate(gateways)
-        if ("isl", "fjord")[number % 2] in regions.split()
+        if ("north", "south")[number % 2] in regions.split()
     }
     place = f"region={region}&zone={DOMAINS.get(region, 'z7')}"
 
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -258,3 +258,63 @@
         assert endpoint.prefill_tokens == 0 and endpoint.in_flight == 0
         assert max(endpoint.growth.means) < 0.001
         assert max(endpoint.normal_growth.means) < 0.001
+
+
+@when(
+    'the engine "{closed}" is in "{domain}" and closed, and "{other}" is in "{second}"'
+)
+def close_engine(context, closed, domain, other, second):
+    states = context.pool.state.endpoints
+    states[closed].failure_domain, states[closed].closed = domain, True
+    states[other].failure_domain = second
+
+
+def only_closed_serves(context, domains):
+    admit = Admit(request="q", reservation="g", failure_domains=domains.split())
+    return context.pool.state.only_closed_could_serve(admit)
+
+
+@then('only closed engines could serve requests that need "{domains}"')
+def closed_serve(context, domains):
+    assert only_closed_serves(context, domains)
+
+
+@then(
+    'open engines could serve requests that need "{one}", "{more}" or no failure domain'
+)
+def open_serve(context, one, more):
+    for domains in (one, more, ""):
+        assert not only_closed_serves(context, domains), domains
+
+
+@given("urgent requests take {tokens:d} tokens each")
+def urgent_size(context, tokens):
+    context.pool.policy.reserve.record_request(tokens)
+
+
+def engines_with_full_reserve(context):
+    """Return the engines that new requests may use whose reserve is full."""
+    reserve = context.pool.policy.reserve
+    return [
+        name
+        for name, state in context.pool.state.endpoints.items()
+        if not (state.closed or state.leaving)
+        and reserve.ratio(name) == reserve.max_ratio
+    ]
+
+
+@when("the engine with a full reserve becomes {state:w} after {seconds:d} seconds")
+def reserve_moves(context, state, seconds):
+    policy, pool = context.pool.policy, context.pool.state
+    now = time.monotonic()
+    for second in range(seconds + 1):
+        policy.choose_hedges(pool, now + second)
+    (context.reserved,) = engines_with_full_reserve(context)
+    setattr(pool.endpoints[context.reserved], state, True)
+    policy.choose_hedges(pool, now + seconds + 1)
+
+
+@then("one other engine has a full reserve")
+def other_reserved(context):
+    (name,) = engines_with_full_reserve(context)
+    assert name != context.reserved
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -16,7 +16,7 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
-from baobabturn.gateway.request import CallerRequest
+from baobabturn.gateway.request import CallerRequest, GenerationSize
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
 from baobabturn.gateway.streamorigins import (
@@ -233,6 +233,7 @@
             policy.reserve.ratio(name) * state.memory_tokens
             for pool, policy in self.learning_policies()
             for name, state in pool.state.endpoints.items()
+            if state.takes_new_requests
         )
 
     async def detect_stragglers(self) -> None:
@@ -258,13 +259,20 @@
         """
         service = request.service.name
         pool = self.pools.get(service)
-        if pool is None or request.generation_size is None:
+        size = request.generation_size
+        if pool is None or size is None:
             return Failure(Code.NO_ENDPOINT, f"no engine of {service}")
         if self.endpoints.only_closed(service):
             return closed_failure(service)
         if software_version and not self.has_usable(service, software_version):
             reason = f"no engine of {service} has version {software_version}"
             return Failure(Code.NO_ENDPOINT, reason)
+        admission = self.admission_of(
+            request, size, queue_timeout_s, excluded, attempt, software_version
+        )
+        is_any_closed = bool(self.endpoints.closed_domains)
+        if is_any_closed and pool.state.only_closed_could_serve(admission):
+            return closed_failure(service)
         homes = request.homes
         # A home region may have few engines.  With all tried, waiting is in vain,
         # while another gateway may reach one.
@@ -274,29 +282,38 @@
         refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority, homes)
         if refusal is not None:
             return refusal
-        admission = Admit(
+        grant = await pool.admit(None, admission)
+        if isinstance(grant, Failure):
+            return grant
+        return self.record_grant(request, pool, admission, grant)
+
+    def admission_of(
+        self,
+        request: CallerRequest,
+        size: GenerationSize,
+        queue_timeout_s: float,
+        excluded: list[str],
+        attempt: int,
+        software_version: str,
+    ) -> Admit:
+        """Return what the scheduler is asked for a request."""
+        homes = request.homes
+        return Admit(
             request=request.request_id,
             reservation=self.reservation_name(request),
             pool=request.service.name,
             workspace=request.workspace,
-            model=request.generation_size.model,
+            model=size.model,
             kind=request.route.name,
             priority=-request.priority,
-            prompt_tokens=request.generation_size.prompt_tokens,
-            max_tokens=request.generation_size.max_tokens,
+            prompt_tokens=size.prompt_tokens,
+            max_tokens=size.max_tokens,
             deadline_ms=int(queue_timeout_s * MS_PER_S),
             excluded=excluded,
             attempt=attempt,
             software_version=software_version,
             failure_domains=[] if homes is None else self.regions.domains_of(homes),
         )
-        is_any_closed = bool(self.endpoints.closed_domains)
-        if is_any_closed and pool.state.only_closed_could_serve(admission):
-            return closed_failure(service)
-        grant = await pool.admit(None, admission)
-        if isinstance(grant, Failure):
-            return grant
-        return self.record_grant(request, pool, admission, grant)
 
     def refuse_waiting(self, service: str) -> None:
         """End the wait of all requests for a service that can't be reached."""
@@ -356,13 +373,18 @@
     ) -> Failure | None:
         """Return the refusal of a request that no engine's limit permits in time.
 
-        Only those that are at least as urgent go ahead of it.
+        Only those go ahead of it that are at least as urgent and may go to engines of
+        the same failure domains.
         """
         name = pool.state.name
         usable = self.usable_in(name, homes)
         self.rate_limits.record_demand(usable)
-        queue = pool.state.queue.values()
-        ahead = sum(waiting.admit.priority >= priority for waiting in queue)
+        domains = [] if homes is None else self.regions.domains_of(homes)
+        ahead = sum(
+            waiting.admit.priority >= priority
+            and share_domains(waiting.admit.failure_domains, domains)
+            for waiting in pool.state.queue.values()
+        )
         delay_s = self.rate_limits.queue_delay_s(usable, ahead)
         if delay_s <= queue_timeout_s:
             return None
@@ -507,10 +529,18 @@
     return Failure(
         Code.NO_ENDPOINT,
         f"the failure domains of all endpoints of {service} are evacuated",
-        retry_after_s=CLOSED_RETRY_AFTER_S,
+        retry_after_s=spread_retry_s(CLOSED_RETRY_AFTER_S),
     )
 
 
+def share_domains(first: list[str], second: list[str]) -> bool:
+    """Return whether two requests may need engines of one failure domain.
+
+    Each is given by the failure domains that it needs, none for any.
+    """
+    return not (first and second) or not set(first).isdisjoint(second)
+
+
 def digest_of(reservation: Holding | Reservation) -> str:
     """Return the digest of the stream that a reservation is for.
 
