--- a/features/placement.feature
+++ b/features/placement.feature
@@ -120,6 +120,15 @@
     When a later request at the first one has ended in 30 ms
     Then the next request goes to the first one
 
+  # Guards against memory that grows with each endpoint that is replaced.
+  Scenario: Endpoints that are gone for minutes are forgotten
+    Given plain endpoints that take 30, 80 and 80 ms, all measured a moment ago
+    And 50 others that are gone, one of them with a request outstanding
+    When requests come for 200 s
+    Then 53 endpoints are remembered
+    When requests come for 500 s
+    Then 4 endpoints are remembered
+
   Scenario: A slow last answer sends the next requests elsewhere, for some seconds
     Given plain endpoints that take 30, 30 and 30 ms
     When 20 requests come, one each 500 ms
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -434,6 +434,24 @@
         attempt(context, name, seconds)
 
 
+@given("{count:d} others that are gone, one of them with a request outstanding")
+def step_gone(context, count):
+    best(context)
+    for number in range(count):
+        attempt(context, f"gone{number}", 30 * MS)
+    at_time(context, context.ranking.record_start, "gone0")
+
+
+@when("requests come for {seconds:d} s")
+def step_requests_for(context, seconds):
+    attempts(context, seconds, 1000)
+
+
+@then("{count:d} endpoints are remembered")
+def step_remembered(context, count):
+    assert len(context.ranking.stats) == count, sorted(context.ranking.stats)
+
+
 @when("a request at the first one is outstanding for {ms:d} ms")
 def step_outstanding(context, ms):
     at_time(context, context.ranking.record_start, "w0")
--- a/src/baobabturn/entry/endpointranking.py
+++ b/src/baobabturn/entry/endpointranking.py
@@ -22,6 +22,9 @@
 # fastest one, so that each endpoint is tried now and then.
 UNKNOWN_LATENCY_RATIO = 0.8
 SUSPECT_DURATION_S = 2.0
+# Endpoints that have been neither ranked nor used for this long are forgotten: names
+# change with each replacement.  By then nothing that was measured counts any more.
+RETENTION_S = 300.0
 
 
 @attrs.define(kw_only=True)
@@ -30,8 +33,8 @@
 
     ``updated_at`` is when the latency was measured, 0 before it was, ``awaited_since``
     the time since which attempts have been outstanding and none has ended, and
-    ``suspect_until`` the end of the time after a failed attempt, all in monotonic
-    seconds.
+    ``suspect_until`` the end of the time after a failed attempt, and ``used_at`` when
+    the endpoint was ranked or used last, all in monotonic seconds.
     """
 
     in_flight: int = 0
@@ -39,6 +42,7 @@
     updated_at: float = 0.0
     awaited_since: float = 0.0
     suspect_until: float = 0.0
+    used_at: float = 0.0
 
     def remembered(self, now: float) -> float:
         """Return the weight of the measured latency, which falls with its age."""
@@ -69,10 +73,26 @@
 
     def __init__(self):
         self.stats: dict[str, EndpointStats] = {}
+        self.forgotten_at = 0.0
 
     def stats_of(self, name: str) -> EndpointStats:
         """Return the measurements of an endpoint, new ones for an unknown endpoint."""
-        return self.stats.setdefault(name, EndpointStats())
+        stats = self.stats.get(name)
+        if stats is None:
+            stats = self.stats[name] = EndpointStats()
+        stats.used_at = time.monotonic()
+        return stats
+
+    def forget_unused(self, now: float) -> None:
+        """Forget the endpoints without attempts that weren't used lately, if due."""
+        if now - self.forgotten_at < RETENTION_S:
+            return
+        self.forgotten_at = now
+        self.stats = {
+            name: stats
+            for name, stats in self.stats.items()
+            if stats.in_flight or now - stats.used_at < RETENTION_S
+        }
 
     def rank(
         self, endpoints: Iterable[EndpointT], preferred_domain: str
@@ -83,6 +103,7 @@
         equal times.
         """
         now = time.monotonic()
+        self.forget_unused(now)
         candidates = list(endpoints)
         unknown_s = self.unknown_latency_s(candidates)
 
