--- a/features/gatewayparts.feature
+++ b/features/gatewayparts.feature
@@ -69,3 +69,10 @@
 
   Scenario: The names of the platform's wire stay in its folder
     Then no name of the platform's wire stands in the package outside its folder
+
+  # Guards against work that grows with endpoints times their changes.
+  Scenario: Hundreds of endpoints change at one moment
+    Given a pool of 300 engines that a gateway has just listed
+    When 100 of them begin to leave one after the other
+    Then no request is placed at those, though the pool hasn't been set anew
+    And after 0.1 seconds the pool has been set anew once
--- a/features/steps/gatewayparts.py
+++ b/features/steps/gatewayparts.py
@@ -1,18 +1,31 @@
 """Steps that ask one part of the gateway for its decision."""
 
+import asyncio
 import pathlib
 import re
+from unittest import mock
 
 from behave import given, then, when
 
+from baobabturn.core.program import Program
 from baobabturn.gateway import staleness
 from baobabturn.gateway.budget import FleetRetryBudget
+from baobabturn.gateway.endpoints import Endpoints
 from baobabturn.gateway.migrationplan import migration_plan
-from baobabturn.gateway.routes import EngineTraits
+from baobabturn.gateway.mirror import StoreContact
+from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.routes import EngineTraits, RouteTable, Service
 from baobabturn.gateway.sse import EventSplitter
+from baobabturn.placement.homes import DomainRegions
+from baobabturn.platform.documents import PlatformObjectCodec
 from baobabturn.scheduler.lengths import LengthModel
 from baobabturn.scheduler.state import Reservation
+from baobabturn.store.interface import Change
+from baobabturn.store.version import StoreVersion
+from baobabturn.wire.messages import Admit
+from features.fleetcase import SETTINGS
 from features.helper import ROOT
+from features.steps.gateway import run
 
 GAP_S = 0.01
 ROOMY = 1_000_000
@@ -239,3 +252,81 @@
             if FOREIGN.search(line):
                 found.append(f"{pathlib.Path(path).name}:{number}: {line.strip()}")
     assert not found, found
+
+
+def entry_change(number, revision, state):
+    """Return a version of an engine's entry."""
+    value = {
+        "service": "models",
+        "address": f"10.0.{number // 250}.{number % 250}:80",
+        "zone": "z",
+        "slots": 8,
+        "state": state,
+    }
+    version = StoreVersion(0, revision)
+    return Change(name=f"e{number}", version=version, value=value)
+
+
+@given("a pool of {count:d} engines that a gateway has just listed")
+def listed_pool(context, count):
+    async def play():
+        program = Program(role="gateway", settings=SETTINGS)
+        context.endpoints = Endpoints(
+            object_codec=PlatformObjectCodec(),
+            events=program.events,
+            contact=StoreContact(events=program.events),
+            lapse_grace_s=1.0,
+        )
+        context.pools = EnginePools(
+            program=program,
+            endpoints=context.endpoints,
+            regions=DomainRegions(by_domain={}),
+        )
+        entries = [entry_change(each, each + 1, "ready") for each in range(count)]
+        context.endpoints.apply_list(tuple(entries))
+        service = Service(name="models", engine=traits(0.0001))
+        context.pools.apply_table(
+            RouteTable(
+                version=1,
+                routes={},
+                services={service.name: service},
+                key_holders={},
+                keys_required=False,
+            )
+        )
+        context.endpoints.change_listeners.append(context.pools.schedule_refresh)
+        context.endpoints.leaving_listeners.append(context.pools.mark_leaving)
+        context.pool = context.pools.pools["models"]
+        context.set_anew = mock.Mock(wraps=context.pool.set_endpoints)
+        context.pool.set_endpoints = context.set_anew
+
+    run(context, play())
+
+
+@when("{count:d} of them begin to leave one after the other")
+def leave_one_by_one(context, count):
+    async def play():
+        for number in range(count):
+            revision = 1000 + number
+            change = entry_change(number, revision, "draining")
+            context.endpoints.apply_change(change)
+        # Before anything else runs.
+        admit = Admit(request="r", reservation="r", model="m", workspace="w")
+        available = context.pool.state.available_endpoints(admit)
+        context.available = {endpoint.name for endpoint in available}
+        context.leaving = {f"e{number}" for number in range(count)}
+        context.set_at_once = context.set_anew.call_count
+
+    run(context, play())
+
+
+@then("no request is placed at those, though the pool hasn't been set anew")
+def not_placed(context):
+    assert context.available and not context.available & context.leaving
+    assert context.set_at_once == 0, context.set_at_once
+
+
+@then("after {seconds:g} seconds the pool has been set anew once")
+def set_anew_once(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    assert context.set_anew.call_count == 1, context.set_anew.call_count
--- a/src/baobabturn/gateway/evacuations.py
+++ b/src/baobabturn/gateway/evacuations.py
@@ -137,7 +137,8 @@
 
     def log_unknown(self) -> None:
         """Log each evacuation of a name without endpoints, once; it closes nothing."""
-        if not self.endpoints.list_received:
+        if not (self.endpoints.list_received and self.endpoints.closed_domains):
+            self.unknown.clear()
             return
         unknown = self.endpoints.closed_domains - self.closed_known()
         for domain in sorted(unknown - self.unknown):
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -108,7 +108,8 @@
             events=program.events,
             on_table=self.apply_table,
         )
-        self.endpoints.change_listeners.append(self.pools.refresh_endpoints)
+        self.endpoints.change_listeners.append(self.pools.schedule_refresh)
+        self.endpoints.leaving_listeners.append(self.pools.mark_leaving)
         record = GatewayRecord(
             name=program.settings.host.name,
             peers=settings.peers,
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -46,6 +46,9 @@
 
 MS_PER_S = 1000
 STRAGGLER_CHECK_INTERVAL_S = 0.2
+# Changes of endpoints within this time are applied to the pools together: each costs
+# time in proportion to all endpoints, and more of them change in a larger deployment.
+REFRESH_DELAY_S = 0.02
 # The added cost of engines of other failure domains in a large fleet, where less is
 # known of their load; as a share of an engine's KV cache.
 OTHER_DOMAIN_COST_RATIO = 0.5
@@ -96,6 +99,7 @@
         self.peer_reservations: dict[str, dict[str, str]] = {}
         self.domain_loads: dict[str, list[EngineLoad]] = {}
         self.counter = itertools.count(1)
+        self.refresh_scheduled = False
         self.prefer_own_domain: Callable[[], bool] = lambda: False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
@@ -128,8 +132,23 @@
         pool.settle()
         return pool
 
+    def schedule_refresh(self) -> None:
+        """Set the endpoints of every pool in a moment, once for many changes."""
+        if not self.refresh_scheduled:
+            self.refresh_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(REFRESH_DELAY_S, self.refresh_endpoints)
+
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Place nothing more at an engine that has begun to leave."""
+        pool = self.pools.get(endpoint.record.service)
+        is_current = self.endpoints.by_name.get(endpoint.name) is endpoint
+        if pool is not None and is_current and endpoint.name in pool.state.endpoints:
+            pool.state.endpoints[endpoint.name].leaving = True
+
     def refresh_endpoints(self) -> None:
         """Set the endpoints of every pool to those that are known now."""
+        self.refresh_scheduled = False
         for name, pool in self.pools.items():
             traits = self.traits[name]
             endpoints = [
