--- a/features/steps/homeregions.py
+++ b/features/steps/homeregions.py
@@ -293,14 +293,14 @@
     )
     now = [0.0, 0.0]
     context.load = OwnLoad(host=host, clock=lambda: now[0], used_s=lambda: now[1])
-    context.loads = [context.load.told()]
+    context.loads = [context.load.reported()]
     for second in range(60):
         now[0] += 1
         now[1] += used
         context.load.measure()
-        context.loads.append(context.load.told())
+        context.loads.append(context.load.reported())
         if second == 7:
-            context.load_after_average = context.load.told()
+            context.load_after_average = context.load.reported()
 
 
 @then(
--- a/src/baobabturn/gateway/directory.py
+++ b/src/baobabturn/gateway/directory.py
@@ -184,7 +184,7 @@
                 failure_domain=record.failure_domain,
                 region=self.regions.region_of(record.failure_domain),
                 capacity=load.capacity,
-                load=load.told(),
+                load=load.reported(),
                 has_paths=not self.peers.unreachable(),
             )
             gateways.append(own)
--- a/src/baobabturn/gateway/homeregions.py
+++ b/src/baobabturn/gateway/homeregions.py
@@ -25,7 +25,7 @@
             return None
         return Failure(
             Code.NO_HOME_REGION,
-            shown(homes),
+            describe_homes(homes),
             retry_after_s=spread_retry_s(RETRY_AFTER_S),
         )
 
@@ -40,11 +40,11 @@
                     Event.HOMES_UNUSABLE,
                     subject=name,
                     revision=table.version,
-                    reason=shown(homes),
+                    reason=describe_homes(homes),
                 )
 
 
-def shown(homes: Homes) -> str:
+def describe_homes(homes: Homes) -> str:
     """Return home regions as text for logs and refusals."""
     if not homes:
         return "there is no readable home region that all allow"
--- a/src/baobabturn/gateway/ownload.py
+++ b/src/baobabturn/gateway/ownload.py
@@ -51,8 +51,8 @@
         weight = 1 - math.exp(-elapsed_s / AVERAGE_S)
         self.ratio += weight * (min(1.0, used) - self.ratio)
 
-    def told(self) -> int:
-        """Return the load to tell others, in thousandths, 0 if it isn't known."""
+    def reported(self) -> int:
+        """Return the load to report to others, in thousandths, 0 if it isn't known."""
         if not self.cpu_share:
             return 0
         return min(PER_THOUSAND, max(1, round(PER_THOUSAND * self.ratio)))
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -319,7 +319,7 @@
             unreachable=sorted(self.unreachable()),
             forwards=True,
             capacity=self.own_load.capacity,
-            load=self.own_load.told(),
+            load=self.own_load.reported(),
         )
 
     def send_message(self, message: Any, peers: list[Peer]) -> None:
--- a/src/baobabturn/placement/callershares.py
+++ b/src/baobabturn/placement/callershares.py
@@ -29,7 +29,7 @@
 # and loads are known 6 s late.
 SPILL_PER_LOAD = 1.0
 # A failure domain with less than this part of the others' mean capacity has too little
-# for its callers, whatever load it has told so far.
+# for its callers, whatever load it has reported so far.
 FEW_RATIO = 0.5
 # The least headroom by which a full failure domain is weighted.
 MIN_HEADROOM = 0.05
