--- a/features/gatewaynews.feature
+++ b/features/gatewaynews.feature
@@ -42,6 +42,13 @@
     When its watcher confirms revision 8
     Then it asks the watcher for changes since 5
 
+  # A store that drops its history may answer a watch without the changes before.
+  Scenario: A change that a watch passed over is noticed by the next confirmation
+    Given a gateway that knows the store up to revision 5
+    When a watch shows that the store is at revision 9 without a change of the kind
+    And its watcher confirms revision 8
+    Then it asks the watcher for changes since 5
+
   # Guards against sending the whole configuration to each gateway twice a second.
   Scenario: Changes of other kinds aren't sent as missed ones
     Given a gateway that knows the store up to revision 5
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -231,7 +231,7 @@
     def ask(self, peers: list[Peer]) -> None:
         """Ask some watchers for a confirmation and for the updates missed here."""
         known = [
-            StoreState(kind=mirror.kind, version=mirror.complete_version)
+            StoreState(kind=mirror.kind, version=mirror.last_change_version)
             for mirror in self.mirrors.values()
         ]
         stamp = int(boot_time_s() * US_PER_S)
@@ -381,7 +381,7 @@
     def close_gap(self, mirror: Mirror) -> None:
         """List the store if the changes that were asked for haven't come."""
         version = self.gaps.pop(mirror.kind)
-        if mirror.complete_version < version:
+        if mirror.last_change_version < version:
             mirror.invalidate()
 
     def log_old_update(self, update: StoreNews, mirror: Mirror) -> None:
@@ -441,7 +441,9 @@
             mirror = self.mirrors.get(item.kind)
             if mirror is None:
                 continue
-            if item.version > mirror.complete_version:
+            # A watch may pass over a change that the store has dropped from its
+            # history, so what counts is the newest change that was applied.
+            if item.version > mirror.last_change_version:
                 self.repair_gap(mirror, item.version, peer)
             elif item.version.era == mirror.complete_version.era:
                 at = asked_at - item.age_ms / MS_PER_S
