--- a/features/lengths.feature
+++ b/features/lengths.feature
@@ -22,6 +22,26 @@
     When 300 generations of "w/m/read" of about 10 tokens ended
     Then the chance of "other/m/read" over 64 tokens is 0 to 0.05
 
+  # Guards against admission by the mean of requests whose callers know better.
+  Scenario: Estimates that are right in the median tell long answers from short ones
+    Given learned lengths that hold at most 50 keys
+    When 400 generations of "w/m/k" of 10 to 1000 tokens with estimates ended
+    Then the chance of "w/m/k" over 200 tokens is 0.25 to 0.45
+    And the chance of "w/m/k" over 200 tokens is 0.8 to 1 with an estimate of 900
+    And the chance of "w/m/k" over 200 tokens is 0 to 0.15 with an estimate of 30
+    And the chance of "other/m/k" over 200 tokens is 0.7 to 1 with an estimate of 900
+
+  Scenario: Estimates that say nothing do no harm
+    Given learned lengths that hold at most 50 keys
+    When 600 generations of "w/m/k" of 10 to 1000 tokens with random estimates ended
+    Then the chance of "w/m/k" over 200 tokens is 0.2 to 0.5 with an estimate of 900
+    And the chance of "w/m/k" over 200 tokens is 0.2 to 0.5 with an estimate of 30
+
+  Scenario: An estimate of a size that hasn't been seen is as none
+    Given learned lengths that hold at most 50 keys
+    When 400 generations of "w/m/k" of 10 to 1000 tokens with estimates ended
+    Then the chance of "w/m/k" over 200 tokens is 0.25 to 0.45 with an estimate of 9
+
   Scenario: Generations that were cut off don't make lengths look short
     Given learned lengths that hold at most 50 keys
     When 300 generations of "w/m/k" of 200 tokens ended, as many cut at 5
--- a/features/policy.feature
+++ b/features/policy.feature
@@ -15,6 +15,14 @@
     Then the last request is placed
     And the engine is told to prefer "read" to "summary"
 
+  # Guards against callers that get the room of urgent requests by a low estimate.
+  Scenario: A low estimate of the output makes no request urgent
+    Given a pool of 1 engine with 1500 tokens of memory
+    And "summary" answers are known to be of about 400 tokens, "read" of about 10
+    When 6 requests of "summary" come
+    And 1 request of "summary" comes with an estimate of 8
+    Then the last request isn't urgent
+
   Scenario: All counts return to zero when everything has ended
     Given a pool of 2 engines with 4000 tokens of memory
     And "summary" answers are known to be of about 400 tokens, "read" of about 10
--- a/features/steps/lengths.py
+++ b/features/steps/lengths.py
@@ -29,6 +29,21 @@
         observe(context, name, length, True)
 
 
+@when(
+    '{count:d} generations of "{name}" of {low:d} to {high:d} tokens '
+    "with {quality} ended"
+)
+def step_estimated(context, count, name, low, high, quality):
+    def draw_tokens():
+        return round(low * (high / low) ** context.random.random())
+
+    for _ in range(count):
+        tokens = draw_tokens()
+        known = tokens if quality == "estimates" else draw_tokens()
+        estimate = round(context.random.lognormvariate(0, 0.3) * known)
+        context.lengths.observe(*name.split("/"), tokens, True, max(16, estimate))
+
+
 @when('{count:d} generations of "{name}" of {tokens:d} tokens ended, as many cut at 5')
 def step_cut(context, count, name, tokens):
     for _ in range(count):
@@ -66,6 +81,16 @@
     assert low <= chance <= high, chance
 
 
+@then(
+    'the chance of "{name}" over {tokens:d} tokens is {low:g} to {high:g} '
+    "with an estimate of {estimate:d}"
+)
+def step_estimated_chance(context, name, tokens, low, high, estimate):
+    distribution = context.lengths.length_distribution(*name.split("/"), estimate)
+    chance = distribution.survival(0, tokens)
+    assert low <= chance <= high, chance
+
+
 @then('more is expected of "{name}" after {many:d} tokens than after {few:d}')
 def step_more(context, name, many, few):
     length_distribution = context.lengths.length_distribution(*name.split("/"))
--- a/features/steps/policy.py
+++ b/features/steps/policy.py
@@ -39,7 +39,7 @@
     context.pool.set_endpoints(declared, set(leaving))
 
 
-def ask(context, kind, shared=False, left_s=DEADLINE_S):
+def ask(context, kind, shared=False, left_s=DEADLINE_S, estimate=0):
     context.number += 1
     now = time.monotonic()
     prefixes = [7, 8, 9] if shared else [context.number * 10]
@@ -52,6 +52,7 @@
             kind=kind,
             prompt_tokens=200 if shared else 20,
             max_tokens=4000,
+            estimated_tokens=estimate,
             prefixes=prefixes,
         ),
         holder=None,
@@ -117,6 +118,20 @@
             first_token(context, waiting)
 
 
+@when('1 request of "{kind}" comes with an estimate of {estimate:d}')
+def step_estimate(context, kind, estimate):
+    for _ in range(50):
+        context.pool.policy.lengths.observe("w", "m", kind, 400, True, 400)
+        context.pool.policy.lengths.observe("w", "m", kind, 8, True, 8)
+    ask(context, kind, estimate=estimate)
+    context.pool.dispatch()
+
+
+@then("the last request isn't urgent")
+def step_not_urgent(context):
+    assert not context.asked[-1].urgent
+
+
 @when('{count:d} requests of "{kind}" with a shared beginning come')
 def step_shared(context, count, kind):
     for _ in range(count):
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -327,6 +327,7 @@
             priority=-request.priority,
             prompt_tokens=size.prompt_tokens,
             max_tokens=size.max_tokens,
+            estimated_tokens=size.estimated_tokens,
             deadline_ms=int(queue_timeout_s * MS_PER_S),
             excluded=excluded,
             attempt=attempt,
@@ -434,6 +435,7 @@
             priority=admission.priority,
             prompt_tokens=admission.prompt_tokens,
             max_tokens=admission.max_tokens,
+            estimated_tokens=admission.estimated_tokens,
             taken=self.program.clock.now(),
             software_version=self.software_version_of(grant.endpoint),
         )
--- a/src/baobabturn/gateway/request.py
+++ b/src/baobabturn/gateway/request.py
@@ -21,14 +21,14 @@
     """The model and the token counts that a generation request states.
 
     ``prompt_parts`` are the prompt's parts in order, each with an id and its token
-    count; ``expected_tokens`` is the caller's estimate of the output, 0 for none.
+    count; ``estimated_tokens`` is the caller's estimate of the output, 0 for none.
     """
 
     model: str
     prompt_tokens: int
     max_tokens: int
     prompt_parts: tuple[tuple[str, int], ...] = ()
-    expected_tokens: int = 0
+    estimated_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/baobabturn/platform/headers.py
+++ b/src/baobabturn/platform/headers.py
@@ -104,12 +104,13 @@
         )
         if prompt_tokens is None or max_tokens is None:
             return None
+        estimated_tokens = parse_whole_number(first_value(headers, LENGTH_HINT)) or 0
         return GenerationSize(
             model=first_value(headers, MODEL).decode("latin-1"),
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             prompt_parts=parse_parts(first_value(headers, PROMPT_PARTS)),
-            expected_tokens=parse_whole_number(first_value(headers, LENGTH_HINT)) or 0,
+            estimated_tokens=min(estimated_tokens, max_tokens),
         )
 
     def resumption(self, headers: Headers) -> Resumption | None:
--- a/src/baobabturn/scheduler/lengths.py
+++ b/src/baobabturn/scheduler/lengths.py
@@ -5,7 +5,9 @@
 A generation that was cut off is a censored sample: it counts only in the bins
 that it passed, so that it doesn't make the lengths look short.  A key with few
 samples is smoothed towards the next coarser key, the coarsest one towards a
-prior.
+prior.  Where a caller estimates its output, requests with estimates of the same
+octave are a finer key: an estimate is often far off, so lengths are learned from
+it rather than taken from it.
 
 Example: ``LengthModel(...).length_distribution("w", "m", "chat").survival(10, 50)``
 is the chance that a generation with 10 tokens produces at least 50 more.
@@ -34,6 +36,9 @@
 MAX_HAZARD = 0.999
 MAX_CACHED_EXPECTATIONS = 64
 
+# Separates a kind from the size class of its requests; no route's name has it.
+SIZE_SEPARATOR = "\x1f"
+
 LengthKey = tuple[str, str, str]
 
 
@@ -205,10 +210,23 @@
         self.prior = LengthDistribution(hazards=prior_hazards())
 
     def observe(
-        self, workspace: str, model: str, kind: str, tokens: int, finished: bool
+        self,
+        workspace: str,
+        model: str,
+        kind: str,
+        tokens: int,
+        finished: bool,
+        estimated_tokens: int = 0,
     ) -> None:
-        """Learn from one generation that finished or was cut off."""
-        for key in key_levels(workspace, model, kind):
+        """Learn from one generation that finished or was cut off.
+
+        It also counts for the requests of its kind that have no estimate.
+        """
+        keys = key_levels(workspace, model, kind)
+        if estimated_tokens:
+            sized = key_levels(workspace, model, sized_kind(kind, estimated_tokens))
+            keys = (*sized[:-1], *keys)
+        for key in keys:
             counts = self.counts.get(key)
             if counts is None:
                 counts = self.counts[key] = LengthCounts.empty()
@@ -222,15 +240,19 @@
             self.distributions.pop(evicted_key, None)
 
     def length_distribution(
-        self, workspace: str, model: str, kind: str
+        self, workspace: str, model: str, kind: str, estimated_tokens: int = 0
     ) -> LengthDistribution:
-        """Return the distribution for a key.
+        """Return the distribution for a key, and for the caller's estimate if any.
 
         It is rebuilt when its coarser distribution has changed.  Otherwise a
         workspace with few samples would keep an outdated distribution.
         """
+        keys = key_levels(workspace, model, kind)
+        if estimated_tokens:
+            sized = key_levels(workspace, model, sized_kind(kind, estimated_tokens))
+            keys = (*sized[:-1], *keys[1:])
         parent = self.prior
-        for key in reversed(key_levels(workspace, model, kind)):
+        for key in reversed(keys):
             counts = self.counts.get(key)
             if counts is None:
                 continue
@@ -244,8 +266,15 @@
         return parent
 
 
-def key_levels(
-    workspace: str, model: str, kind: str
-) -> tuple[LengthKey, LengthKey, LengthKey]:
+def sized_kind(kind: str, estimated_tokens: int) -> str:
+    """Return a kind of requests whose estimates are within the same octave.
+
+    >>> sized_kind("chat", 700) == sized_kind("chat", 1000)
+    True
+    """
+    return f"{kind}{SIZE_SEPARATOR}{estimated_tokens.bit_length()}"
+
+
+def key_levels(workspace: str, model: str, kind: str) -> tuple[LengthKey, ...]:
     """Return a key and the coarser keys it is smoothed towards, finest first."""
     return (workspace, model, kind), ("", model, kind), ("", model, "")
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -21,7 +21,7 @@
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
 from baobabturn.scheduler.learned import merge_lengths, pack_lengths
-from baobabturn.scheduler.lengths import LengthDistribution, LengthModel
+from baobabturn.scheduler.lengths import LengthModel
 from baobabturn.scheduler.overflow import growth_terms
 from baobabturn.scheduler.refusals import RefusalTracker
 from baobabturn.scheduler.state import (
@@ -32,6 +32,7 @@
 )
 from baobabturn.scheduler.stragglers import SILENCE_THRESHOLD_S, StragglerDetector
 from baobabturn.settings.model import Scheduler
+from baobabturn.wire.messages import Admit
 from baobabturn.wire.words import FINISHED
 
 # Engines run smaller priorities first; this puts urgent requests before others.
@@ -92,10 +93,10 @@
         """Classify a request by the learned answer lengths, and queue it."""
         admit = waiting.admit
         length_distribution = self.lengths.length_distribution(
-            admit.workspace, admit.model, admit.kind
+            admit.workspace, admit.model, admit.kind, admit.estimated_tokens
         )
         waiting.length_distribution = length_distribution
-        waiting.short = self.is_short(length_distribution, admit.max_tokens)
+        waiting.short = self.is_short(admit)
         self.priorities.record(admit.priority, now)
         waiting.urgent = self.priorities.is_urgent(admit.priority, waiting.short)
         waiting.growth_terms = growth_terms(
@@ -107,16 +108,21 @@
         self.flows.add(waiting)
         self.fair_shares[waiting.urgent].add_waiting(admit.workspace)
 
-    def is_short(
-        self, length_distribution: LengthDistribution, max_tokens: int
-    ) -> bool:
+    def is_short(self, request: Admit | Reservation) -> bool:
         """Return whether an answer probably has at most ``short_tokens`` tokens.
 
-        Probably means with at least the chance ``short_chance``.
+        Probably means with at least the chance ``short_chance``.  Callers' estimates
+        don't count, since short requests are urgent, and a caller could gain by a low
+        estimate.
         """
         limit = self.settings.short_tokens
+        length_distribution = self.lengths.length_distribution(
+            request.workspace, request.model, request.kind
+        )
         long_chance = (
-            length_distribution.survival(0, limit) if limit < max_tokens else 0.0
+            length_distribution.survival(0, limit)
+            if limit < request.max_tokens
+            else 0.0
         )
         return long_chance <= 1 - self.settings.short_chance
 
@@ -301,11 +307,12 @@
         """Add a reservation's growth; charge its workspace the expected tokens."""
         if reservation.length_distribution is None:
             reservation.length_distribution = self.lengths.length_distribution(
-                reservation.workspace, reservation.model, reservation.kind
-            )
-            reservation.short = self.is_short(
-                reservation.length_distribution, reservation.max_tokens
+                reservation.workspace,
+                reservation.model,
+                reservation.kind,
+                reservation.estimated_tokens,
             )
+            reservation.short = self.is_short(reservation)
             self.priorities.record(reservation.priority, now)
             reservation.urgent = self.priorities.is_urgent(
                 reservation.priority, reservation.short
@@ -438,6 +445,7 @@
                 reservation.kind,
                 reservation.produced,
                 finished,
+                reservation.estimated_tokens,
             )
         used_tokens = reservation.prompt_tokens + reservation.produced
         fair_shares = self.fair_shares[reservation.urgent]
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -26,7 +26,8 @@
     ``hedged`` says that a second attempt for this one was advised, ``hedgeable`` that
     one may start even after the first token.  ``short`` says that a short answer is
     expected, ``urgent`` that it is short or of a higher priority than most others,
-    ``expected_tokens`` counts its prompt and expected answer.
+    ``expected_tokens`` counts its prompt and expected answer, ``estimated_tokens`` is
+    the caller's own estimate of the answer, 0 for none.
     ``uncached_tokens`` is the part of the prompt to prefill; ``prefill_ahead_tokens``
     were to prefill at its endpoint before.
     ``watched`` says that progress is reported as it happens; otherwise only the first
@@ -45,6 +46,7 @@
     prompt_tokens: int
     max_tokens: int
     granted_at: float
+    estimated_tokens: int = 0
     hedgeable: bool = False
     hedges: str = ""
     hedged: bool = False
--- a/src/baobabturn/wire/messages.py
+++ b/src/baobabturn/wire/messages.py
@@ -171,6 +171,7 @@
 
     ``software_version`` is the only version of endpoints that may serve the request,
     ``failure_domains`` are the only ones whose endpoints may, each empty for any.
+    ``estimated_tokens`` is the caller's estimate of the output, 0 for none.
     """
 
     request: str = ""
@@ -190,6 +191,7 @@
     hedges: str = ""
     software_version: str = ""
     failure_domains: list[str] = attrs.Factory(list)
+    estimated_tokens: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -236,6 +238,7 @@
 
     ``taken`` is the hybrid time at which the entry took it; the newest holds.
     ``software_version`` is that of the endpoint, empty if the entry doesn't know it.
+    ``estimated_tokens`` is the caller's estimate of the output, 0 for none.
     """
 
     reservation: str = ""
@@ -252,6 +255,7 @@
     hedges: str = ""
     hedgeable: bool = False
     software_version: str = ""
+    estimated_tokens: int = 0
 
 
 @attrs.define(kw_only=True, slots=True)
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -179,6 +179,7 @@
   hedges @14 :Text;      # the reservation whose second attempt this is
   softwareVersion @15 :Text;  # the only one that may serve it, empty for any
   failureDomains @16 :List(Text);  # the only ones that may serve it, empty for any
+  estimatedTokens @17 :UInt32;  # the caller's estimate of the output, 0 for none
 }
 
 struct Grant {
@@ -222,6 +223,7 @@
   hedges @11 :Text;      # the reservation whose second attempt this is
   hedgeable @12 :Bool;
   softwareVersion @13 :Text;  # of the endpoint when the place was taken
+  estimatedTokens @14 :UInt32;  # the caller's estimate of the output, 0 for none
 }
 
 struct Holdings {
