--- a/features/gatewayparts.feature
+++ b/features/gatewayparts.feature
@@ -40,6 +40,13 @@
     When the engine leaves and the neighbours have room for all
     Then the copies begin with "lasting" and then "ending"
 
+  # Guards against copies that wait for a prompt in prefill, which no engine copies.
+  Scenario: The smallest draft at an engine that is reclaimed is still in prefill
+    Given runs of 4000, 2000 and 3000 tokens at an engine, 1000 tokens copied in 0.1 s
+    And the smallest one has no token yet
+    When the engine leaves and the neighbours have room for all
+    Then the copies begin with "middle", "large" and then "small", which delays none
+
   Scenario: A burst of failures spends the budget once for all gateways
     Given 8 gateways whose services may get 20 percent and 56 repeats in 10 s
     When each gateway gets 100 requests and every one fails
--- a/features/steps/gatewayparts.py
+++ b/features/steps/gatewayparts.py
@@ -82,6 +82,22 @@
     context.order = ["small", "middle", "large"]
 
 
+@given("the smallest one has no token yet")
+def smallest_in_prefill(context):
+    by_name = {each.name: each for each in context.runs}
+    by_name["small"].produced = 0
+
+
+@then(
+    'the copies begin with "{first}", "{second}" and then "{last}", which delays none'
+)
+def holds_up_none(context, first, second, last):
+    order = sorted(context.plan, key=context.plan.get)
+    assert order == [first, second, last], context.plan
+    assert context.turns[first].may_start(list(context.turns), 0.0)
+    assert all(last not in turn.predecessors for turn in context.turns.values())
+
+
 @given("a run of short work at an engine")
 def short_run(context):
     context.runs = [reservation("short", 2000, short=True)]
--- a/src/baobabturn/gateway/migration.py
+++ b/src/baobabturn/gateway/migration.py
@@ -100,8 +100,8 @@
     ) -> None:
         """Migrate one generation, trying engines while the source may still run.
 
-        A source that doesn't know the generation yet is asked again, and the target
-        is not excluded.
+        One in prefill is migrated once it has had its first token.  A source that
+        doesn't know the generation yet is asked again, and the target is not excluded.
         """
         noticed_at = time.monotonic()
         tried_endpoints: set[str] = set()
@@ -117,6 +117,9 @@
                 or stream.reservation is None
             ):
                 return
+            if not stream.reservation.holding.produced:
+                await asyncio.sleep(SCHEDULE_CHECK_INTERVAL_S)
+                continue
             target = self.targets.reserve(
                 stream.request, stream.reservation, tried_endpoints
             )
--- a/src/baobabturn/gateway/migrationplan.py
+++ b/src/baobabturn/gateway/migrationplan.py
@@ -77,9 +77,11 @@
     """Return the copy schedule of each generation to migrate, by reservation.
 
     Small generations go first, so that as many as possible get away; those that
-    will probably have ended by then go last.  ``nearby_free_tokens`` are the free
-    tokens of each other engine in the same failure domain; what doesn't fit into one
-    of them is planned with the longer copy to another failure domain.
+    will probably have ended by then go last.  An engine copies no generation before
+    its first token, so one in prefill goes after those that have begun, and holds up
+    none.  ``nearby_free_tokens`` are the free tokens of each other engine in the same
+    failure domain; what doesn't fit into one of them is planned with the longer copy
+    to another failure domain.
     """
     migrating = [
         reservation
@@ -89,6 +91,7 @@
     migrating.sort(
         key=lambda reservation: (
             likely_ends_within_notice_period(reservation, gap_s),
+            not reservation.produced,
             reservation.memory_tokens,
             reservation.name,
         )
@@ -96,11 +99,15 @@
     copy_s_per_token = traits.kv_bytes_per_token / max(traits.link_bytes_per_s, 1.0)
     free_tokens = sorted(nearby_free_tokens)
     plan: dict[str, CopySchedule] = {}
+    begun: list[str] = []
     start_s = 0.0
     for reservation in migrating:
         plan[reservation.name] = CopySchedule(
-            predecessors=tuple(plan), latest_start_s=start_s
+            predecessors=tuple(begun), latest_start_s=start_s
         )
+        if not reservation.produced:
+            continue
+        begun.append(reservation.name)
         distance_factor = (
             1.0
             if reserve_free_tokens(free_tokens, reservation.memory_tokens)
