--- a/src/baobabturn/gateway/migrationtargets.py
+++ b/src/baobabturn/gateway/migrationtargets.py
@@ -1,14 +1,23 @@
-"""Chooses and reserves engines for the generations of an engine that is leaving."""
+"""Chooses and reserves engines for the generations of an engine that is leaving.
+
+Several engines may leave at once.  An engine's link takes one copy after another, so
+an engine to which copies are on their way costs as much as a longer copy.
+"""
 
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Container
 
 import attrs
 
-from baobabturn.gateway.migrationplan import CopySchedule, migration_plan
-from baobabturn.gateway.pools import EnginePools, HeldReservation
+from baobabturn.gateway.migrationplan import (
+    OTHER_DOMAIN_COPY_FACTOR,
+    CopySchedule,
+    migration_plan,
+)
+from baobabturn.gateway.pools import EnginePools, HeldReservation, request_of
 from baobabturn.gateway.request import CallerRequest
 from baobabturn.placement.homes import Homes
 from baobabturn.scheduler.pool import PoolScheduler
@@ -92,18 +101,24 @@
         tried_endpoints: set[str],
         homes: Homes,
     ) -> EndpointState | None:
-        """Return the least used engine with enough free KV cache, None without one.
+        """Return the engine that has the copy first, None if none has room for it.
 
-        It is preferably in the failure domain of the reservation's engine.
+        Among equal ones that is one in the failure domain of the reservation's engine,
+        and then the least used one.
         """
         domain = self.pools.failure_domain_of(reservation.endpoint)
-        candidates = [
-            (self.pools.failure_domain_of(name) != domain, state.used_tokens, name)
-            for name, state in pool.state.endpoints.items()
-            if name not in tried_endpoints
-            and self.is_allowed(state, reservation, homes)
-            and self.has_room(pool, state, reservation)
-        ]
+        inbound = inbound_copies(pool)
+        candidates = []
+        for name, state in pool.state.endpoints.items():
+            if name in tried_endpoints:
+                continue
+            if not self.is_allowed(state, reservation, homes):
+                continue
+            if not self.has_room(pool, state, reservation):
+                continue
+            is_far = self.pools.failure_domain_of(name) != domain
+            copies = inbound[name] + (OTHER_DOMAIN_COPY_FACTOR if is_far else 1.0)
+            candidates.append((copies, is_far, state.used_tokens, name))
         return pool.state.endpoints[min(candidates)[-1]] if candidates else None
 
     def is_allowed(
@@ -132,3 +147,24 @@
         if not pool.policy.accepts_requests(state, time.monotonic()):
             return False
         return not pool.state.rate_limits.delay_s(state.name)
+
+
+def inbound_copies(pool: PoolScheduler) -> Counter[str]:
+    """Return how many generations are being copied to each engine.
+
+    Such a generation has a reservation there and one at an engine that is leaving.
+    """
+    states = pool.state.endpoints.values()
+    moving = {
+        request_of(name)
+        for state in states
+        if state.leaving
+        for name in state.reservations
+    }
+    return Counter(
+        state.name
+        for state in states
+        if moving and not state.leaving
+        for name in state.reservations
+        if request_of(name) in moving
+    )
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -563,16 +563,18 @@
 
 
 def digest_of(reservation: Holding | Reservation) -> str:
-    """Return the digest of the stream that a reservation is for.
-
-    The name of a reservation ends with the request's id.
-    """
+    """Return the digest of the stream that a reservation is for."""
     name = (
         reservation.reservation
         if isinstance(reservation, Holding)
         else reservation.name
     )
-    return stream_digest(reservation.workspace, name.split("/", 2)[-1])
+    return stream_digest(reservation.workspace, request_of(name))
+
+
+def request_of(reservation: str) -> str:
+    """Return the id of a reservation's request, with which the name ends."""
+    return reservation.split("/", 2)[-1]
 
 
 def to_declared(endpoint: Endpoint, traits: EngineTraits) -> DeclaredEndpoint:
