--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -101,6 +101,7 @@
         self.counter = itertools.count(1)
         self.refresh_scheduled = False
         self.prefer_own_domain: Callable[[], bool] = lambda: False
+        self.near_gateway_count: Callable[[], int] = lambda: 0
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
         self.rate_limits: EndpointRateLimits = NoRateLimits()
@@ -129,6 +130,7 @@
         policy = POLICIES[settings.policy](settings=settings, seed=seed)
         pool = PoolScheduler(name=name, program=self.program, policy=policy)
         pool.state.rate_limits = self.rate_limits
+        pool.dispatch_spread.others = self.near_gateway_count
         pool.settle()
         return pool
 
@@ -173,7 +175,7 @@
         """Set the versions of a pool's engines, and grant what needs one of them."""
         for name, state in pool.state.endpoints.items():
             state.software_version = self.software_version_of(name)
-        pool.dispatch()
+        pool.schedule_dispatch()
 
     def software_version_of(self, name: str) -> str:
         """Return the version of an endpoint's software, empty if it isn't known."""
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Collection
 from typing import Any
@@ -11,6 +12,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.scheduler.dispatchspread import DispatchSpread
 from baobabturn.scheduler.fairness import WorkspaceLimits
 from baobabturn.scheduler.policy import Policy
 from baobabturn.scheduler.state import (
@@ -56,6 +58,7 @@
         self.workspaces = workspaces
         self.limits = WorkspaceLimits()
         self.dispatch_scheduled = False
+        self.dispatch_spread = DispatchSpread(rng=random.Random())
         self.limited_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
@@ -88,7 +91,10 @@
             state.failure_domain = endpoint.failure_domain
             state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
             state.closed = name in closed
-        self.dispatch()
+        if self.dispatch_spread.others():
+            self.schedule_dispatch()
+        else:
+            self.dispatch()
 
     async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
         """Queue a request; return its grant, or why it is refused."""
@@ -151,13 +157,22 @@
     def schedule_dispatch(self) -> None:
         """Schedule one dispatch for all messages that arrived together.
 
-        A saturated pool waits longer, so that more messages share one pass.
+        A saturated pool waits longer, so that more messages share one pass, and so does
+        one whose capacity others grant too.
         """
         if not self.dispatch_scheduled:
             self.dispatch_scheduled = True
             delay_s = SATURATED_DISPATCH_DELAY_S if self.policy.saturated else 0.0
+            delay_s = max(delay_s, self.spread_delay_s())
             asyncio.get_running_loop().call_later(delay_s, self.dispatch)
 
+    def spread_delay_s(self) -> float:
+        """Return the delay that keeps schedulers from granting the same capacity."""
+        queue = self.state.queue.values()
+        if not queue:
+            return 0.0
+        return self.dispatch_spread.delay_s(any(each.urgent for each in queue))
+
     def dispatch(self) -> None:
         """Grant the waiting requests that the policy finds an endpoint for."""
         self.dispatch_scheduled = False
