--- a/features/steps/gatewayfleet.py
+++ b/features/steps/gatewayfleet.py
@@ -435,10 +435,8 @@
     context.pools.pools[POOL] = pool
     context.pool = pool
     set_engines(pool)
-    context.pools.domain_loads["z2"] = [
-        EngineLoad(pool=POOL, endpoint="first", tokens=38_000, requests=8)
-    ]
-    context.pools.apply_remote_loads()
+    load = EngineLoad(pool=POOL, endpoint="first", tokens=38_000, requests=8)
+    context.pools.remote_loads.replace("z2", [load])
 
 
 def set_engines(pool):
@@ -483,7 +481,7 @@
 @when("the far ones are gone and the second fills up")
 def far_gone(context):
     async def play():
-        context.pools.domain_loads["z2"] = []
+        context.pools.apply_domain_load("z2", [])
         load = EngineLoad(pool=POOL, endpoint="second", tokens=38_000, requests=8)
         context.pools.apply_domain_load("z3", [load])
         await asyncio.sleep(0)
--- a/features/steps/gatewayparts.py
+++ b/features/steps/gatewayparts.py
@@ -297,8 +297,8 @@
         context.endpoints.change_listeners.append(context.pools.schedule_refresh)
         context.endpoints.leaving_listeners.append(context.pools.mark_leaving)
         context.pool = context.pools.pools["models"]
-        context.set_anew = mock.Mock(wraps=context.pool.set_endpoints)
-        context.pool.set_endpoints = context.set_anew
+        context.set_anew = mock.Mock(wraps=context.pool.update_endpoints)
+        context.pool.update_endpoints = context.set_anew
 
     run(context, play())
 
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -214,7 +214,8 @@
         prefer_own_domain=lambda: False,
         failure_domain_of=lambda name: name,
     )
-    EnginePools.set_distance_costs(pools, context.runs[0].pool)
+    pool = context.runs[0].pool
+    EnginePools.set_distance_costs(pools, pool, pool.state.endpoints)
 
 
 def choose(context, count):
--- a/src/baobabturn/gateway/endpoints.py
+++ b/src/baobabturn/gateway/endpoints.py
@@ -12,6 +12,7 @@
 from baobabturn.core.events import Event, EventLog
 from baobabturn.core.results import Failure
 from baobabturn.gateway.departures import Departures, Identity, identity_of
+from baobabturn.gateway.endpointindex import EndpointIndex
 from baobabturn.gateway.mirror import StoreContact, boot_time_s
 from baobabturn.gateway.platforminterface import EndpointRecord, ObjectCodec
 from baobabturn.gateway.softwareversion import SoftwareVersion
@@ -62,7 +63,8 @@
     ``departures`` the endpoints that left lately.  ``closed_domains`` names the failure
     domains that are evacuated: their endpoints get nothing more, but what runs there
     goes on.  ``announced_leaving`` holds when endpoints announced in their own answers
-    that they leave, which an older entry of the store doesn't take back.
+    that they leave, which an older entry of the store doesn't take back.  ``index``
+    follows each change of ``by_name``.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.contact = contact
         self.lapse_grace_s = lapse_grace_s
         self.by_name: dict[str, Endpoint] = {}
+        self.index: EndpointIndex[Endpoint] = EndpointIndex()
         self.departures = Departures()
         self.closed_domains: frozenset[str] = frozenset()
         self.announced_leaving: dict[Identity, float] = {}
@@ -90,13 +93,7 @@
 
     def usable(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints that accept new requests."""
-        return [
-            endpoint
-            for endpoint in self.by_name.values()
-            if endpoint.record.service == service
-            and not endpoint.leaving
-            and not self.is_closed(endpoint)
-        ]
+        return list(self.index.usable[service].values())
 
     def is_closed(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's failure domain is evacuated."""
@@ -111,22 +108,29 @@
         """Return whether only closed endpoints could serve requests to a service."""
         if not self.closed_domains:
             return False
-        staying = [
-            endpoint
-            for endpoint in self.by_name.values()
-            if endpoint.record.service == service and not endpoint.leaving
-        ]
-        return bool(staying) and all(map(self.is_closed, staying))
+        if self.index.usable[service]:
+            return False
+        known = self.index.by_service[service].values()
+        return any(not endpoint.leaving for endpoint in known)
 
     def set_closed_domains(self, domains: frozenset[str]) -> None:
         """Set the failure domains that are evacuated."""
         opened = self.closed_domains - domains
+        changed = self.closed_domains ^ domains
         self.closed_domains = domains
+        for endpoint in self.by_name.values():
+            if endpoint.record.failure_domain in changed:
+                self.update_index(endpoint)
         for domain in sorted(opened):
             for listener in self.opening_listeners:
                 listener(domain)
         self.notify()
 
+    def update_index(self, endpoint: Endpoint) -> None:
+        """Index an endpoint as it is now, unless another one has its name."""
+        if self.by_name.get(endpoint.name) is endpoint:
+            self.index.set(endpoint, is_closed=self.is_closed(endpoint))
+
     def apply_list(self, changes: tuple[Change, ...]) -> None:
         """Apply the list of all entries; endpoints without an entry are missing."""
         self.list_received = True
@@ -212,6 +216,7 @@
         if endpoint is None or is_other_incarnation(endpoint, record):
             endpoint = self.add(record)
         endpoint.record = record
+        self.update_index(endpoint)
         if record.leaving:
             self.mark_leaving(endpoint, "its entry says that it is leaving")
         return endpoint
@@ -223,6 +228,7 @@
             old.replaced = identity_of(old.record) != identity_of(record)
             self.mark_leaving(old, "replaced by a new incarnation")
         endpoint = self.by_name[record.name] = Endpoint(record=record)
+        self.update_index(endpoint)
         self.events.emit(
             Event.ENDPOINT_SEEN,
             endpoint=record.name,
@@ -285,6 +291,7 @@
         if endpoint.leaving:
             return
         endpoint.leaving_since = time.monotonic()
+        self.update_index(endpoint)
         self.departures.add(endpoint.record, self.contact.era)
         self.events.emit(Event.ENDPOINT_LEAVING, endpoint=endpoint.name, reason=reason)
         asyncio.get_running_loop().call_later(LEAVING_EXPIRY_S, self.remove, endpoint)
@@ -311,6 +318,7 @@
         """Remove an endpoint unless a new incarnation has taken its name."""
         if self.by_name.get(endpoint.name) is endpoint:
             del self.by_name[endpoint.name]
+            self.index.remove(endpoint.name)
             self.notify()
 
 
--- a/src/baobabturn/gateway/evacuations.py
+++ b/src/baobabturn/gateway/evacuations.py
@@ -119,17 +119,15 @@
         self.program.events.emit(
             event,
             failure_domain=domain,
-            endpoints=sum(
-                each.record.failure_domain == domain
-                for each in self.endpoints.by_name.values()
-            ),
+            endpoints=self.endpoints.index.failure_domains[domain],
             generations=self.pools.generation_count({domain}),
         )
 
     def closed_known(self) -> frozenset[str]:
         """Return the closed failure domains that have endpoints."""
-        known = {each.record.failure_domain for each in self.endpoints.by_name.values()}
-        return self.endpoints.closed_domains & known
+        return (
+            self.endpoints.closed_domains & self.endpoints.index.failure_domains.keys()
+        )
 
     def generation_count(self) -> int:
         """Return how many generations run in closed failure domains."""
--- a/src/baobabturn/gateway/paths.py
+++ b/src/baobabturn/gateway/paths.py
@@ -123,7 +123,8 @@
 
     def forget_removed(self) -> None:
         """Forget endpoints that are gone, and judge the services anew."""
-        for name in self.paths.keys() - self.endpoints.by_name.keys():
+        known = self.endpoints.by_name
+        for name in [name for name in self.paths if name not in known]:
             del self.paths[name]
         for service in list(self.unreachable):
             self.update(service)
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -8,14 +8,15 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 
 import attrs
 
-from baobabturn.config.declared import Endpoint as DeclaredEndpoint
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.gateway.endpoints import Endpoint, Endpoints
+from baobabturn.gateway.poolrefresh import refresh_pool
+from baobabturn.gateway.remoteloads import RemoteLoads
 from baobabturn.gateway.request import CallerRequest, GenerationSize
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import EngineTraits, RouteKind, RouteTable
@@ -46,8 +47,8 @@
 
 MS_PER_S = 1000
 STRAGGLER_CHECK_INTERVAL_S = 0.2
-# Changes of endpoints within this time are applied to the pools together: each costs
-# time in proportion to all endpoints, and more of them change in a larger deployment.
+# Changes of endpoints within this time are applied to the pools together: each time
+# the waiting requests are looked at again, and more change in a larger deployment.
 REFRESH_DELAY_S = 0.02
 # The added cost of engines of other failure domains in a large fleet, where less is
 # known of their load; as a share of an engine's KV cache.
@@ -82,9 +83,10 @@
 
     ``reservations`` are this gateway's own, by name; ``peer_reservations`` holds for
     each near gateway the pool of each of its reservations, by name.
-    ``domain_loads`` holds the aggregated load on engines by the gateways of each
+    ``remote_loads`` holds the aggregated load on engines by the gateways of each
     failure domain whose single reservations aren't known.  ``origins`` holds the
-    origins of all streams that are known here.
+    origins of all streams that are known here.  ``preferred_own_domain`` is what
+    ``prefer_own_domain`` returned at the last refresh.
     """
 
     def __init__(
@@ -97,10 +99,11 @@
         self.traits: dict[str, EngineTraits] = {}
         self.reservations: dict[str, HeldReservation] = {}
         self.peer_reservations: dict[str, dict[str, str]] = {}
-        self.domain_loads: dict[str, list[EngineLoad]] = {}
+        self.remote_loads = RemoteLoads(pools=self.pools)
         self.counter = itertools.count(1)
         self.refresh_scheduled = False
         self.prefer_own_domain: Callable[[], bool] = lambda: False
+        self.preferred_own_domain = False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
         self.rate_limits: EndpointRateLimits = NoRateLimits()
@@ -120,6 +123,7 @@
             if route.kind is RouteKind.STREAM
         ]
         self.origins.lifetime_s = RESUME_MARGIN_S + 2 * max(timeouts, default=0.0)
+        self.endpoints.index.mark_all_changed()
         self.refresh_endpoints()
 
     def make_pool(self, name: str) -> PoolScheduler:
@@ -147,31 +151,27 @@
             pool.state.endpoints[endpoint.name].leaving = True
 
     def refresh_endpoints(self) -> None:
-        """Set the endpoints of every pool to those that are known now."""
+        """Apply the endpoints that have changed to the pools.
+
+        Where the fleet has become a large one, or none, all distances have changed.
+        """
         self.refresh_scheduled = False
+        if self.prefer_own_domain() != self.preferred_own_domain:
+            self.preferred_own_domain = self.prefer_own_domain()
+            self.endpoints.index.mark_all_changed()
+        changed = self.endpoints.index.take_changed()
         for name, pool in self.pools.items():
-            traits = self.traits[name]
-            endpoints = [
-                endpoint
-                for endpoint in self.endpoints.by_name.values()
-                if endpoint.record.service == name
-            ]
-            declared = [to_declared(endpoint, traits) for endpoint in endpoints]
-            leaving = {endpoint.name for endpoint in endpoints if endpoint.leaving}
-            closed = {
-                endpoint.name
-                for endpoint in endpoints
-                if self.endpoints.is_closed(endpoint)
-            }
-            pool.set_endpoints(declared, leaving, closed)
-            self.set_software_versions(pool)
-            self.set_distance_costs(pool)
+            current = refresh_pool(pool, self.endpoints, self.traits[name], changed)
+            self.set_software_versions(pool, current)
+            self.set_distance_costs(pool, current)
             self.refuse_closed(pool)
-        self.apply_remote_loads()
+            for endpoint in current:
+                self.remote_loads.apply(name, endpoint)
 
-    def set_software_versions(self, pool: PoolScheduler) -> None:
-        """Set the versions of a pool's engines, and grant what needs one of them."""
-        for name, state in pool.state.endpoints.items():
+    def set_software_versions(self, pool: PoolScheduler, names: Iterable[str]) -> None:
+        """Set the versions of some engines, and grant what needs one of them."""
+        for name in names:
+            state = pool.state.endpoints[name]
             state.software_version = self.software_version_of(name)
         pool.dispatch()
 
@@ -184,7 +184,7 @@
         """Return whether any engine of a service and version takes new requests."""
         return any(
             endpoint.record.software_version.key == software_version
-            for endpoint in self.endpoints.usable(service)
+            for endpoint in self.endpoints.index.usable[service].values()
         )
 
     def own_domain_load(self) -> list[EngineLoad]:
@@ -203,34 +203,21 @@
 
     def apply_domain_load(self, domain: str, loads: list[EngineLoad]) -> None:
         """Replace the aggregated load of another failure domain's gateways."""
-        self.domain_loads[domain] = loads
-        self.apply_remote_loads()
+        self.remote_loads.replace(domain, loads)
         for pool in self.pools.values():
             pool.schedule_dispatch()
 
-    def apply_remote_loads(self) -> None:
-        """Set each engine's remote load to the sum over the failure domains."""
-        for pool in self.pools.values():
-            for state in pool.state.endpoints.values():
-                state.remote_tokens = state.remote_requests = 0
-        for load in itertools.chain.from_iterable(self.domain_loads.values()):
-            known = self.pools.get(load.pool)
-            if known is not None and load.endpoint in known.state.endpoints:
-                state = known.state.endpoints[load.endpoint]
-                state.remote_tokens += load.tokens
-                state.remote_requests += load.requests
-
-    def set_distance_costs(self, pool: PoolScheduler) -> None:
-        """Set the added cost of engines of other failure domains."""
+    def set_distance_costs(self, pool: PoolScheduler, names: Iterable[str]) -> None:
+        """Set the added cost of some engines, if of other failure domains."""
         own = self.program.settings.host.failure_domain
         ratio = (
             OTHER_DOMAIN_COST_RATIO
             if self.prefer_own_domain()
             else OTHER_DOMAIN_TIE_RATIO
         )
-        for name, state in pool.state.endpoints.items():
+        for name in names:
             far = self.failure_domain_of(name) != own
-            state.distance_cost = ratio if far else 0.0
+            pool.state.endpoints[name].distance_cost = ratio if far else 0.0
 
     def learning_policies(self) -> Iterator[tuple[PoolScheduler, OverflowBoundPolicy]]:
         """Yield the pools whose policies learn from reservations, with them."""
@@ -241,9 +228,9 @@
     def slow_engine_count(self) -> int:
         """Return how many engines are slower than the median of their pool."""
         return sum(
-            policy.speeds.slowdown(name) > 1
+            slowdown > 1 and name in pool.state.endpoints
             for pool, policy in self.learning_policies()
-            for name in pool.state.endpoints
+            for name, slowdown in policy.speeds.slowdowns.items()
         )
 
     def urgent_reserve_tokens(self) -> float:
@@ -571,16 +558,3 @@
         else reservation.name
     )
     return stream_digest(reservation.workspace, name.split("/", 2)[-1])
-
-
-def to_declared(endpoint: Endpoint, traits: EngineTraits) -> DeclaredEndpoint:
-    """Return an engine in the form that the scheduler takes."""
-    record = endpoint.record
-    return DeclaredEndpoint(
-        name=record.name,
-        url=f"http://{record.address}",
-        failure_domain=record.failure_domain,
-        service=record.service,
-        memory_tokens=traits.kv_cache_tokens,
-        concurrency=traits.slots,
-    )
--- a/src/baobabturn/gateway/serviceversions.py
+++ b/src/baobabturn/gateway/serviceversions.py
@@ -27,6 +27,10 @@
                 version: at for version, at in seen_at.items() if at > limit
             }
 
+    def has(self, service: str, version: str) -> bool:
+        """Return whether a version can have begun a service's streams."""
+        return version in self.seen_at.get(service, ())
+
     def of(self, service: str) -> set[str]:
         """Return the versions that can have begun a service's streams."""
         return set(self.seen_at.get(service, ()))
--- a/src/baobabturn/gateway/versionrecords.py
+++ b/src/baobabturn/gateway/versionrecords.py
@@ -12,6 +12,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Iterable
 
 from baobabturn.core.results import Failure
 from baobabturn.gateway.endpoints import Endpoints
@@ -60,16 +61,23 @@
         self.written: VersionsRecord | None = None
         self.written_at = 0.0
         self.wake = asyncio.Event()
-        endpoints.change_listeners.append(self.observe)
+        endpoints.change_listeners.append(self.observe_new)
+
+    def observe_new(self) -> None:
+        """Record the versions that have become known; write new ones at once."""
+        self.observe_versions(self.endpoints.index.take_new_versions())
 
     def observe(self) -> None:
         """Record the versions of the engines that exist; write new ones at once."""
-        for endpoint in self.endpoints.by_name.values():
-            service = endpoint.record.service
+        for service, versions in self.endpoints.index.versions.items():
+            self.observe_versions((service, version) for version in versions)
+
+    def observe_versions(self, versions: Iterable[tuple[str, str]]) -> None:
+        """Record services and versions; write those that are new at once."""
+        for service, version in versions:
             if service not in self.pools.pools:
                 continue
-            version = endpoint.record.software_version.key
-            if version not in self.versions.of(service):
+            if not self.versions.has(service, version):
                 self.wake.set()
             self.versions.observe(service, version)
 
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -62,33 +62,50 @@
         self.owned_since = time.monotonic()
         self.settled = False
 
-    def set_endpoints(
+    def set_endpoints(self, endpoints: list[Endpoint], leaving: set[str]) -> None:
+        """Apply all declared endpoints, and the names of those that are leaving."""
+        declared = {endpoint.name for endpoint in endpoints}
+        removed = [name for name in self.state.endpoints if name not in declared]
+        self.update_endpoints(endpoints, removed, leaving=leaving)
+
+    def update_endpoints(
         self,
-        endpoints: list[Endpoint],
-        leaving: set[str],
+        changed: list[Endpoint],
+        removed: list[str],
+        *,
+        leaving: Collection[str] = (),
         closed: Collection[str] = (),
     ) -> None:
-        """Apply the declared endpoints and the names of those leaving and closed.
+        """Apply endpoints that were declared anew, and the names of removed ones.
+
+        ``leaving`` and ``closed`` name those of the changed ones that are so.
+        """
+        for name in removed:
+            self.state.endpoints.pop(name, None)
+        for endpoint in changed:
+            state = self.declared_state(endpoint)
+            state.leaving = endpoint.name in leaving or endpoint.role == DRAIN_ROLE
+            state.closed = endpoint.name in closed
+        self.dispatch()
+
+    def declared_state(self, endpoint: Endpoint) -> EndpointState:
+        """Return the state of a declared endpoint, as it is declared.
 
         An endpoint whose URL changed counts as a new one.
         """
         states = self.state.endpoints
-        declared = {endpoint.name: endpoint for endpoint in endpoints}
-        for name in [name for name in states if name not in declared]:
-            del states[name]
-        for name, endpoint in declared.items():
-            state = states.get(name)
-            if state is None or state.url != endpoint.url:
-                state = states[name] = EndpointState(
-                    name=name, url=endpoint.url, memory_tokens=endpoint.memory_tokens
-                )
-            state.memory_tokens = endpoint.memory_tokens
-            state.concurrency = endpoint.concurrency
-            state.models = endpoint.models
-            state.failure_domain = endpoint.failure_domain
-            state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
-            state.closed = name in closed
-        self.dispatch()
+        state = states.get(endpoint.name)
+        if state is None or state.url != endpoint.url:
+            state = states[endpoint.name] = EndpointState(
+                name=endpoint.name,
+                url=endpoint.url,
+                memory_tokens=endpoint.memory_tokens,
+            )
+        state.memory_tokens = endpoint.memory_tokens
+        state.concurrency = endpoint.concurrency
+        state.models = endpoint.models
+        state.failure_domain = endpoint.failure_domain
+        return state
 
     async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
         """Queue a request; return its grant, or why it is refused."""
