--- a/features/largepoolcase.py
+++ b/features/largepoolcase.py
@@ -10,10 +10,13 @@
 from baobabturn.gateway.mirror import StoreContact
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.pools import EnginePools
+from baobabturn.gateway.request import GenerationSize
 from baobabturn.gateway.routes import RouteTable, Service
 from baobabturn.gateway.versionrecords import VersionRecorder
 from baobabturn.placement.homes import DomainRegions
 from baobabturn.platform.documents import PlatformObjectCodec
+from baobabturn.wire.messages import Admit, Holding, Release
+from baobabturn.wire.words import FINISHED
 from features.fleetcase import SETTINGS
 from features.steps.gatewayparts import entry_change, traits
 
@@ -94,6 +97,62 @@
         """Return the scheduler of the pool."""
         return self.pools.pools[SERVICE]
 
+    def admission(self, tokens=500, prefixes=(), deadline_ms=1000):
+        """Return what the scheduler is asked for a new request."""
+        self.revision += 1
+        return Admit(
+            request=f"r{self.revision}",
+            reservation=f"r{self.revision}",
+            pool=SERVICE,
+            workspace="w",
+            model="m",
+            kind="k",
+            prompt_tokens=tokens,
+            max_tokens=500,
+            prefixes=list(prefixes),
+            deadline_ms=deadline_ms,
+        )
+
+    def request(self):
+        """Return a caller's new request."""
+        self.revision += 1
+        return types.SimpleNamespace(
+            request_id=f"r{self.revision}",
+            service=self.service,
+            generation_size=GenerationSize(
+                model="m", prompt_tokens=500, max_tokens=500
+            ),
+            priority=0,
+            workspace="w",
+            homes=None,
+            route=types.SimpleNamespace(name="k"),
+        )
+
+    async def admit(self):
+        """Admit a caller's request; return its reservation."""
+        return await self.pools.admit(
+            self.request(), queue_timeout_s=1.0, excluded=[], attempt=1
+        )
+
+    def hold(self, number, count):
+        """Let another gateway hold some reservations at an engine."""
+        for index in range(count):
+            holding = Holding(
+                reservation=f"p/{number}/{index}",
+                endpoint=f"e{number}",
+                workspace="w",
+                model="m",
+                kind="k",
+                prompt_tokens=500,
+                max_tokens=500,
+            )
+            self.pools.record_peer_reservation("p", SERVICE, holding)
+
+    def release(self, number, index=0):
+        """Let another gateway release one of its reservations at an engine."""
+        release = Release(reservation=f"p/{number}/{index}", outcome=FINISHED)
+        self.pools.release_peer_reservation("p", release)
+
     def change(self, number, state="ready", **fields):
         """Apply a new version of an engine's entry."""
         self.revision += 1
--- a/src/baobabturn/gateway/limitnews.py
+++ b/src/baobabturn/gateway/limitnews.py
@@ -93,6 +93,11 @@
             if self.limits.limited(endpoint) is not None:
                 self.demand.record(endpoint)
 
+    def limited_endpoints(self) -> set[str]:
+        """Return the endpoints that may have a limit, or be paused or brittle."""
+        limited = self.limits.schedules.keys() | self.paused_until.keys()
+        return limited | self.brittle.known.by_endpoint.keys()
+
     def reach(self) -> float:
         """Return the part of all gateways that this one hears, itself included.
 
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Container, Iterable, Iterator
+from collections.abc import Callable, Collection, Container, Iterable, Iterator
 
 import attrs
 
@@ -217,7 +217,7 @@
         )
         for name in names:
             far = self.failure_domain_of(name) != own
-            pool.state.endpoints[name].distance_cost = ratio if far else 0.0
+            pool.state.set_distance_cost(name, ratio if far else 0.0)
 
     def learning_policies(self) -> Iterator[tuple[PoolScheduler, OverflowBoundPolicy]]:
         """Yield the pools whose policies learn from reservations, with them."""
@@ -282,7 +282,7 @@
         homes = request.homes
         # A home region may have few engines.  With all tried, waiting is in vain,
         # while another gateway may reach one.
-        if homes is not None and set(self.usable_in(service, homes)) <= set(excluded):
+        if homes is not None and not self.has_untried(service, homes, excluded):
             reason = f"no engine of {service} is left in its home regions"
             return Failure(Code.NO_ENDPOINT, reason)
         refusal = self.limit_refusal(pool, queue_timeout_s, -request.priority, homes)
@@ -350,13 +350,15 @@
             if self.failure_domain_of(name) in domains
         )
 
-    def usable_in(self, service: str, homes: Homes) -> list[str]:
-        """Return a service's engines in some home regions that take new requests."""
-        return [
-            endpoint.name
-            for endpoint in self.endpoints.usable(service)
-            if self.regions.allows(homes, endpoint.record.failure_domain)
-        ]
+    def usable_in(self, service: str, homes: Homes) -> Iterator[str]:
+        """Yield a service's engines in some home regions that take new requests."""
+        for name, endpoint in self.endpoints.index.usable[service].items():
+            if self.regions.allows(homes, endpoint.record.failure_domain):
+                yield name
+
+    def has_untried(self, service: str, homes: Homes, tried: list[str]) -> bool:
+        """Return whether any engine in some home regions is left to be tried."""
+        return any(name not in tried for name in self.usable_in(service, homes))
 
     def home_refusal(
         self, request: CallerRequest, endpoint: Endpoint
@@ -383,7 +385,11 @@
         the same failure domains.
         """
         name = pool.state.name
-        usable = self.usable_in(name, homes)
+        limited = self.rate_limits.limited_endpoints()
+        if any(each not in limited for each in self.usable_in(name, homes)):
+            self.record_demand(name, homes, limited)
+            return None
+        usable = list(self.usable_in(name, homes))
         self.rate_limits.record_demand(usable)
         domains = [] if homes is None else self.regions.domains_of(homes)
         ahead = sum(
@@ -400,6 +406,18 @@
             retry_after_s=spread_retry_s(delay_s),
         )
 
+    def record_demand(
+        self, service: str, homes: Homes, limited: Collection[str]
+    ) -> None:
+        """Record a request that may go to some engines with a limit, or to others."""
+        usable = self.endpoints.index.usable[service]
+        self.rate_limits.record_demand(
+            name
+            for name in limited
+            if name in usable
+            and self.regions.allows(homes, usable[name].record.failure_domain)
+        )
+
     def reservation_name(self, request: CallerRequest) -> str:
         """Return a new name for a reservation."""
         return f"{self.program.identity.node}/{next(self.counter)}/{request.request_id}"
--- a/src/baobabturn/placement/enginespeed.py
+++ b/src/baobabturn/placement/enginespeed.py
@@ -25,6 +25,8 @@
 # Prefill and decode times count as at most this much.  First tokens tell of the last
 # moments, but little time; the ends of long generations tell of much time, but late.
 MAX_EVIDENCE_S = 1.0
+# Less work than this is what has decayed of that of an idle engine.
+FORGOTTEN_UNITS = 1.0
 # Engines whose times differ from the median by a smaller ratio count as alike.
 ALIKE_RATIO = 1.2
 MAX_SLOWDOWN = 4.0
@@ -93,6 +95,14 @@
         """Return what was seen of an engine."""
         return self.times.setdefault(name, EngineTimes())
 
+    def has_learned(self, name: str) -> bool:
+        """Return whether the times of an engine are still compared with others."""
+        times = self.times.get(name)
+        return times is not None and (
+            times.prefill.units > FORGOTTEN_UNITS
+            or times.decode.units > FORGOTTEN_UNITS
+        )
+
     def slowdown(self, name: str) -> float:
         """Return an engine's time for the same work relative to the median."""
         return self.slowdowns.get(name, 1.0)
@@ -169,6 +179,5 @@
 
 def median_unit_s(works: list[TimedWork]) -> float:
     """Return the median of the seconds for each unit of work, 0 without any."""
-    # Less than this is what has decayed of the work of an idle engine.
-    seen = [work.seconds / work.units for work in works if work.units > 1]
+    seen = [work.seconds / work.units for work in works if work.units > FORGOTTEN_UNITS]
     return statistics.median(seen) if seen else 0.0
--- a/src/baobabturn/placement/urgentreserve.py
+++ b/src/baobabturn/placement/urgentreserve.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from collections import deque
 
@@ -24,6 +25,11 @@
 # The reserve of an engine without a room, as a share of the largest reserve.
 FLOOR_RATIO = 0.25
 SIZE_SMOOTHING_RATIO = 0.05
+# The reserve of a large pool is spread over its engines this often: that costs time for
+# all of them, 5 ms with 3,000.
+SPREAD_INTERVAL_S = 1.0
+# Names of engines whose place in the order is kept.
+MAX_KEPT_RANKS = 8192
 
 
 class PriorityMix:
@@ -89,6 +95,7 @@
         self.seen_since: float | None = None
         self.request_tokens = 0.0
         self.ratios: dict[str, float] = {}
+        self.spread_at = -math.inf
 
     def ratio(self, name: str) -> float:
         """Return the reserved share of an engine's memory and batch."""
@@ -102,11 +109,12 @@
         self.request_tokens += SIZE_SMOOTHING_RATIO * difference
 
     def update(
-        self, needed_tokens: float, memory_tokens: dict[str, int], now: float
+        self, needed_tokens: float, memory_tokens: dict[str, int] | None, now: float
     ) -> None:
         """Set the reserve, given the need of urgent work now and the engines' memory.
 
-        ``needed_tokens`` are those that it uses and those that it waits for.
+        ``needed_tokens`` are those that it uses and those that it waits for.  Without
+        ``memory_tokens`` the need alone is recorded.
         """
         if self.seen_since is None:
             self.seen_since = now
@@ -115,9 +123,16 @@
         self.peaks.append((now, needed_tokens))
         while self.peaks[0][0] < now - PEAK_WINDOW_S:
             self.peaks.popleft()
+        if memory_tokens is None:
+            return
+        self.spread_at = now
         if now - self.seen_since >= PEAK_WINDOW_S and self.max_ratio:
             self.ratios = self.spread(self.peaks[0][1], memory_tokens)
 
+    def is_old(self, now: float) -> bool:
+        """Return whether the reserve of a large pool is to be spread anew."""
+        return now - self.spread_at >= SPREAD_INTERVAL_S
+
     def spread(self, tokens: float, memory_tokens: dict[str, int]) -> dict[str, float]:
         """Return each engine's reserved share, for rooms of some tokens in all."""
         room_tokens = max(1.0, self.request_tokens)
@@ -133,6 +148,7 @@
         return ratios
 
 
+@functools.lru_cache(maxsize=MAX_KEPT_RANKS)
 def rank(name: str) -> bytes:
     """Return a key that puts engines in the same order at all gateways."""
     return xxhash.xxh3_64_digest(name.encode())
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -14,10 +14,18 @@
 import operator
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from baobabturn.placement.enginespeed import EngineSpeeds
 from baobabturn.placement.urgentreserve import PriorityMix, UrgentReserve
+from baobabturn.scheduler.candidates import Candidates, is_constrained, is_small
+from baobabturn.scheduler.enginesinuse import EnginesInUse
+from baobabturn.scheduler.enginework import (
+    awaited_first_tokens,
+    memory_tokens_by_name,
+    tokens_to_prefill,
+    urgent_tokens,
+)
 from baobabturn.scheduler.fairness import FairShares
 from baobabturn.scheduler.flows import Flows, Rank
 from baobabturn.scheduler.learned import merge_lengths, pack_lengths
@@ -82,6 +90,8 @@
         self.classified_at = 0.0
         self.hedge_budget = MAX_HEDGE_BUDGET
         self.random = random.Random(seed)
+        self.candidates = Candidates(source=self.random)
+        self.in_use = EnginesInUse()
 
     @property
     def saturated(self) -> bool:
@@ -175,24 +185,37 @@
         excludes endpoints, or needs a software version or some failure domains,
         doesn't mark its class as full, since others may fit the other endpoints.
         """
-        admit = waiting.admit
+        for endpoints in self.candidates.groups(pool, waiting, now):
+            ranked = self.ranked(pool, endpoints, waiting, now)
+            for index, (_, uncached_tokens, endpoint) in enumerate(ranked):
+                if self.has_capacity(endpoint, waiting, uncached_tokens):
+                    cheapest = [each for _, _, each in ranked[index:]]
+                    self.candidates.record_choice(pool, waiting.admit, cheapest)
+                    return endpoint
+        if not is_constrained(waiting.admit):
+            self.full_classes.add(waiting.urgent)
+            if waiting.urgent:
+                self.full_classes.add(False)
+        return None
+
+    def ranked(
+        self,
+        pool: PoolState,
+        endpoints: Iterable[EndpointState],
+        waiting: WaitingRequest,
+        now: float,
+    ) -> list[tuple[float, int, EndpointState]]:
+        """Return those of some endpoints that may get a request, the cheapest first."""
         own_tokens = max((mean for mean, _ in waiting.growth_terms), default=0.0)
-        candidates = []
-        for endpoint in pool.available_endpoints(admit):
+        ranked = []
+        for endpoint in pool.available_endpoints(waiting.admit, endpoints):
             if self.accepts_requests(endpoint, now):
                 uncached_tokens = self.uncached_tokens(endpoint, waiting, now)
                 cost = self.placement_cost(endpoint, uncached_tokens, own_tokens)
                 cost += self.cost_jitter()
-                candidates.append((cost, uncached_tokens, endpoint))
-        candidates.sort(key=CANDIDATE_COST)
-        for _, uncached_tokens, endpoint in candidates:
-            if self.has_capacity(endpoint, waiting, uncached_tokens):
-                return endpoint
-        if not (admit.excluded or admit.software_version or admit.failure_domains):
-            self.full_classes.add(waiting.urgent)
-            if waiting.urgent:
-                self.full_classes.add(False)
-        return None
+                ranked.append((cost, uncached_tokens, endpoint))
+        ranked.sort(key=CANDIDATE_COST)
+        return ranked
 
     def cost_jitter(self) -> float:
         """Return a random addition to a cost.
@@ -323,6 +346,7 @@
         if not reservation.first_token_seen:
             reservation.prefill_ahead_tokens = endpoint.prefill_tokens
             endpoint.count_prefill(reservation, 1)
+        self.in_use.add(endpoint.name)
         self.stragglers.record_grant(endpoint.name, now)
         self.refusals.record_grant(endpoint.name, now)
         expected_output = reservation.length_distribution.expected_length(
@@ -453,6 +477,7 @@
         self.refusals.record_outcome(endpoint.name, outcome, reservation.produced, now)
         self.add_growth(endpoint, reservation, -1.0)
         endpoint.normal_count -= not reservation.urgent
+        self.candidates.remember(endpoint.name)
         if not reservation.first_token_seen:
             endpoint.count_prefill(reservation, -1)
 
@@ -461,24 +486,21 @@
         if now - self.classified_at < CLASSIFY_INTERVAL_S:
             return []
         self.classified_at = now
+        engines = self.in_use.classified(pool, self.stragglers, self.speeds)
         batch_and_silence = {
             endpoint.name: (endpoint.in_flight, self.total_silence_s(endpoint, now))
-            for endpoint in pool.endpoints.values()
+            for endpoint in engines
         }
         self.stragglers.classify(batch_and_silence, now)
         awaited = {
-            endpoint.name: awaited_first_tokens(endpoint, now)
-            for endpoint in pool.endpoints.values()
+            endpoint.name: awaited_first_tokens(endpoint, now) for endpoint in engines
         }
         self.speeds.update(awaited, now)
-        memory_tokens = {
-            endpoint.name: endpoint.memory_tokens
-            for endpoint in pool.endpoints.values()
-            if endpoint.takes_new_requests
-        }
-        self.reserve.update(urgent_tokens(pool), memory_tokens, now)
+        is_spread = is_small(pool) or self.reserve.is_old(now)
+        memory_tokens = memory_tokens_by_name(pool) if is_spread else None
+        self.reserve.update(urgent_tokens(engines, pool), memory_tokens, now)
         to_hedge = []
-        for endpoint in pool.endpoints.values():
+        for endpoint in engines:
             self.adapt_batch_limit(endpoint)
             for reservation in endpoint.reservations.values():
                 if self.hedge_budget >= 1 and self.worth_hedging(reservation, now):
@@ -555,32 +577,3 @@
         else:
             limit += BATCH_SIZE_INCREMENT
         endpoint.batch_limit = min(settings.batch_limit, max(MIN_BATCH_SIZE, limit))
-
-
-def urgent_tokens(pool: PoolState) -> int:
-    """Return the tokens that urgent requests use at all endpoints, or wait for."""
-    used = sum(
-        reservation.memory_tokens
-        for endpoint in pool.endpoints.values()
-        for reservation in endpoint.reservations.values()
-        if reservation.urgent
-    )
-    return used + sum(
-        waiting.admit.prompt_tokens for waiting in pool.queue.values() if waiting.urgent
-    )
-
-
-def tokens_to_prefill(reservation: Reservation) -> int:
-    """Return the tokens to prefill before a reservation's first token."""
-    return reservation.prefill_ahead_tokens + reservation.uncached_tokens
-
-
-def awaited_first_tokens(
-    endpoint: EndpointState, now: float
-) -> list[tuple[int, float]]:
-    """Return the tokens to prefill and the age of each awaited first token."""
-    return [
-        (tokens_to_prefill(reservation), now - reservation.granted_at)
-        for reservation in endpoint.reservations.values()
-        if not reservation.first_token_seen
-    ]
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -11,6 +11,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.scheduler.candidates import WHOLE_POOL_INTERVAL_S, is_small
 from baobabturn.scheduler.fairness import WorkspaceLimits
 from baobabturn.scheduler.policy import Policy
 from baobabturn.scheduler.state import (
@@ -57,6 +58,7 @@
         self.limits = WorkspaceLimits()
         self.dispatch_scheduled = False
         self.limited_dispatch: asyncio.TimerHandle | None = None
+        self.whole_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.owned_since = time.monotonic()
@@ -81,7 +83,7 @@
         ``leaving`` and ``closed`` name those of the changed ones that are so.
         """
         for name in removed:
-            self.state.endpoints.pop(name, None)
+            self.state.remove(name)
         for endpoint in changed:
             state = self.declared_state(endpoint)
             state.leaving = endpoint.name in leaving or endpoint.role == DRAIN_ROLE
@@ -93,14 +95,14 @@
 
         An endpoint whose URL changed counts as a new one.
         """
-        states = self.state.endpoints
-        state = states.get(endpoint.name)
+        state = self.state.endpoints.get(endpoint.name)
         if state is None or state.url != endpoint.url:
-            state = states[endpoint.name] = EndpointState(
+            state = EndpointState(
                 name=endpoint.name,
                 url=endpoint.url,
                 memory_tokens=endpoint.memory_tokens,
             )
+            self.state.add(state)
         state.memory_tokens = endpoint.memory_tokens
         state.concurrency = endpoint.concurrency
         state.models = endpoint.models
@@ -189,6 +191,16 @@
                 self.state.rate_limits.book(endpoint.name)
                 self.grant(waiting, endpoint, now)
         self.schedule_limited_dispatch()
+        self.schedule_whole_dispatch()
+
+    def schedule_whole_dispatch(self) -> None:
+        """Dispatch again when a large pool may be examined as a whole again."""
+        if self.whole_dispatch is not None:
+            self.whole_dispatch.cancel()
+            self.whole_dispatch = None
+        if self.state.queue and not is_small(self.state):
+            loop = asyncio.get_running_loop()
+            self.whole_dispatch = loop.call_later(WHOLE_POOL_INTERVAL_S, self.dispatch)
 
     def schedule_limited_dispatch(self) -> None:
         """Dispatch again as soon as the limit of an endpoint permits a request.
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any, Protocol
 
 import attrs
 
 from baobabturn.scheduler.affinity import CachedBlocks
 from baobabturn.scheduler.overflow import KVCacheGrowth
+from baobabturn.scheduler.sampledset import SampledSet
 from baobabturn.wire.messages import Admit, EndpointReport
 
 MAX_CACHED_BLOCKS = 4096
@@ -168,7 +169,8 @@
 
     ``future`` gets its ``Grant`` or ``Failure``; ``arrived_at`` and ``deadline`` are
     monotonic seconds.  ``initial_finish_chance`` is the chance at arrival to finish
-    in time.
+    in time.  ``whole_pool_at`` is when a large pool was last examined as a whole for
+    it, 0 for never.
     """
 
     admit: Admit
@@ -181,6 +183,7 @@
     short: bool = False
     urgent: bool = False
     initial_finish_chance: float = 1.0
+    whole_pool_at: float = 0.0
     growth_terms: list[tuple[float, float]] = attrs.Factory(list)
 
 
@@ -199,6 +202,9 @@
     def record_demand(self, endpoints: Iterable[str]) -> None:
         """Record a request that may go to any of some endpoints."""
 
+    def limited_endpoints(self) -> Collection[str]:
+        """Return the endpoints that may have a limit; no other has one."""
+
 
 class NoRateLimits:
     """The limits of endpoints that name none."""
@@ -217,6 +223,10 @@
     def record_demand(self, endpoints: Iterable[str]) -> None:
         """Do nothing."""
 
+    def limited_endpoints(self) -> Collection[str]:
+        """Return none."""
+        return ()
+
 
 @attrs.define(kw_only=True)
 class PoolState:
@@ -224,29 +234,58 @@
 
     Queued requests are keyed by the name of their future reservation.
     ``rate_limits`` holds the limits on their rate of requests that endpoints name.
+    ``names`` are those of all endpoints, ``near`` those of the own failure domain where
+    others cost more.
     """
 
     name: str
     endpoints: dict[str, EndpointState] = attrs.Factory(dict)
+    names: SampledSet = attrs.Factory(SampledSet)
+    near: SampledSet = attrs.Factory(SampledSet)
     queue: dict[str, WaitingRequest] = attrs.Factory(dict)
     rate_limits: EndpointRateLimits = attrs.Factory(NoRateLimits)
 
+    def add(self, endpoint: EndpointState) -> None:
+        """Add an endpoint, which replaces one of its name."""
+        self.endpoints[endpoint.name] = endpoint
+        self.names.add(endpoint.name)
+
+    def remove(self, name: str) -> None:
+        """Remove an endpoint, if it is there."""
+        self.endpoints.pop(name, None)
+        self.names.discard(name)
+        self.near.discard(name)
+
+    def set_distance_cost(self, name: str, cost: float) -> None:
+        """Set the added cost of an endpoint, 0 in the own failure domain."""
+        self.endpoints[name].distance_cost = cost
+        if cost:
+            self.near.discard(name)
+        else:
+            self.near.add(name)
+
     def limit_delay_s(self) -> float:
         """Return the shortest time until an endpoint's limit permits a request.
 
         It is 0 if no endpoint is at its limit.
         """
-        delays = [self.rate_limits.delay_s(name) for name in self.endpoints]
+        delays = [
+            self.rate_limits.delay_s(name)
+            for name in self.rate_limits.limited_endpoints()
+            if name in self.endpoints
+        ]
         return min((delay_s for delay_s in delays if delay_s), default=0.0)
 
-    def available_endpoints(self, admit: Admit) -> list[EndpointState]:
-        """Return the endpoints that may get a request now.
+    def available_endpoints(
+        self, admit: Admit, endpoints: Iterable[EndpointState] | None = None
+    ) -> list[EndpointState]:
+        """Return those of some endpoints, or of all, that may get a request now.
 
         Those aren't leaving, closed, excluded, unreachable, at a limit, or of another
         software version or failure domain than the request needs.
         """
         available = []
-        for endpoint in self.endpoints.values():
+        for endpoint in self.endpoints.values() if endpoints is None else endpoints:
             if endpoint.closed or not allows(admit, endpoint):
                 continue
             report = endpoint.report
@@ -259,8 +298,14 @@
 
     def only_closed_could_serve(self, admit: Admit) -> bool:
         """Return whether no endpoint but closed ones could serve a request."""
-        candidates = [each for each in self.endpoints.values() if allows(admit, each)]
-        return bool(candidates) and all(each.closed for each in candidates)
+        is_any_closed = False
+        for endpoint in self.endpoints.values():
+            if not allows(admit, endpoint):
+                continue
+            if not endpoint.closed:
+                return False
+            is_any_closed = True
+        return is_any_closed
 
 
 def allows(admit: Admit, endpoint: EndpointState) -> bool:
--- a/src/baobabturn/scheduler/stragglers.py
+++ b/src/baobabturn/scheduler/stragglers.py
@@ -21,6 +21,8 @@
 # Shorter silences are ordinary.
 SILENCE_THRESHOLD_S = 0.35
 MIN_SAMPLE_WEIGHT = 2.0
+# Measurements that have decayed to less say nothing.
+FORGOTTEN_WEIGHT = 0.05
 # A straggler recovers below this ratio of a threshold that classified it.
 RECOVERY_RATIO = 0.7
 
@@ -81,6 +83,18 @@
             stats = self.stats_by_endpoint[name] = TokenGapStats()
         return stats
 
+    def has_learned(self, name: str) -> bool:
+        """Return whether the measurements of an endpoint still say something."""
+        gap_stats = self.stats_by_endpoint.get(name)
+        if gap_stats is None:
+            return False
+        is_known = max(gap_stats.sample_weight, gap_stats.tokens) > FORGOTTEN_WEIGHT
+        return gap_stats.is_straggler or is_known
+
+    def forget(self, name: str) -> None:
+        """Forget an endpoint."""
+        self.stats_by_endpoint.pop(name, None)
+
     def record_tokens(self, name: str, tokens: int, seconds: float, now: float) -> None:
         """Record that a generation got tokens within some seconds."""
         gap_stats = self.gap_stats(name)
