--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -12,6 +12,7 @@
 from baobabturn.core.events import Event
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
+from baobabturn.scheduler.candidates import WHOLE_POOL_INTERVAL_S, is_small
 from baobabturn.scheduler.dispatchspread import DispatchSpread
 from baobabturn.scheduler.fairness import WorkspaceLimits
 from baobabturn.scheduler.policy import Policy
@@ -60,41 +61,56 @@
         self.dispatch_scheduled = False
         self.dispatch_spread = DispatchSpread(rng=random.Random())
         self.limited_dispatch: asyncio.TimerHandle | None = None
+        self.whole_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.owned_since = time.monotonic()
         self.settled = False
 
-    def set_endpoints(
+    def set_endpoints(self, endpoints: list[Endpoint], leaving: set[str]) -> None:
+        """Apply all declared endpoints, and the names of those that are leaving."""
+        declared = {endpoint.name for endpoint in endpoints}
+        removed = [name for name in self.state.endpoints if name not in declared]
+        self.update_endpoints(endpoints, removed, leaving=leaving)
+
+    def update_endpoints(
         self,
-        endpoints: list[Endpoint],
-        leaving: set[str],
+        changed: list[Endpoint],
+        removed: list[str],
+        *,
+        leaving: Collection[str] = (),
         closed: Collection[str] = (),
     ) -> None:
-        """Apply the declared endpoints and the names of those leaving and closed.
+        """Apply endpoints that were declared anew, and the names of removed ones.
+
+        ``leaving`` and ``closed`` name those of the changed ones that are so.
+        """
+        for name in removed:
+            self.state.remove(name)
+        for endpoint in changed:
+            state = self.declared_state(endpoint)
+            state.leaving = endpoint.name in leaving or endpoint.role == DRAIN_ROLE
+            state.closed = endpoint.name in closed
+        self.dispatch()
+
+    def declared_state(self, endpoint: Endpoint) -> EndpointState:
+        """Return the state of a declared endpoint, as it is declared.
 
         An endpoint whose URL changed counts as a new one.
         """
-        states = self.state.endpoints
-        declared = {endpoint.name: endpoint for endpoint in endpoints}
-        for name in [name for name in states if name not in declared]:
-            del states[name]
-        for name, endpoint in declared.items():
-            state = states.get(name)
-            if state is None or state.url != endpoint.url:
-                state = states[name] = EndpointState(
-                    name=name, url=endpoint.url, memory_tokens=endpoint.memory_tokens
-                )
-            state.memory_tokens = endpoint.memory_tokens
-            state.concurrency = endpoint.concurrency
-            state.models = endpoint.models
-            state.failure_domain = endpoint.failure_domain
-            state.leaving = name in leaving or endpoint.role == DRAIN_ROLE
-            state.closed = name in closed
-        if self.dispatch_spread.others():
-            self.schedule_dispatch()
-        else:
-            self.dispatch()
+        state = self.state.endpoints.get(endpoint.name)
+        if state is None or state.url != endpoint.url:
+            state = EndpointState(
+                name=endpoint.name,
+                url=endpoint.url,
+                memory_tokens=endpoint.memory_tokens,
+            )
+            self.state.add(state)
+        state.memory_tokens = endpoint.memory_tokens
+        state.concurrency = endpoint.concurrency
+        state.models = endpoint.models
+        state.failure_domain = endpoint.failure_domain
+        return state
 
     async def admit(self, holder: Any, body: Admit) -> Grant | Failure:
         """Queue a request; return its grant, or why it is refused."""
@@ -187,6 +203,16 @@
                 self.state.rate_limits.book(endpoint.name)
                 self.grant(waiting, endpoint, now)
         self.schedule_limited_dispatch()
+        self.schedule_whole_dispatch()
+
+    def schedule_whole_dispatch(self) -> None:
+        """Dispatch again when a large pool may be examined as a whole again."""
+        if self.whole_dispatch is not None:
+            self.whole_dispatch.cancel()
+            self.whole_dispatch = None
+        if self.state.queue and not is_small(self.state):
+            loop = asyncio.get_running_loop()
+            self.whole_dispatch = loop.call_later(WHOLE_POOL_INTERVAL_S, self.dispatch)
 
     def schedule_limited_dispatch(self) -> None:
         """Dispatch again as soon as the limit of an endpoint permits a request.
