--- a/src/baobabturn/wire/bodies.py
+++ b/src/baobabturn/wire/bodies.py
@@ -13,6 +13,7 @@
     PathAsk,
     PathOpinion,
     PeerSilent,
+    ReservationAsk,
     ReservationNews,
     ReservationReceipt,
     StoreAsk,
@@ -90,4 +91,5 @@
     BrittleNews,
     ReservationNews,
     ReservationReceipt,
+    ReservationAsk,
 )
--- a/src/baobabturn/wire/gatewaymessages.py
+++ b/src/baobabturn/wire/gatewaymessages.py
@@ -20,7 +20,11 @@
     services whose endpoints it can't connect to.  ``forwards`` says that it takes
     ``ReservationNews`` and sends them on within its failure domain.  ``capacity`` is in
     thousandths of a core and ``load`` in thousandths of the capacity, each 0 if it
-    isn't told.
+    isn't told.  ``compares`` says that it takes summaries.  In a ``summary`` ``digest``
+    is that of all reservations, ``changed`` the number of the last message with changes
+    before it, ``changed_ms`` the time since then, at most 1000, and ``produced`` the
+    tokens of each reservation in the order of their names; the failure domain and the
+    addresses, which a process never changes, are left out.
     """
 
     node: str = ""
@@ -38,6 +42,12 @@
     forwards: bool = False
     capacity: int = 0
     load: int = 0
+    compares: bool = False
+    summary: bool = False
+    digest: int = 0
+    changed: int = 0
+    changed_ms: int = 0
+    produced: list[int] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -78,6 +88,13 @@
     sequences: list[int] = attrs.Factory(list)
 
 
+@attrs.define(kw_only=True, slots=True)
+class ReservationAsk:
+    """Asks for a full ``GatewayState``: ``node`` knows other than a summary says."""
+
+    node: str = ""
+
+
 @attrs.define(kw_only=True, slots=True)
 class PeerSilent:
     """Reports that a gateway sent no heartbeat to ``node``, one of its monitors."""
--- a/src/baobabturn/wire/schema.capnp
+++ b/src/baobabturn/wire/schema.capnp
@@ -52,6 +52,7 @@
     brittleNews @43 :BrittleNews;
     reservationNews @44 :ReservationNews;
     reservationReceipt @45 :ReservationReceipt;
+    reservationAsk @46 :ReservationAsk;
   }
 }
 
@@ -326,6 +327,13 @@
   forwards @13 :Bool;      # whether it takes and forwards ReservationNews
   capacity @14 :UInt32;    # in thousandths of a core, 0 from gateways that don't tell it
   load @15 :UInt32;        # in thousandths of the capacity, 0 for not told
+  compares @16 :Bool;      # whether it takes summaries and sends ReservationAsk
+  summary @17 :Bool;       # whether the fields from `digest` on are set, and those that
+                           # a process never changes (failureDomain, callers, relay) not
+  digest @18 :UInt64;      # of all its reservations
+  changed @19 :UInt64;     # number of the last message with changes before
+  changedMs @20 :UInt16;   # time since that message, at most 1000
+  produced @21 :List(UInt32);  # tokens of its reservations, in the order of their names
 }
 
 # Changes of reservations, for the failure domain of the receiver.
@@ -354,6 +362,11 @@
   sequences @2 :List(UInt64);
 }
 
+# Asks for a full GatewayState, as a summary differs from what `node` knows.
+struct ReservationAsk {
+  node @0 :Text;
+}
+
 # Reports a gateway that `node`, one of its monitors, hears nothing of.
 struct PeerSilent {
   node @0 :Text;
