--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -92,6 +92,7 @@
     GATEWAY_SEEN = "gateway-seen"
     GATEWAY_SILENT = "gateway-silent"
     FORWARDER_AVOIDED = "forwarder-avoided"
+    RESERVATIONS_DIFFER = "reservations-differ"
     HOMES_UNUSABLE = "homes-unusable"
     CALLERS_PLACED = "callers-placed"
     PROCESS_LATE = "process-late"
@@ -255,6 +256,10 @@
         "A gateway that forwards changes of reservations in its failure domain hasn't"
         " confirmed some in time; another one got all reservations and is used instead."
     ),
+    Event.RESERVATIONS_DIFFER: (
+        "What is known here of another gateway's reservations differs from its summary"
+        " number `sequence`; it was asked for all of them."
+    ),
     Event.GATEWAY_SILENT: (
         "Another gateway has been silent for `gateway.silent_s`; `reported_by` names"
         " the one that noticed, if it wasn't this one."
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -57,6 +57,7 @@
     "quarantines": "Quarantines of parts of prompts that crash engines.",
     "queue_time_us": "Time from a request's arrival to its reservation, by kind.",
     "reports_read": "Engine reports read directly while the store did not respond.",
+    "reservation_summaries": "Summaries of other gateways' reservations, by step.",
     "requests_waiting": "Requests in the queues of the owned pools.",
     "slow_engines": "Engines that take over 1.2 times as long as their pool's median.",
     "time_between_tokens_us": "Time from one token of a generation to the next.",
--- a/src/baobabturn/gateway/peer.py
+++ b/src/baobabturn/gateway/peer.py
@@ -40,9 +40,10 @@
     says that this gateway has sent it its own state.  ``relay`` is where it takes
     requests that other gateways pass on, ``unreachable`` names the services that it
     can't reach.  ``forwards`` says that it sends changes of reservations on within its
-    failure domain, ``reservation_order`` orders those of its own.  ``capacity`` is in
-    thousandths of a core and ``load`` in thousandths of the capacity, 0 from a gateway
-    that doesn't tell them.
+    failure domain, ``compares`` that it takes summaries in place of full states, and
+    ``reservation_order`` orders the changes of its own.  ``capacity`` is in thousandths
+    of a core and ``load`` in thousandths of the capacity, 0 from a gateway that doesn't
+    tell them.
     """
 
     name: str
@@ -62,6 +63,7 @@
     relay: str = ""
     unreachable: frozenset[str] = frozenset()
     forwards: bool = False
+    compares: bool = False
     reservation_order: ReservationOrder = attrs.Factory(ReservationOrder)
     capacity: int = 0
     load: int = 0
--- a/src/baobabturn/gateway/peers.py
+++ b/src/baobabturn/gateway/peers.py
@@ -41,8 +41,9 @@
 # Heartbeat intervals vary by this share, so that gateways don't all send at once.
 HEARTBEAT_JITTER_RATIO = 0.1
 MS_PER_S = 1000
-# Labels of the metrics on datagrams: a message with a whole state, and where it goes.
-FULL_SUFFIX = "Full"
+# Labels of the metrics on datagrams: a message with a whole state or a summary of it,
+# and where it goes.
+SUFFIXES = {"full": "Full", "summary": "Summary"}
 OWN_DOMAIN, OTHER_DOMAINS = "own", "other"
 
 log = logging.getLogger("baobabturn.gateway.peers")
@@ -225,7 +226,7 @@
             self.reservations.retain_peer_reservations(peer.name, set())
             peer.reservation_order.begin(state.incarnation)
             self.program.events.emit(
-                Event.GATEWAY_SEEN, gateway=peer.name, address=state.callers
+                Event.GATEWAY_SEEN, gateway=peer.name, address=peer.callers
             )
         if self.table.is_near(peer) and (returned or not peer.introduced):
             self.introduce([peer])
@@ -240,12 +241,13 @@
         peer.silent = False
         peer.silent_since = NEVER
         peer.address = address
-        peer.callers = state.callers
-        peer.failure_domain = state.failure_domain
         peer.serving = state.serving
-        peer.relay = state.relay
+        if not state.summary:
+            peer.callers = state.callers
+            peer.failure_domain = state.failure_domain
+            peer.relay = state.relay
         peer.unreachable = frozenset(state.unreachable)
-        peer.forwards = state.forwards
+        peer.forwards, peer.compares = state.forwards, state.compares
         peer.capacity, peer.load = state.capacity, state.load
         if state.next_ms:
             peer.heartbeat_interval_s = state.next_ms / MS_PER_S
@@ -283,8 +285,10 @@
             asyncio.get_running_loop().call_later(CHANGE_BATCH_S, self.flush)
 
     def flush(self) -> None:
-        """Send the pending changes of reservations to the near gateways."""
+        """Send the pending changes of reservations to the near gateways, if any."""
         self.flush_scheduled = False
+        if not (self.pending_reservations or self.pending_releases):
+            return
         added, ended = self.pending_reservations, self.pending_releases
         self.pending_reservations, self.pending_releases = {}, []
         by_pool: dict[str, list[Holding]] = {}
@@ -318,6 +322,7 @@
             relay=self.record.relay,
             unreachable=sorted(self.unreachable()),
             forwards=True,
+            compares=True,
             capacity=self.own_load.capacity,
             load=self.own_load.reported(),
         )
@@ -341,8 +346,9 @@
         own_domain = self.record.failure_domain
         own_count = sum(peer.failure_domain == own_domain for peer in peers)
         kind = body_name(type(message))
-        if getattr(message, "full", False):
-            kind += FULL_SUFFIX
+        for field, suffix in SUFFIXES.items():
+            if getattr(message, field, False):
+                kind += suffix
         counts = {OWN_DOMAIN: own_count, OTHER_DOMAINS: len(peers) - own_count}
         for domain, count in counts.items():
             if count:
@@ -354,8 +360,9 @@
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the monitors and to those whose turn it is.
 
-        Those whose turn it is, monitors among them, get the whole state.  A gateway
-        that is no monitor any more is told so, as it would take this one for silent.
+        Those whose turn it is, monitors among them, get the whole state or a summary of
+        it.  A gateway that is no monitor any more is told so, as it would take this one
+        for silent.
         """
         self.own_load.measure()
         interval_s = self.table.settings.heartbeat_s
@@ -365,15 +372,14 @@
             self.send_message(state, monitors)
         else:
             due = self.table.next_of_round()
-            for full in (False, True):
-                receivers = [peer for peer in monitors if (peer in due) == full]
-                if receivers:
-                    state = self.make_state(full=full, interval_s=interval_s)
-                    self.send_message(state, receivers)
+            not_due = [peer for peer in monitors if peer not in due]
+            state = self.make_state(full=False, interval_s=interval_s)
+            self.send_message(state, not_due)
+            monitors_due = [peer for peer in monitors if peer in due]
+            self.exchange.summaries.send_whole(monitors_due, interval_s)
             others = due + self.last_monitors
             others = [peer for peer in others if peer not in monitors]
-            state = self.make_state(full=True, interval_s=ROUND_S)
-            self.send_message(state, others)
+            self.exchange.summaries.send_whole(others, ROUND_S)
         self.last_monitors = monitors
 
     async def run_heartbeats(self) -> None:
--- a/src/baobabturn/gateway/reservationexchange.py
+++ b/src/baobabturn/gateway/reservationexchange.py
@@ -17,6 +17,8 @@
 from baobabturn.core.events import Event
 from baobabturn.gateway.forwarders import Forwarders
 from baobabturn.gateway.peer import Peer
+from baobabturn.gateway.reservationorder import AcceptedChanges
+from baobabturn.gateway.summaryexchange import SummaryExchange
 from baobabturn.wire.gatewaymessages import (
     GatewayState,
     ReservationChanges,
@@ -58,11 +60,13 @@
         self.published: dict[str, str] = {}
         self.outbox: list[ReservationChanges] = []
         self.receipts: dict[str, ReservationReceipt] = {}
+        self.summaries = SummaryExchange(peers=peers, exchange=self)
         peers.handlers[ReservationNews] = self.handle_news
         peers.handlers[ReservationReceipt] = self.handle_receipt
 
     def send(self, state: GatewayState) -> None:
         """Send changes of this gateway's reservations to all near gateways."""
+        self.summaries.record_sent(state)
         table = self.peers.table
         near = table.near_alive()
         if table.is_mesh():
@@ -154,7 +158,11 @@
         if not peer.heard or peer.silent or changes.incarnation > order.incarnation:
             order.hold_back(changes)
             return
-        accepted = order.accept(changes)
+        self.record(peer, order.accept(changes))
+        self.summaries.review(peer)
+
+    def record(self, peer: Peer, accepted: AcceptedChanges) -> None:
+        """Record what follows from a gateway's message."""
         table = self.peers.reservations
         for pool, holding in accepted.recorded:
             table.record_peer_reservation(peer.name, pool, holding)
@@ -168,6 +176,8 @@
         self.apply(peer, changes_of(state))
         for changes in peer.reservation_order.take_held_back():
             self.apply(peer, changes)
+        if state.summary:
+            self.summaries.handle_summary(peer, state)
 
     def forward(self, news: ReservationNews) -> None:
         """Send changes on to the gateways of this failure domain in a moment."""
--- a/src/baobabturn/gateway/reservationorder.py
+++ b/src/baobabturn/gateway/reservationorder.py
@@ -6,7 +6,8 @@
 a newer one outlasts it.  Messages may come in any order, and more than once.
 
 Example: after the release with number 7, the reservation with number 6 comes too late
-and is ignored; so is either of them after a full state with number 8.
+and is ignored; so is either of them after a full state with number 8.  A summary with
+number 8 that agrees with the replica has the same effect.
 """
 
 from __future__ import annotations
@@ -15,11 +16,17 @@
 
 import attrs
 
+from baobabturn.gateway.reservationsummary import (
+    Summary,
+    SummaryCheck,
+    digest_of,
+)
 from baobabturn.wire.gatewaymessages import ReservationChanges
 from baobabturn.wire.messages import Holding, Release
 
-# Names of ended reservations that are kept between two full states of a gateway, which
-# are at most seconds apart.  Beyond this the oldest are dropped.
+# Names of ended reservations that are kept between two full states of a gateway, or
+# summaries that agree, which are at most seconds apart.  Beyond this the oldest are
+# dropped.
 MAX_ENDED_RESERVATIONS = 4096
 # Messages kept for a gateway of whose present incarnation nothing has come directly.
 MAX_HELD_BACK_MESSAGES = 64
@@ -48,12 +55,20 @@
 
     ``known`` holds its reservations by name.  ``ended`` and ``early_progress`` hold,
     since its newest full state, the number of each release, and the progress that came
-    before its reservation with the number of the message.
+    before its reservation with the number of the message.  ``newest`` is the number of
+    the newest message with changes.  ``is_whole`` says whether a full state, or a
+    summary that agrees, has come since the reservations were forgotten;
+    ``confirmed_sequence`` is the number of the newest such summary.  ``check`` is the
+    comparison with a summary while changes may be on their way.
     """
 
     def __init__(self):
         self.incarnation = 0
         self.full_sequence = 0
+        self.confirmed_sequence = 0
+        self.newest = 0
+        self.is_whole = False
+        self.check: SummaryCheck | None = None
         self.known: dict[str, KnownReservation] = {}
         self.ended: dict[str, int] = {}
         self.early_progress: dict[str, tuple[int, int]] = {}
@@ -64,13 +79,15 @@
         self.forget()
         if incarnation != self.incarnation:
             self.incarnation = incarnation
-            self.full_sequence = 0
+            self.full_sequence = self.confirmed_sequence = self.newest = 0
             self.ended.clear()
             self.early_progress.clear()
 
     def forget(self) -> None:
         """Forget the reservations, but not which have ended."""
         self.known.clear()
+        self.is_whole = False
+        self.check = None
 
     def hold_back(self, changes: ReservationChanges) -> None:
         """Keep changes until something comes from the gateway itself."""
@@ -82,13 +99,65 @@
         self.held_back.clear()
         return changes
 
+    def digest(self) -> int:
+        """Return the digest of the reservations."""
+        return digest_of((known.pool, known.holding) for known in self.known.values())
+
+    def compare(self, summary: Summary, now: float) -> None:
+        """Begin to compare the reservations with a summary that isn't out of date."""
+        if summary.sequence > self.full_sequence:
+            self.check = SummaryCheck(
+                summary=summary, replica_digest=self.digest(), now=now
+            )
+
+    def confirm(self, summary: Summary) -> AcceptedChanges:
+        """Return what follows from a summary that agrees: all reservations hold.
+
+        Its progress is that of the reservations known unless they have changed since.
+        """
+        self.check = None
+        self.is_whole = True
+        if self.digest() == summary.digest:
+            names = sorted(self.known)
+            for name, produced in zip(names, summary.produced, strict=False):
+                self.advance(AcceptedChanges(), name, produced, summary.sequence)
+        self.confirmed_sequence = summary.sequence
+        self.drop_covered(summary.sequence)
+        recorded = [(known.pool, known.holding) for known in self.known.values()]
+        return AcceptedChanges(recorded=recorded, retained=set(self.known))
+
     def accept(self, changes: ReservationChanges) -> AcceptedChanges:
         """Return what follows from a message, nothing if it is out of date."""
-        accepted = AcceptedChanges()
         if changes.incarnation != self.incarnation:
-            return accepted
+            return AcceptedChanges()
         if changes.sequence <= self.full_sequence:
-            return accepted
+            return AcceptedChanges()
+        if changes.sequence <= self.confirmed_sequence:
+            return self.accept_progress(changes)
+        if has_content(changes):
+            self.newest = max(self.newest, changes.sequence)
+        if self.check is None:
+            return self.accept_changes(changes)
+        before = self.digest()
+        accepted = self.accept_changes(changes)
+        self.check.record(changes.sequence, before, self.digest())
+        if self.full_sequence > self.check.summary.sequence:
+            self.check = None
+        return accepted
+
+    def accept_progress(self, changes: ReservationChanges) -> AcceptedChanges:
+        """Return what follows from a message that a summary covers: progress alone."""
+        accepted = AcceptedChanges()
+        for item in changes.progress:
+            if item.reservation in self.known:
+                self.advance(
+                    accepted, item.reservation, item.produced, changes.sequence
+                )
+        return accepted
+
+    def accept_changes(self, changes: ReservationChanges) -> AcceptedChanges:
+        """Return what follows from a message that nothing covers yet."""
+        accepted = AcceptedChanges()
         for holdings in changes.holdings:
             for holding in holdings.items:
                 self.add(accepted, holdings.pool, holding, changes.sequence)
@@ -160,18 +229,28 @@
             for name, known in self.known.items()
             if name in named or known.sequence > state.sequence
         }
+        self.is_whole = True
+        self.full_sequence = state.sequence
+        self.drop_covered(state.sequence)
+        accepted.retained = set(self.known)
+
+    def drop_covered(self, covered: int) -> None:
+        """Drop what was kept of messages up to a number, as all of them are known."""
         self.ended = {
             name: sequence
             for name, sequence in self.ended.items()
-            if sequence > state.sequence
+            if sequence > covered
         }
         self.early_progress = {
             name: progress
             for name, progress in self.early_progress.items()
-            if progress[0] > state.sequence
+            if progress[0] > covered
         }
-        self.full_sequence = state.sequence
-        accepted.retained = set(self.known)
+
+
+def has_content(changes: ReservationChanges) -> bool:
+    """Return whether a message says anything of reservations."""
+    return bool(changes.full or changes.holdings or changes.progress or changes.ended)
 
 
 def drop_oldest(entries: dict) -> None:
