--- a/features/fleetcase.py
+++ b/features/fleetcase.py
@@ -222,6 +222,8 @@
         self.starts = 0
         self.loads_due_at = self.clock.now
         self.loss_ratio = 0.0
+        # Takes a datagram's sender, receiver and bytes; true for one that gets lost.
+        self.is_lost: Callable[[FleetGateway, FleetGateway, bytes], bool] | None = None
         self.random = random.Random(size)
         self.scheduled: list[tuple[float, Callable[[], None]]] = []
         self.regions: dict[str, str] = {}
@@ -250,7 +252,11 @@
             if self.random.random() < self.loss_ratio:
                 continue
             receiver = self.by_address.get(address)
-            if receiver is not None:
+            if receiver is None:
+                continue
+            if self.is_lost is None or not self.is_lost(
+                self.by_address[sender], receiver, data
+            ):
                 receiver.receive(sender, data)
 
     def schedule(self, delay_s: float, callback: Callable[[], None]) -> None:
--- a/features/steps/reservationexchange.py
+++ b/features/steps/reservationexchange.py
@@ -15,6 +15,12 @@
     call_later,
 )
 from baobabturn.gateway.reservationorder import ReservationOrder
+from baobabturn.gateway.reservationsummary import (
+    Step,
+    Summary,
+    digest_of_holdings,
+    produced_by_name,
+)
 from baobabturn.gateway.storeupdates import StoreUpdates
 from baobabturn.membership.datagrams import TAG_BYTES
 from baobabturn.wire.codec import unpack_small
@@ -472,6 +478,9 @@
         elif kind == "end":
             del held[rest[0]]
             changes.ended = [Release(reservation=rest[0])]
+        elif kind == "summary":
+            messages.append(summary_of(held, number))
+            continue
         else:
             changes.full = True
             changes.holdings = [pool_of(held)]
@@ -489,13 +498,42 @@
     )
 
 
+def summary_of(held, number):
+    """Return a summary of the holdings in a pool."""
+    holdings = [pool_of(held)]
+    return Summary(
+        sequence=number,
+        digest=digest_of_holdings(holdings),
+        changed=number - 1,
+        produced=produced_by_name(holdings),
+    )
+
+
+def review(order, message):
+    """Return what follows from a message, also for a summary that waits."""
+    accepted = []
+    if isinstance(message, Summary):
+        order.compare(message, 100.0)
+    else:
+        accepted.append(order.accept(message))
+    check = order.check
+    if check is not None:
+        step = check.step(is_whole=order.is_whole, newest=order.newest, now=100.0)
+        if step is Step.CONFIRM:
+            accepted.append(order.confirm(check.summary))
+        elif step is Step.ASK:
+            order.check = None
+    return accepted
+
+
 def play(messages):
     """Return what a gateway that gets messages in this order records."""
     order = ReservationOrder()
     order.begin(5)
     table = {}
-    for message in messages:
-        accepted = order.accept(message)
+    for accepted in itertools.chain.from_iterable(
+        review(order, message) for message in messages
+    ):
         for _, holding in accepted.recorded:
             table[holding.reservation] = holding.produced
         for release in accepted.released:
