--- a/features/reservationsummaries.feature
+++ b/features/reservationsummaries.feature
@@ -85,6 +85,17 @@
     Then no gateway asked for a full state
     And all gateways know exactly the reservations that the others hold
 
+  # Guards against a digest of changes that haven't been sent yet.
+  Scenario: Changes are pending when a summary is sent
+    Given a fleet of 63 gateways in 3 failure domains
+    When the fleet runs for 7 seconds
+    And the gateway 1 holds 2 reservations
+    And the gateway 1 has a pending change, and a round of heartbeats is sent
+    And 0.01 seconds pass
+    And the fleet runs for 2 seconds
+    Then no gateway asked for a full state
+    And all gateways know exactly the reservations that the others hold
+
   # Guards against a comparison of a summary with a replica that has gone on since.
   Scenario: Newer changes come while gateways wait for older ones
     Given a fleet of 63 gateways in 3 failure domains
--- a/features/steps/reservationsummaries.py
+++ b/features/steps/reservationsummaries.py
@@ -289,9 +289,26 @@
     gateway = context.fleet.gateways[number]
     make_another(context, gateway)
     context.fleet.deliver()
+    send_round(context.fleet, gateway)
+
+
+def send_round(fleet, gateway):
+    """Send all heartbeats of a round of one gateway at once."""
     for _ in range(ROUND_HEARTBEATS):
         gateway.peers.send_heartbeat()
-    context.fleet.deliver()
+    fleet.deliver()
+
+
+@when("the gateway {number:d} has a pending change, and a round of heartbeats is sent")
+def pending(context, number):
+    gateway = context.fleet.gateways[number]
+    holding = Holding(reservation=new_name(context, gateway), endpoint="e")
+    gateway.reservations.own[holding.reservation] = holding
+    # As if a timer would send it.
+    gateway.peers.flush_scheduled = True
+    gateway.peers.publish_reservation("p", holding)
+    send_round(context.fleet, gateway)
+    assert holding.reservation in gateway.peers.exchange.published
 
 
 @then("gateways wait for changes")
