--- a/src/baobabturn/commands/common.py
+++ b/src/baobabturn/commands/common.py
@@ -4,7 +4,7 @@
 
 import json
 import pathlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -60,11 +60,23 @@
     entry: str, path: str, admin_key: str, body: Any = None, method: str = "GET"
 ) -> Any:
     """Return the answer of an entry's operators' path, JSON decoded if it is."""
+    headers = {"Authorization": f"Bearer {admin_key}"}
+    return await ask(entry, path, "entry", headers, body, method)
+
+
+async def ask(
+    entry: str,
+    path: str,
+    role: str,
+    headers: Mapping[str, str],
+    body: Any = None,
+    method: str = "GET",
+) -> Any:
+    """Return the answer of a process of some role, JSON decoded if it is."""
     if not entry.startswith(("http://", "https://")):
-        failure = Failure(Code.BAD_FIELD, f"entry {entry!r}: allowed is an http URL")
+        failure = Failure(Code.BAD_FIELD, f"{role} {entry!r}: allowed is an http URL")
         raise CommandError(failure, EXIT_USAGE)
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-    headers = {"Authorization": f"Bearer {admin_key}"}
     try:
         async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
             async with session.request(method, entry + path, json=body) as answer:
--- a/src/baobabturn/commands/main.py
+++ b/src/baobabturn/commands/main.py
@@ -18,6 +18,7 @@
     settings,
     status,
     timeline,
+    traffic,
 )
 from baobabturn.commands.common import CommandError, end
 from baobabturn.core.commandline import run_app
@@ -35,6 +36,7 @@
     diff,
     apply,
     status,
+    traffic,
     drain,
     timeline,
     explain,
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -23,6 +23,7 @@
     non_utf8_header,
 )
 from baobabturn.gateway.node import GatewayNode
+from baobabturn.gateway.operatorstate import OperatorState
 from baobabturn.gateway.peer import parse_address
 from baobabturn.gateway.platforminterface import GatewayPaths, HeaderTranslator
 from baobabturn.gateway.relaysigner import RELAY_HEADER, request_head
@@ -30,6 +31,7 @@
 from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.routes import Route, RouteKind, RouteTable
 from baobabturn.placement.homes import Homes, combined_homes
+from baobabturn.wire.words import STATE_PATH
 
 MS_PER_S = 1000
 US_PER_S = 1_000_000
@@ -57,6 +59,7 @@
         self.node = node
         self.header_translator = header_translator
         self.paths = paths
+        self.operator_state = OperatorState(node=node)
         gateway = node.program.settings.gateway
         self.handlers = {
             parse_address(gateway.ready)[1]: self.serve_readiness,
@@ -97,7 +100,10 @@
         )
 
     async def serve_metrics(self, scope: Any, receive: Any, send: Any) -> None:
-        """Send the metrics in the Prometheus text format."""
+        """Send the metrics in the Prometheus text format, or the operators' state."""
+        if scope["path"] == STATE_PATH:
+            await self.operator_state.serve(scope["query_string"], send)
+            return
         data = self.node.program.metrics.exposition().encode()
         await send_bytes(send, data, 200, b"text/plain; version=0.0.4")
 
--- a/src/baobabturn/gateway/directory.py
+++ b/src/baobabturn/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import random
 from collections import Counter
@@ -16,6 +17,7 @@
 from baobabturn.gateway.routes import RouteTable
 from baobabturn.placement.callershares import (
     OWN,
+    CallerShares,
     ServingGateway,
     caller_shares,
     in_callers_reach,
@@ -33,6 +35,29 @@
 ANYWHERE = CallerPlace()
 
 
+class ListingRule(str, enum.Enum):
+    """How gateways are chosen for a caller."""
+
+    LARGE_FLEET = "large-fleet"
+    NO_REGIONS = "no-regions"
+    SHARES = "shares"
+    REACH = "reach"
+    WHOLE_FLEET = "whole-fleet"
+
+
+@attrs.frozen(kw_only=True)
+class Placement:
+    """The gateways in a caller's reach, and their shares of such callers.
+
+    ``failure_domain`` is the caller's, empty if it isn't known in its ``region``.
+    """
+
+    gateways: list[ServingGateway]
+    failure_domain: str
+    region: str
+    shares: CallerShares
+
+
 @attrs.frozen(kw_only=True)
 class AddressGroup:
     """Addresses for callers, a sample of ``serving`` gateways in a failure domain."""
@@ -66,24 +91,34 @@
         self.table = table
         self.random = random.Random()
         self.logged: dict[str, tuple[str, float]] = {}
+        self.listings: dict[ListingRule, Callable[[CallerPlace, Homes], list[str]]] = {
+            ListingRule.LARGE_FLEET: self.sample_domains,
+            ListingRule.NO_REGIONS: self.sample_domains,
+            ListingRule.SHARES: self.place,
+            ListingRule.REACH: self.sample_reach,
+            ListingRule.WHOLE_FLEET: self.sample_domains,
+        }
 
     def addresses(self, caller: CallerPlace = ANYWHERE) -> list[str]:
         """Return the addresses that a caller should use, in random order.
 
         If no gateway is known to be serving, return some of all known gateways.
         """
+        rule, homes = self.rule(caller)
+        return self.listings[rule](caller, homes) or self.known_addresses()
+
+    def rule(self, caller: CallerPlace) -> tuple[ListingRule, Homes]:
+        """Return how gateways are chosen for a caller, and the home regions for it."""
         homes = self.homes_of(caller.host)
         if self.peers.table.is_large_fleet():
-            listed = self.sample_domains(caller, homes)
-        elif not self.regions.by_domain:
-            listed = self.sample_domains(caller, None)
-        elif caller.failure_domain and self.is_placing_fleet():
-            listed = self.place(caller, homes)
-        elif homes is not None:
-            listed = self.sample_reach(caller, homes)
-        else:
-            listed = self.sample_domains(caller, None)
-        return listed or self.known_addresses()
+            return ListingRule.LARGE_FLEET, homes
+        if not self.regions.by_domain:
+            return ListingRule.NO_REGIONS, None
+        if caller.failure_domain and self.is_placing_fleet():
+            return ListingRule.SHARES, homes
+        if homes is not None:
+            return ListingRule.REACH, homes
+        return ListingRule.WHOLE_FLEET, None
 
     def homes_of(self, host: str) -> Homes:
         """Return the home regions of a host's routes."""
@@ -108,6 +143,17 @@
 
     def place(self, caller: CallerPlace, homes: Homes) -> list[str]:
         """Return addresses by the caller's failure domain."""
+        placement = self.placement(caller, homes)
+        shares, domain = placement.shares, placement.failure_domain
+        listed = sample_weighted(shares.weights, limit=MAX_ADDRESSES, rng=self.random)
+        domains = {each.address: each.failure_domain for each in placement.gateways}
+        self.record([domains[each] for each in listed], domain, placement.region)
+        if domain:
+            self.log_reason(domain, shares.reason)
+        return listed
+
+    def placement(self, caller: CallerPlace, homes: Homes) -> Placement:
+        """Return how callers of a place are shared among the gateways."""
         region = self.region_of(caller, homes)
         gateways = in_callers_reach(self.serving(), region=region, homes=homes or ())
         domain = caller.failure_domain
@@ -115,23 +161,29 @@
             # Nothing is known of this failure domain in the caller's region.  Callers
             # may state any name, so unknown ones aren't logged or kept.
             domain = ""
-        shares = caller_shares(gateways, domain)
-        listed = sample_weighted(shares.weights, limit=MAX_ADDRESSES, rng=self.random)
-        domains = {each.address: each.failure_domain for each in gateways}
-        self.record([domains[each] for each in listed], domain, region)
-        if domain:
-            self.log_reason(domain, shares.reason)
-        return listed
+        return Placement(
+            gateways=gateways,
+            failure_domain=domain,
+            region=region,
+            shares=caller_shares(gateways, domain),
+        )
+
+    def in_reach(self, caller: CallerPlace, homes: Homes) -> list[ServingGateway]:
+        """Return all gateways in the caller's region or a home region."""
+        region = self.region_of(caller, homes)
+        return in_callers_reach(self.serving(), region=region, homes=homes or ())
 
     def sample_reach(self, caller: CallerPlace, homes: Homes) -> list[str]:
         """Return addresses of all gateways in the caller's region or a home region."""
-        region = self.region_of(caller, homes)
-        gateways = in_callers_reach(self.serving(), region=region, homes=homes or ())
-        addresses = [each.address for each in gateways]
+        addresses = [each.address for each in self.in_reach(caller, homes)]
         return self.random.sample(addresses, min(len(addresses), MAX_ADDRESSES))
 
     def sample_domains(self, caller: CallerPlace, homes: Homes) -> list[str]:
         """Return addresses of each failure domain by its number of gateways."""
+        return sample_groups(self.groups(caller, homes), MAX_ADDRESSES)
+
+    def groups(self, caller: CallerPlace, homes: Homes) -> list[AddressGroup]:
+        """Return the addresses of each failure domain that a caller may be sent to."""
         near = self.domain_loads.near_callers()
         own_domain = self.peers.record.failure_domain
         groups = [
@@ -147,7 +199,7 @@
         ]
         if homes is not None:
             groups = self.groups_in_reach(groups, self.region_of(caller, homes), homes)
-        return sample_groups(groups, MAX_ADDRESSES)
+        return groups
 
     def groups_in_reach(
         self, groups: list[AddressGroup], region: str, homes: frozenset[str]
--- a/src/baobabturn/gateway/evacuations.py
+++ b/src/baobabturn/gateway/evacuations.py
@@ -39,7 +39,8 @@
     """Closes and opens the failure domains of endpoints.
 
     ``list_received`` says whether the list of evacuations is known, ``era`` returns the
-    store's era at the newest list or change.  ``resumed_at`` is
+    store's era at the newest list or change.  ``closed_since`` holds the monotonic
+    times since when failure domains have been closed here.  ``resumed_at`` is
     the boot time at which a long pause of this process ended, 0 for never;
     ``confirmed_since`` tells whether the list was confirmed after a boot time, and
     ``ask`` has it confirmed.
@@ -59,6 +60,7 @@
         self.evacuate_s = evacuate_s
         self.evacuations = Evacuations(hold_s=evacuate_s)
         self.list_received = False
+        self.closed_since: dict[str, float] = {}
         self.held: set[str] = set()
         self.unknown: set[str] = set()
         self.expiry_timer: asyncio.TimerHandle | None = None
@@ -96,6 +98,9 @@
         """Close and open failure domains; set a timer for evacuations that are held."""
         now = time.monotonic()
         before, closed = self.endpoints.closed_domains, self.evacuations.closed(now)
+        self.closed_since = {
+            domain: self.closed_since.get(domain, now) for domain in closed
+        }
         if closed != before:
             self.endpoints.set_closed_domains(closed)
         for domain in sorted(closed - before):
--- a/src/baobabturn/wire/words.py
+++ b/src/baobabturn/wire/words.py
@@ -10,3 +10,6 @@
 
 # What a ``StatsRequest`` asks of a process that need only answer.
 PING = "ping"
+
+# The path of a gateway's state for operators, at its address for metrics.
+STATE_PATH = "/state"
