--- a/fakes/site.py
+++ b/fakes/site.py
@@ -9,6 +9,8 @@
 import asyncio
 import copy
 import json
+import math
+import time
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
@@ -249,7 +251,8 @@
     ``advertised_address`` is set, the endpoint's entry has this address, that of a
     proxy, in place of its own.  ``rate_limit_per_s`` is the limit that its answers
     name, 0 for none.  ``version`` is that of its software, which the entry names unless
-    it is empty.  ``more_headers`` are on all its answers, ``report_fields`` in its
+    it is empty.  Its entry says that it is cold until the monotonic time
+    ``cold_until``.  ``more_headers`` are on all its answers, ``report_fields`` in its
     reports.  ``calls`` holds the calls besides requests, whose answers have
     ``control_headers``.
     """
@@ -272,6 +275,7 @@
         self.kv_copies: dict[str, int] = {}
         self.advertised_address = ""
         self.leaving = False
+        self.cold_until = 0.0
         self.migration_status = 200
         self.final_copy_s = 0.0
         self.stopped: set[str] = set()
@@ -289,6 +293,7 @@
     def entry(self, state: str = "ready", **fields: Any) -> dict:
         """Return the endpoint's entry in the store."""
         version = {"version": self.version} if self.version else {}
+        cold_left_s = max(0.0, self.cold_until - time.monotonic())
         return {
             "service": self.service,
             "address": self.advertised_address or self.address,
@@ -296,7 +301,7 @@
             **version,
             "slots": 4,
             "state": state,
-            "coldLeftMs": 0,
+            "coldLeftMs": math.ceil(cold_left_s * 1000),
             "callSeq": 1,
             **fields,
         }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,13 @@
 from fakes.site import RESPONSE_STAMP
 from fakes.siteconfig import ENGINE_SERVICE, PLAIN_SERVICE
 from soak.process import GatewayProcess
-from soak.site import EVACUATE_S, FIRST_SEED_OF_EVACUATIONS, SoakSite
+from soak.site import (
+    COLD_S,
+    EVACUATE_S,
+    FIRST_SEED_OF_COLD_RETURNS,
+    FIRST_SEED_OF_EVACUATIONS,
+    SoakSite,
+)
 
 Fault = Callable[[SoakSite, float], Coroutine[Any, Any, None]]
 PROXY_DELAY_S = 0.15
@@ -26,6 +32,8 @@
 WRITTEN_AGAIN_S = 1.5
 # A failure domain stays closed for this much longer than gateways take to obey.
 EVACUATION_MARGIN_S = 2.0
+# Probability that the endpoints of a failure domain announce that they leave.
+NOTICE_PROBABILITY = 0.5
 SILENCED_DIRECTIONS = (
     (Direction.TO_TARGET, Direction.TO_CALLER),
     (Direction.TO_TARGET,),
@@ -320,6 +328,26 @@
     site.open_domain(evacuation)
 
 
+async def domain_returns_cold(site: SoakSite, duration_s: float) -> None:
+    """Let all endpoints of a failure domain go, and as many return together, cold.
+
+    Nothing happens if a service would be left without an endpoint.
+    """
+    domain = f"z{site.rng.randrange(site.domain_count)}"
+    going = site.serving_in(domain)
+    services = (PLAIN_SERVICE, ENGINE_SERVICE)
+    if not going or any(set(site.serving(each)) <= going.keys() for each in services):
+        return
+    if site.rng.random() < NOTICE_PROBABILITY:
+        for name in going:
+            site.announce_leaving(name)
+        await asyncio.sleep(TERMINATION_NOTICE_S)
+    await asyncio.gather(*map(site.crash, going))
+    await asyncio.sleep(duration_s)
+    for service in going.values():
+        await site.add_endpoint(service, failure_domain=domain, cold_s=COLD_S)
+
+
 # The order of the entries is part of a seed: a fault is drawn by its position.
 FIRST_FAULTS = (
     kill,
@@ -352,6 +380,9 @@
 CONDITION_FAULT_SHARE = 2
 EVACUATION_FAULTS = (domain_evacuated,)
 EVACUATION_FAULT_SHARE = 3
+# So often that 14 of 15 seeds have one at least.
+COLD_RETURN_FAULTS = (domain_returns_cold,)
+COLD_RETURN_FAULT_SHARE = 6
 # After these a gateway may hear of an evacuation later, or a request may be on its way
 # to an endpoint for long.
 DELAYING_FAULTS = frozenset(
@@ -374,6 +405,7 @@
         *LATER_FAULTS,
         *CONDITION_FAULTS,
         *EVACUATION_FAULTS,
+        *COLD_RETURN_FAULTS,
     )
 }
 
@@ -390,6 +422,9 @@
     names += CONDITION_FAULT_SHARE * added
     if seed < FIRST_SEED_OF_EVACUATIONS:
         return names
-    return names + EVACUATION_FAULT_SHARE * tuple(
-        each.__name__ for each in EVACUATION_FAULTS
+    names += EVACUATION_FAULT_SHARE * tuple(each.__name__ for each in EVACUATION_FAULTS)
+    if seed < FIRST_SEED_OF_COLD_RETURNS:
+        return names
+    return names + COLD_RETURN_FAULT_SHARE * tuple(
+        each.__name__ for each in COLD_RETURN_FAULTS
     )
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -14,6 +14,7 @@
 from soak.load import PATHS_AND_METHODS, REQUEST_DEADLINE_S, SentRequest
 from soak.process import KILL_DELAY_S, SHUTDOWN_GRACE_S
 from soak.site import (
+    COLD_PER_S,
     EVACUATE_S,
     EVENTS_PER_STREAM,
     KEY_REVOCATION_S,
@@ -34,6 +35,10 @@
 DEADLINE_SLACK_S = 0.5
 # Retry budget of the fleet in any window: a ratio of the requests plus a slack.
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10.0
+# A cold endpoint may get this multiple of its service's rate and so many more requests
+# in any one second.
+COLD_OVER, COLD_SLACK = 1.5, 5
+COLD_WINDOW_S = 1.0
 RESIDENT_LIMIT_BYTES = 150 * 1024 * 1024
 DESCRIPTOR_LIMIT = 600
 
@@ -78,6 +83,7 @@
             self.check_deadline(sent)
         self.check_retry_budget()
         self.check_evacuations()
+        self.check_cold_endpoints()
         self.check_processes()
         return self.violations
 
@@ -225,6 +231,23 @@
         ]
         return max([evacuation.began_at, *delayed_until]) + EVACUATE_S
 
+    def check_cold_endpoints(self) -> None:
+        """Check how many requests cold endpoints got in any one second."""
+        for name, endpoint in self.site.endpoints.items():
+            times = sorted(
+                request.arrived_at
+                for request in endpoint.ran
+                if request.arrived_at < endpoint.cold_until
+            )
+            limit = COLD_OVER * COLD_PER_S[endpoint.service] + COLD_SLACK
+            count, start = busiest_window(times, COLD_WINDOW_S)
+            if count > limit:
+                left_s = endpoint.cold_until - start
+                self.violations.append(
+                    f"{name} got {count} requests in a second, {left_s:.1f} s before"
+                    f" it was warm, where {limit:g} are allowed"
+                )
+
     def check_processes(self) -> None:
         """Check how processes ended, their resident memory and open descriptors."""
         for gateway in self.site.gateways:
@@ -265,3 +288,20 @@
             f"{kind}:{status}={count}"
             for (kind, status), count in sorted(counts.items(), key=str)
         )
+
+
+def busiest_window(times: list[float], length_s: float) -> tuple[int, float]:
+    """Return the most of some sorted times in any window, and where it starts.
+
+    Example::
+
+        >>> busiest_window([0.0, 0.9, 1.5, 1.8], 1.0)
+        (3, 0.9)
+    """
+    best, best_start, first = 0, 0.0, 0
+    for last, time in enumerate(times):
+        while time - times[first] >= length_s:
+            first += 1
+        if last - first + 1 > best:
+            best, best_start = last - first + 1, times[first]
+    return best, best_start
--- a/soak/load.py
+++ b/soak/load.py
@@ -25,6 +25,7 @@
     "check": ("/check/x", "POST"),
 }
 DRAWN_KINDS = ("read", "read", "post", "post", "draft", "check")
+PLAIN_KINDS = ("read", "post")
 
 
 @attrs.define(kw_only=True)
@@ -54,10 +55,16 @@
     """A caller that reuses its connection for as long as it stays open."""
 
     def __init__(
-        self, *, site: SoakSite, number: int, record: Callable[[SentRequest], None]
+        self,
+        *,
+        site: SoakSite,
+        number: int,
+        record: Callable[[SentRequest], None],
+        kinds: tuple[str, ...] = DRAWN_KINDS,
     ):
         self.site = site
         self.number = number
+        self.kinds = kinds
         self.record = record
         self.sent_count = 0
         self.gateway: GatewayProcess | None = None
@@ -67,7 +74,7 @@
     async def run(self) -> None:
         """Send requests until the task is cancelled."""
         while True:
-            await self.send_request(self.site.rng.choice(DRAWN_KINDS))
+            await self.send_request(self.site.rng.choice(self.kinds))
             await asyncio.sleep(REQUEST_PAUSE_S * self.site.rng.uniform(0.5, 1.5))
 
     async def send_request(
--- a/soak/main.py
+++ b/soak/main.py
@@ -19,7 +19,7 @@
 from fakes.siteconfig import ENGINE_SERVICE, PLAIN_SERVICE
 from soak.faults import FAULTS, drawn_faults
 from soak.invariants import InvariantChecker
-from soak.load import Caller, SentRequest
+from soak.load import DRAWN_KINDS, PLAIN_KINDS, Caller, SentRequest
 from soak.process import GatewayProcess
 from soak.site import KEY_REVOCATION_S, NEW_ROUTE, SoakSite, Span
 
@@ -29,6 +29,9 @@
 FAULT_DURATION_RANGE_S = (0.3, 3.0)
 RECOVERY_S = 6.0
 CALLER_COUNT = 10
+# Where endpoints return cold there are so many more callers of plain services: a
+# gateway that took a cold endpoint for warm would send it far too much.
+PLAIN_CALLER_COUNT = 10
 HOST_COUNT_RANGE, DOMAIN_COUNT_RANGE = (2, 5), (1, 3)
 # Share of the requests after recovery that must get 200.
 MIN_SERVED_RATIO = 0.97
@@ -78,7 +81,10 @@
         site = self.site
         try:
             await site.start()
-            callers = [self.make_caller(number) for number in range(CALLER_COUNT)]
+            callers = [
+                self.make_caller(number, kinds)
+                for number, kinds in enumerate(self.caller_kinds())
+            ]
             load = [asyncio.create_task(caller.run()) for caller in callers]
             await self.inject_faults()
             await self.clear_faults()
@@ -94,9 +100,21 @@
             await site.stop()
         return self.result
 
-    def make_caller(self, number: int) -> Caller:
+    def caller_kinds(self) -> list[tuple[str, ...]]:
+        """Return the kinds of requests that each caller draws from."""
+        kinds: list[tuple[str, ...]] = [DRAWN_KINDS] * CALLER_COUNT
+        if self.site.returns_cold:
+            kinds += [PLAIN_KINDS] * PLAIN_CALLER_COUNT
+        return kinds
+
+    def make_caller(self, number: int, kinds: tuple[str, ...] = DRAWN_KINDS) -> Caller:
         """Return a caller whose requests are recorded."""
-        return Caller(site=self.site, number=number, record=self.sent_requests.append)
+        return Caller(
+            site=self.site,
+            number=number,
+            record=self.sent_requests.append,
+            kinds=kinds,
+        )
 
     async def inject_faults(self) -> None:
         """Start faults at random intervals so that they overlap; await their end."""
@@ -145,7 +163,7 @@
 
     async def check_service(self) -> None:
         """Check that nearly all requests at all gateways get 200."""
-        caller = self.make_caller(CALLER_COUNT)
+        caller = self.make_caller(len(self.caller_kinds()))
         gateways = self.site.gateways
         requests = [
             await caller.send_request("read", gateways[index % len(gateways)])
--- a/soak/site.py
+++ b/soak/site.py
@@ -35,6 +35,13 @@
 FIRST_SEED_OF_EVACUATIONS = 6000
 EVACUATE_S = 3.0
 EVACUATION_KIND = "evacuations"
+# Seeds from this one on have endpoints that return cold, two failure domains or more,
+# and services whose cold endpoints take so many requests a second from all gateways.
+# A warm endpoint gets several times as many.
+FIRST_SEED_OF_COLD_RETURNS = 7000
+COLD_PER_S = {PLAIN_SERVICE: 6.0, ENGINE_SERVICE: 1.0}
+COLD_S = 3.0
+MIN_DOMAINS_OF_COLD_RETURNS = 2
 
 
 @attrs.define(kw_only=True)
@@ -61,7 +68,12 @@
         self.rng = random.Random(seed)
         self.folder = folder
         self.host_count = host_count
-        self.domain_count = domain_count
+        self.returns_cold = seed >= FIRST_SEED_OF_COLD_RETURNS
+        self.domain_count = (
+            max(domain_count, MIN_DOMAINS_OF_COLD_RETURNS)
+            if self.returns_cold
+            else domain_count
+        )
         self.store = SiteStore()
         self.endpoints: dict[str, SiteEndpoint] = {}
         self.endpoint_proxies: dict[str, Proxy] = {}
@@ -135,8 +147,13 @@
             for each in self.evacuations
         )
 
-    async def add_endpoint(self, service: str) -> str:
-        """Start an endpoint behind a proxy, write its entry and return its name."""
+    async def add_endpoint(
+        self, service: str, *, failure_domain: str = "", cold_s: float = 0.0
+    ) -> str:
+        """Start an endpoint behind a proxy, write its entry and return its name.
+
+        It is cold for ``cold_s``, in the next failure domain if none is given.
+        """
         self.endpoint_count += 1
         name = f"{'e' if service == ENGINE_SERVICE else 'w'}{self.endpoint_count}"
         events = EVENTS_PER_STREAM if service == ENGINE_SERVICE else 0
@@ -146,7 +163,8 @@
         )
         endpoint.event_interval_s = EVENT_INTERVAL_S
         if self.evacuates:
-            endpoint.failure_domain = f"z{self.endpoint_count % self.domain_count}"
+            next_domain = f"z{self.endpoint_count % self.domain_count}"
+            endpoint.failure_domain = failure_domain or next_domain
         await endpoint.start()
         proxy = Proxy(target=endpoint.address)
         await proxy.start()
@@ -155,6 +173,8 @@
         peers = {peer.advertised_address: peer for peer in self.endpoints.values()}
         for peer in self.endpoints.values():
             peer.peers = peers
+        if cold_s:
+            endpoint.cold_until = time.monotonic() + cold_s
         self.store.write("servers", name, endpoint.entry())
         return name
 
@@ -166,6 +186,14 @@
             if endpoint.service == service and name not in self.left_at
         ]
 
+    def serving_in(self, domain: str) -> dict[str, str]:
+        """Return the services of a failure domain's serving endpoints, by name."""
+        return {
+            name: endpoint.service
+            for name, endpoint in self.endpoints.items()
+            if endpoint.failure_domain == domain and name not in self.left_at
+        }
+
     def announce_leaving(self, name: str) -> None:
         """Write the termination notice of an endpoint into its entry."""
         self.endpoints[name].leaving = True
@@ -186,6 +214,9 @@
         self.version += self.rng.randint(1, 4)
         document = configuration(self.version, tuple(self.keys))
         document["routes"] += self.routes
+        if self.returns_cold:
+            for service in document["services"]:
+                service["coldPerS"] = COLD_PER_S[service["name"]]
         self.newest_document = document
         self.store.write("config", "main", document)
 
