--- a/features/soakseeds.feature
+++ b/features/soakseeds.feature
@@ -1,6 +1,6 @@
 Feature: Seeds of the fault soak
   Real gateways under faults from outside; each seed that ever failed stays here,
-  with its cause.
+  with its cause, and the first ones of later faults.
 
   Scenario Outline: Seed <seed> holds (<why>)
     When seed <seed> of the soak is played
@@ -13,3 +13,4 @@
       | 11   | all gateways killed twice while keys and routes change |
       | 13   | the store fails, forgets, and callers are cut off      |
       | 1000 | the store returns from copies beside all other faults |
+      | 7000 | endpoints of a failure domain return together, cold     |
