--- a/features/operatorstate.feature
+++ b/features/operatorstate.feature
@@ -12,6 +12,12 @@
     When the operator opens "z1"
     Then the state shows nothing as closed
 
+  # Guards against endpoints that are stopped while plain requests still run there.
+  Scenario: Plain requests that still run in a closed failure domain are shown
+    Given a site in 2 failure domains with 1 gateway
+    When a plain request runs in "z1" for 1.5 s and "z1" is closed
+    Then the state has shown requests that run in "z1", and then none
+
   # Guards against a time that is counted from the newest change of any evacuation.
   Scenario: The time since when a failure domain is closed isn't that of another one
     Given a site in 3 failure domains with 1 gateway
--- a/features/steps/operatorstate.py
+++ b/features/steps/operatorstate.py
@@ -26,6 +26,8 @@
 
 STREAM_ID = "d" * 16
 COLD_S = 60.0
+# Enough requests at a time that each endpoint gets some.
+BATCH = 6
 # A sample of 64 of 300 gateways is drawn so often that each is drawn at least once.
 CALLS = 200
 
@@ -109,11 +111,54 @@
 
 @then("the state names the engine on which the generation runs")
 def engine_named(context):
-    (engine,) = state(context)["closed_engines"]["items"]
+    (engine,) = state(context)["closed_endpoints"]["items"]
     assert engine["endpoint"] == context.engine, engine
     assert engine["generations"] == 1, engine
 
 
+@when('a plain request runs in "{domain}" for {seconds:g} s and "{closed}" is closed')
+def plain_in_closed(context, domain, seconds, closed):
+    case = context.case
+    (endpoint,) = [
+        each
+        for each in case.endpoints.values()
+        if each.service == PLAIN_SERVICE and each.failure_domain == domain
+    ]
+    answer = endpoint.handle
+
+    async def answer_late(request, reader, writer):
+        await asyncio.sleep(seconds)
+        return await answer(request, reader, writer)
+
+    endpoint.handle = answer_late
+
+    async def play():
+        # Requests that run elsewhere end at once.
+        context.calls = [
+            asyncio.create_task(case.call("/read/x")) for _ in range(BATCH)
+        ]
+        await asyncio.sleep(0.1)
+        case.store.write(KIND, closed, {})
+        await eventually(
+            lambda: case.gateways[0].gauge("failure_domains_closed"), "the closing"
+        )
+        context.found, _ = await read_state(case)
+        await asyncio.gather(*context.calls)
+
+    run(context, play())
+
+
+@then('the state has shown requests that run in "{domain}", and then none')
+def requests_shown(context, domain):
+    (closed,) = context.found["closed_domains"]["items"]
+    (endpoint,) = context.found["closed_endpoints"]["items"]
+    assert closed["failure_domain"] == endpoint["failure_domain"] == domain
+    assert closed["requests"] == endpoint["requests"] >= 1, (closed, endpoint)
+    found = state(context)
+    assert not found["closed_endpoints"]["total"], found
+    assert not found["closed_domains"]["items"][0]["requests"], found
+
+
 @when("the stream has ended")
 def stream_ended(context):
     async def play():
@@ -261,9 +306,10 @@
     lines = done.stdout.splitlines()
     assert lines[0] == "g0 in z1: serving", lines
     head = lines[2].split()
-    assert head == ["failure_domain", "closed_s", "held", "endpoints", "generations"]
+    assert head[:3] == ["failure_domain", "closed_s", "held"], head
+    assert head[3:] == ["endpoints", "generations", "requests"], head
     row = lines[3].split()
-    assert [row[0], *row[2:]] == [domain, "no", "2", "0"], row
+    assert [row[0], *row[2:]] == [domain, "no", "2", "0", "0"], row
     assert "no endpoint is cold" in lines, lines
 
 
--- a/src/baobabturn/commands/traffic.py
+++ b/src/baobabturn/commands/traffic.py
@@ -15,11 +15,14 @@
 # The sections of the state that are printed as tables, with what an empty one says.
 SECTIONS = {
     "closed_domains": (
-        ("failure_domain", "closed_s", "held", "endpoints", "generations"),
+        (
+            *("failure_domain", "closed_s", "held", "endpoints"),
+            *("generations", "requests"),
+        ),
         "no failure domain is closed",
     ),
-    "closed_engines": (
-        ("endpoint", "service", "failure_domain", "generations"),
+    "closed_endpoints": (
+        ("endpoint", "service", "failure_domain", "generations", "requests"),
         "nothing runs in closed failure domains",
     ),
     "cold_endpoints": (
--- a/src/baobabturn/gateway/operatorstate.py
+++ b/src/baobabturn/gateway/operatorstate.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from baobabturn.entry.responses import send_bytes
+from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.listingreasons import ListedGateway, listing_reason
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.platforminterface import CallerPlace
@@ -44,7 +45,7 @@
             "serving": self.node.serving(),
             "evacuations_enabled": self.node.evacuation_watch is not None,
             "closed_domains": bounded(self.closed_domains(now)),
-            "closed_engines": bounded(self.closed_engines()),
+            "closed_endpoints": bounded(self.closed_endpoints()),
             "cold_endpoints": bounded(self.cold_endpoints(now)),
             "queues": bounded(self.queues()),
         }
@@ -56,12 +57,18 @@
         """Return the failure domains that are closed here, and for how long.
 
         ``held`` says that the store has lost the evacuation by returning from a copy.
+        ``generations`` are those of all gateways, ``requests`` the plain requests that
+        this one has sent there and that haven't ended.
         """
         watch = self.node.evacuation_watch
         if watch is None:
             return []
-        records = (each.record for each in self.node.endpoints.by_name.values())
-        endpoints = Counter(each.failure_domain for each in records)
+        endpoints: Counter[str] = Counter()
+        requests: Counter[str] = Counter()
+        for endpoint in self.node.endpoints.by_name.values():
+            endpoints[endpoint.record.failure_domain] += 1
+            in_flight = self.requests_at(endpoint.name)
+            requests[endpoint.record.failure_domain] += in_flight
         return [
             {
                 "failure_domain": domain,
@@ -69,25 +76,37 @@
                 "held": domain in watch.held,
                 "endpoints": endpoints[domain],
                 "generations": self.node.pools.generation_count({domain}),
+                "requests": requests[domain],
             }
             for domain, since in sorted(watch.closed_since.items())
         ]
 
-    def closed_engines(self) -> list[dict[str, Any]]:
-        """Return the closed engines on which generations still run."""
-        closed = self.node.endpoints.closed_domains
-        pools = self.node.pools
-        return [
+    def closed_endpoints(self) -> list[dict[str, Any]]:
+        """Return the closed endpoints at which something still runs."""
+        known = sorted(self.node.endpoints.by_name.items())
+        found = [
             {
                 "endpoint": name,
-                "service": service,
-                "failure_domain": pools.failure_domain_of(name),
-                "generations": len(state.reservations),
+                "service": endpoint.record.service,
+                "failure_domain": endpoint.record.failure_domain,
+                "generations": self.generations_at(endpoint),
+                "requests": self.requests_at(name),
             }
-            for service, pool in sorted(pools.pools.items())
-            for name, state in sorted(pool.state.endpoints.items())
-            if state.reservations and pools.failure_domain_of(name) in closed
+            for name, endpoint in known
+            if self.node.endpoints.is_closed(endpoint)
         ]
+        return [each for each in found if each["generations"] or each["requests"]]
+
+    def generations_at(self, endpoint: Endpoint) -> int:
+        """Return how many generations of all gateways run at an endpoint."""
+        pool = self.node.pools.pools.get(endpoint.record.service)
+        state = pool.state.endpoints.get(endpoint.name) if pool is not None else None
+        return len(state.reservations) if state is not None else 0
+
+    def requests_at(self, name: str) -> int:
+        """Return how many plain requests of this gateway run at an endpoint."""
+        stats = self.node.plain.ranking.stats.get(name)
+        return stats.in_flight if stats is not None else 0
 
     def cold_endpoints(self, now: float) -> list[dict[str, Any]]:
         """Return the endpoints that warm up, until when, and at what rate.
