--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -357,6 +357,10 @@
 class CountedLimits:
     """Limits that keep how many requests go ahead of one."""
 
+    def limited_endpoints(self):
+        """Return no endpoint."""
+        return ()
+
     def record_demand(self, endpoints):
         """Do nothing."""
 
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -104,6 +104,7 @@
         self.refresh_scheduled = False
         self.prefer_own_domain: Callable[[], bool] = lambda: False
         self.near_gateway_count: Callable[[], int] = lambda: 0
+        self.news_delay_s: Callable[[], float] = lambda: 0.0
         self.preferred_own_domain = False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
@@ -134,7 +135,8 @@
         policy = POLICIES[settings.policy](settings=settings, seed=seed)
         pool = PoolScheduler(name=name, program=self.program, policy=policy)
         pool.state.rate_limits = self.rate_limits
-        pool.dispatch_spread.others = self.near_gateway_count
+        pool.state.turns.others = lambda: self.near_gateway_count()
+        pool.state.turns.news_delay_s = lambda: self.news_delay_s()
         pool.settle()
         return pool
 
@@ -175,7 +177,7 @@
         for name in names:
             state = pool.state.endpoints[name]
             state.software_version = self.software_version_of(name)
-        pool.schedule_dispatch()
+        pool.dispatch()
 
     def software_version_of(self, name: str) -> str:
         """Return the version of an endpoint's software, empty if it isn't known."""
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from collections.abc import Callable, Collection
 from typing import Any
@@ -13,7 +12,6 @@
 from baobabturn.core.program import Program
 from baobabturn.core.results import Code, Failure
 from baobabturn.scheduler.candidates import WHOLE_POOL_INTERVAL_S, is_small
-from baobabturn.scheduler.dispatchspread import DispatchSpread
 from baobabturn.scheduler.fairness import WorkspaceLimits
 from baobabturn.scheduler.policy import Policy
 from baobabturn.scheduler.state import (
@@ -59,9 +57,9 @@
         self.workspaces = workspaces
         self.limits = WorkspaceLimits()
         self.dispatch_scheduled = False
-        self.dispatch_spread = DispatchSpread(rng=random.Random())
         self.limited_dispatch: asyncio.TimerHandle | None = None
         self.whole_dispatch: asyncio.TimerHandle | None = None
+        self.turn_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.owned_since = time.monotonic()
@@ -106,6 +104,7 @@
                 memory_tokens=endpoint.memory_tokens,
             )
             self.state.add(state)
+            self.state.turns.record_freed(state, time.monotonic())
         state.memory_tokens = endpoint.memory_tokens
         state.concurrency = endpoint.concurrency
         state.models = endpoint.models
@@ -173,22 +172,13 @@
     def schedule_dispatch(self) -> None:
         """Schedule one dispatch for all messages that arrived together.
 
-        A saturated pool waits longer, so that more messages share one pass, and so does
-        one whose capacity others grant too.
+        A saturated pool waits longer, so that more messages share one pass.
         """
         if not self.dispatch_scheduled:
             self.dispatch_scheduled = True
             delay_s = SATURATED_DISPATCH_DELAY_S if self.policy.saturated else 0.0
-            delay_s = max(delay_s, self.spread_delay_s())
             asyncio.get_running_loop().call_later(delay_s, self.dispatch)
 
-    def spread_delay_s(self) -> float:
-        """Return the delay that keeps schedulers from granting the same capacity."""
-        queue = self.state.queue.values()
-        if not queue:
-            return 0.0
-        return self.dispatch_spread.delay_s(any(each.urgent for each in queue))
-
     def dispatch(self) -> None:
         """Grant the waiting requests that the policy finds an endpoint for."""
         self.dispatch_scheduled = False
@@ -204,6 +194,20 @@
                 self.grant(waiting, endpoint, now)
         self.schedule_limited_dispatch()
         self.schedule_whole_dispatch()
+        self.schedule_turn_dispatch(now)
+
+    def schedule_turn_dispatch(self, now: float) -> None:
+        """Dispatch again when this scheduler's next turn at freed capacity comes."""
+        if self.turn_dispatch is not None:
+            self.turn_dispatch.cancel()
+            self.turn_dispatch = None
+        queue = self.state.queue.values()
+        if not queue:
+            return
+        delay_s = self.state.turns.next_turn_s(any(each.urgent for each in queue), now)
+        if delay_s:
+            loop = asyncio.get_running_loop()
+            self.turn_dispatch = loop.call_later(delay_s, self.dispatch)
 
     def schedule_whole_dispatch(self) -> None:
         """Dispatch again when a large pool may be examined as a whole again."""
@@ -307,6 +311,8 @@
         if endpoint is not None and item.produced > before:
             endpoint.record_produced(reservation, item.produced)
             self.policy.on_progress(endpoint, reservation, before, now)
+            if not before:
+                self.state.turns.record_freed(endpoint, now)
             self.schedule_dispatch()
         reservation.updated_at = now
 
@@ -321,13 +327,14 @@
         reservation = self.reservations.pop(body.reservation, None)
         if reservation is None:
             return
+        now = time.monotonic()
         endpoint = self.state.endpoints.get(reservation.endpoint)
         if endpoint is not None:
             endpoint.remove(reservation)
+            self.state.turns.record_freed(endpoint, now)
         reservation.produced = max(reservation.produced, body.produced)
         reservation.first_token_us = body.first_token_us or reservation.first_token_us
         self.policy.on_released(endpoint, reservation, body.outcome)
-        now = time.monotonic()
         self.limits.request_ended(
             reservation.workspace, reservation.memory_tokens, now, reservation.hedges
         )
