--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -375,7 +375,8 @@
     " that wait"
 )
 def pool_waiting(context, count, priority):
-    endpoints = SimpleNamespace(usable=lambda name: [])
+    index = SimpleNamespace(usable={"models": {}})
+    endpoints = SimpleNamespace(index=index)
     program = Program(role="gateway", settings=SETTINGS)
     regions = DomainRegions(by_domain={"z1": "north", "z2": "south"})
     context.pools = EnginePools(program=program, endpoints=endpoints, regions=regions)
