--- a/src/baobabturn/gateway/mirror.py
+++ b/src/baobabturn/gateway/mirror.py
@@ -109,7 +109,9 @@
     ``watch_version`` is the version to watch from, None if a list is needed;
     ``last_change_version`` is the version of the newest change that was applied, and
     ``complete_version`` the version up to which no change is missing.  ``objects``
-    holds the newest change of each object that exists.
+    holds the newest change of each object that exists.  While a list is read
+    (``is_listing``) ``removed_since`` holds the versions at which objects were removed,
+    and ``is_replaced`` says that another gateway has sent all objects.
     """
 
     def __init__(
@@ -136,6 +138,9 @@
         self.last_change_version = NO_VERSION
         self.complete_version = NO_VERSION
         self.objects: dict[str, Change] = {}
+        self.removed_since: dict[str, StoreVersion] = {}
+        self.is_replaced = False
+        self.is_listing = False
         self.confirmed_at = 0.0
         self.failures = 0
         self.vain_list_logged_at = 0.0
@@ -188,14 +193,20 @@
     async def list(self) -> Failure | None:
         """Read all objects."""
         asked_at = boot_time_s()
-        snapshot = await self.store.snapshot(self.kind)
+        known = self.complete_version
+        self.begin_list()
+        try:
+            snapshot = await self.store.snapshot(self.kind)
+        finally:
+            self.is_listing = False
         if isinstance(snapshot, Failure):
             return snapshot
         self.contact.record_success()
-        self.log_list(snapshot)
         before = self.complete_version
-        if not self.apply_snapshot(snapshot):
-            # An update from another gateway was newer.
+        is_applied = self.apply_listed(snapshot, known)
+        self.log_list(snapshot, is_applied)
+        if not is_applied:
+            # The store has answered as of an earlier time.
             reason = f"listed at {snapshot.version}, {self.last_change_version} known"
             return Failure(Code.VERSION_TOO_OLD, reason)
         self.confirm(asked_at)
@@ -203,6 +214,38 @@
             self.on_gap_listed(self)
         return None
 
+    def begin_list(self) -> None:
+        """Note what is known from now on while a list is read."""
+        self.is_listing = True
+        self.is_replaced = False
+        self.removed_since = {}
+
+    def apply_listed(self, snapshot: Changes, known: StoreVersion) -> bool:
+        """Apply a list with what came meanwhile; return false if it is too old.
+
+        ``known`` is the version that was complete before; a list as of an earlier one,
+        or of another era, says nothing.  Reading many pages takes longer than it is
+        between two changes: without the updates no list would ever be new enough.
+        """
+        newest = self.last_change_version
+        if known <= snapshot.version < newest and snapshot.version.era == newest.era:
+            return self.is_replaced or self.apply_snapshot(self.merged(snapshot))
+        return self.apply_snapshot(snapshot)
+
+    def merged(self, snapshot: Changes) -> Changes:
+        """Return a list with the updates that came while it was read."""
+        objects = {change.name: change for change in snapshot.changes}
+        for name, version in self.removed_since.items():
+            if name in objects and objects[name].version < version:
+                del objects[name]
+        for name, change in self.objects.items():
+            listed = objects.get(name)
+            if change.version > (listed.version if listed else snapshot.version):
+                objects[name] = change
+        return Changes(
+            changes=tuple(objects.values()), version=self.last_change_version
+        )
+
     def apply_snapshot(self, snapshot: Changes) -> bool:
         """Replace all objects; return false if newer ones are known."""
         if snapshot.version < self.last_change_version:
@@ -212,6 +255,7 @@
             snapshot.version
         )
         self.objects = {change.name: change for change in snapshot.changes}
+        self.is_replaced = True
         self.on_list(snapshot.changes)
         return True
 
@@ -225,13 +269,14 @@
         """Apply the change of one object."""
         if change.value is None:
             self.objects.pop(change.name, None)
+            if self.is_listing:
+                self.removed_since[change.name] = change.version
         else:
             self.objects[change.name] = change
         self.on_change(change)
 
-    def log_list(self, snapshot: Changes) -> None:
+    def log_list(self, snapshot: Changes, is_applied: bool) -> None:
         """Log a list, if it is in vain only now and then."""
-        is_applied = snapshot.version >= self.last_change_version
         now = boot_time_s()
         if not is_applied:
             if now - self.vain_list_logged_at < VAIN_LIST_LOG_INTERVAL_S:
--- a/src/baobabturn/gateway/storeupdates.py
+++ b/src/baobabturn/gateway/storeupdates.py
@@ -35,6 +35,7 @@
 from baobabturn.gateway.peer import Peer
 from baobabturn.gateway.peers import Peers
 from baobabturn.gateway.storechanges import decode_change, encode_change
+from baobabturn.gateway.updateparts import EncodedObjects, update_parts, value_bytes
 from baobabturn.gateway.watchers import Watchers, rank
 from baobabturn.store.interface import Changes
 from baobabturn.store.version import StoreVersion
@@ -63,8 +64,6 @@
 # of the store and this together: a dead root is noticed within 2 s, the next one
 # confirms at once, and two questions pass that on.
 OWN_AGE_MARGIN_S = 3.5
-# Larger updates don't fit into a datagram; receivers list the store instead.
-MAX_UPDATE_BYTES = 48_000
 # Limits for the updates of one kind that are kept for gateways that missed them.
 MAX_KEPT_UPDATES = 64
 MAX_KEPT_BYTES = 262_144
@@ -88,14 +87,26 @@
     answered_at: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class Gap:
+    """The version up to which a change is missed, and whom it is asked of.
+
+    ``asked_from`` is the version that was known here when it was asked for.
+    """
+
+    version: StoreVersion
+    asked_from: StoreVersion
+    peer: Peer
+
+
 class StoreUpdates:
     """Decides who watches the store; exchanges updates and confirmations.
 
     Times are boot times: ``confirmed_at`` is the newest at which others say that the
     store had nothing newer than is known here, ``answered_at`` that of the newest
     question that they have answered so.  ``own_kinds`` holds both for each kind that is
-    judged by itself, ``gaps`` for each kind of which a change was missed the version up
-    to which it is asked for.
+    judged by itself, ``gaps`` the missed changes of each kind that were asked for,
+    ``encoded`` the objects of each kind as they are sent.
     """
 
     def __init__(
@@ -116,8 +127,9 @@
         self.confirmed_at = 0.0
         self.answered_at = 0.0
         self.root_asked_at = 0.0
+        self.encoded = {kind: EncodedObjects() for kind in self.mirrors}
         self.kept: dict[str, deque[StoreNews]] = {}
-        self.gaps: dict[str, StoreVersion] = {}
+        self.gaps: dict[str, Gap] = {}
         for mirror in self.mirrors.values():
             mirror.is_active = functools.partial(self.should_watch_kind, mirror)
             mirror.is_follower = self.is_follower
@@ -239,11 +251,7 @@
         self.peers.send_message(ask, peers)
 
     def publish(self, mirror: Mirror, before: StoreVersion, result: Changes) -> None:
-        """Send the changes of a watch to the gateways that rely on this one.
-
-        Changes too large for a datagram are replaced by an update without changes
-        whose ``before`` is its own version, which makes the others list the store.
-        """
+        """Send the changes of a watch to the gateways that rely on this one."""
         if not self.watchers.is_watcher():
             return
         update = StoreNews(
@@ -254,9 +262,11 @@
             changes=[encode_change(change) for change in result.changes],
             returning=self.is_after_outage(),
         )
-        if value_bytes(update) > MAX_UPDATE_BYTES:
-            update.changes = []
-            update.before = update.version
+        for part in update_parts(update):
+            self.publish_part(part)
+
+    def publish_part(self, update: StoreNews) -> None:
+        """Keep an update that fits into a datagram, and send it."""
         self.keep_update(update)
         self.peers.send_message(update, self.domain_peers())
         if self.watchers.is_root():
@@ -292,7 +302,7 @@
         """Keep an update for gateways that missed it; drop the oldest over a limit."""
         kept = self.kept.setdefault(update.kind, deque(maxlen=MAX_KEPT_UPDATES))
         kept.append(update)
-        while sum(value_bytes(item) for item in kept) > MAX_KEPT_BYTES:
+        while sum(value_bytes(item.changes) for item in kept) > MAX_KEPT_BYTES:
             kept.popleft()
 
     def missed_updates(self, known: StoreState) -> list[StoreNews]:
@@ -319,17 +329,17 @@
 
     def full_updates(self, mirror: Mirror) -> list[StoreNews]:
         """Return an update with all objects of a kind, none if it is too large."""
-        snapshot = mirror.snapshot()
+        encoded = self.encoded[mirror.kind].encode(mirror.objects.values())
+        if encoded is None:
+            # The asking gateway lists the store instead.
+            return []
         update = StoreNews(
             node=self.peers.record.name,
             kind=mirror.kind,
-            version=snapshot.version,
-            changes=[encode_change(change) for change in snapshot.changes],
+            version=mirror.last_change_version,
+            changes=encoded,
             full=True,
         )
-        if value_bytes(update) > MAX_UPDATE_BYTES:
-            # The asking gateway lists the store instead.
-            return []
         return [update]
 
     def handle_update(self, update: StoreNews, peer: Peer) -> None:
@@ -371,17 +381,32 @@
         if self.watchers.is_root():
             mirror.invalidate()
             return
-        is_asked = mirror.kind in self.gaps
-        self.gaps[mirror.kind] = max(version, self.gaps.get(mirror.kind, version))
-        if is_asked:
-            return
-        self.ask([peer])
-        asyncio.get_running_loop().call_later(GAP_REPLY_S, self.close_gap, mirror)
+        known = self.gaps.get(mirror.kind)
+        gap = Gap(
+            version=version if known is None else max(version, known.version),
+            asked_from=mirror.last_change_version
+            if known is None
+            else known.asked_from,
+            peer=peer,
+        )
+        self.gaps[mirror.kind] = gap
+        if known is None:
+            self.ask([peer])
+            loop = asyncio.get_running_loop()
+            loop.call_later(GAP_REPLY_S, self.close_gap, mirror)
 
     def close_gap(self, mirror: Mirror) -> None:
-        """List the store if the changes that were asked for haven't come."""
-        version = self.gaps.pop(mirror.kind)
-        if mirror.last_change_version < version:
+        """List the store if the changes that were asked for haven't come.
+
+        What a list that is under way lacks shows afterwards.  If one has ended since,
+        the changes after it are asked for first.
+        """
+        gap = self.gaps.pop(mirror.kind)
+        if mirror.is_listing or mirror.last_change_version >= gap.version:
+            return
+        if mirror.last_change_version > gap.asked_from:
+            self.repair_gap(mirror, gap.version, gap.peer)
+        else:
             mirror.invalidate()
 
     def log_old_update(self, update: StoreNews, mirror: Mirror) -> None:
@@ -451,8 +476,3 @@
                 known = self.own_kinds.get(item.kind, self)
                 known.confirmed_at = max(known.confirmed_at, at)
                 known.answered_at = max(known.answered_at, asked_at)
-
-
-def value_bytes(update: StoreNews) -> int:
-    """Return the size of an update's compressed values in bytes."""
-    return sum(len(change.value) for change in update.changes)
--- a/src/baobabturn/platform/objectstore.py
+++ b/src/baobabturn/platform/objectstore.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
+import random
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
@@ -50,6 +52,10 @@
 ERA_HEADER = "Store-Era"
 # A watch times out this long after the wait that it asked the store for.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# A later page of a list that was refused for the rate of calls is asked for again after
+# such a pause, and for so long in all: the store takes a number of calls each second.
+MIN_PAGE_PAUSE_S, MAX_PAGE_PAUSE_S = 0.05, 0.3
+MAX_PAGE_WAIT_S = 5.0
 FAILURE_CODES = {
     404: Code.OBJECT_MISSING,
     409: Code.VERSION_CONFLICT,
@@ -245,7 +251,7 @@
         last_name = ""
         while True:
             params = {"after": last_name} if last_name else None
-            answer = await self.call("GET", kind, params=params, load=load_items)
+            answer = await self.list_page(kind, params)
             if isinstance(answer, Failure):
                 return answer
             try:
@@ -267,6 +273,25 @@
                 return Failure(Code.WRITE_UNRESOLVED, reason)
             last_name = page[-1].name
 
+    async def list_page(
+        self, kind: str, params: dict[str, str] | None
+    ) -> StoreAnswer | Failure:
+        """Return a page of a list; ask again for a later one that was refused.
+
+        Without it the pages before were read in vain.
+        """
+        waited_s = 0.0
+        while True:
+            answer = await self.call("GET", kind, params=params, load=load_items)
+            is_refused = (
+                isinstance(answer, Failure) and answer.code is Code.PLATFORM_BUDGET
+            )
+            if not is_refused or params is None or waited_s > MAX_PAGE_WAIT_S:
+                return answer
+            pause_s = random.uniform(MIN_PAGE_PAUSE_S, MAX_PAGE_PAUSE_S)
+            await asyncio.sleep(pause_s)
+            waited_s += pause_s
+
     def decode_page(
         self, kind: str, items: list[Any], version: StoreVersion
     ) -> list[StoredObject]:
