--- a/src/baobabturn/gateway/reservationorder.py
+++ b/src/baobabturn/gateway/reservationorder.py
@@ -16,11 +16,7 @@
 
 import attrs
 
-from baobabturn.gateway.reservationsummary import (
-    Summary,
-    SummaryCheck,
-    digest_of,
-)
+from baobabturn.gateway.reservationsummary import Summary, SummaryCheck, digest_of
 from baobabturn.wire.gatewaymessages import ReservationChanges
 from baobabturn.wire.messages import Holding, Release
 
@@ -54,12 +50,13 @@
     """Decides which changes of one other gateway still hold.
 
     ``known`` holds its reservations by name.  ``ended`` and ``early_progress`` hold,
-    since its newest full state, the number of each release, and the progress that came
-    before its reservation with the number of the message.  ``newest`` is the number of
-    the newest message with changes.  ``is_whole`` says whether a full state, or a
-    summary that agrees, has come since the reservations were forgotten;
-    ``confirmed_sequence`` is the number of the newest such summary.  ``check`` is the
-    comparison with a summary while changes may be on their way.
+    since its newest full state or the newest summary that agreed, the number of each
+    release, and the progress that came before its reservation with the number of the
+    message.  ``newest`` is the number of the newest message with changes.
+    ``is_whole`` says whether a full state, or a summary that agrees, has come since the
+    reservations were forgotten; ``confirmed_sequence`` is the number of the newest such
+    summary.  ``check`` is the comparison with a summary while changes may be on their
+    way.
     """
 
     def __init__(self):
