--- a/features/capacityturns.feature
+++ b/features/capacityturns.feature
@@ -21,6 +21,12 @@
     When one of the generations ends, in 30 plays
     Then an urgent one is the first in at least 20 of the plays
 
+  # Guards against long requests that never have a turn at a busy engine.
+  Scenario: Capacity of an engine is freed 50 times a second
+    Given 63 gateways, and an engine with room for 8 generations that is full
+    When capacity is freed there each 20 ms for 2 s
+    Then each gateway has at least 4 turns for long requests
+
   Scenario: A gateway that is alone grants at once
     Given 1 gateway, and an engine with room for 8 generations that is full
     And a long request waits at 1 of the gateways
--- a/features/steps/capacityturns.py
+++ b/features/steps/capacityturns.py
@@ -152,6 +152,27 @@
     context.plays = [play(context) for _ in range(count)]
 
 
+@when("capacity is freed there each {pause_ms:d} ms for {seconds:g} s")
+def step_freed_often(context, pause_ms, seconds):
+    """Count how often each gateway may use the engine for a long request."""
+    begin = time.monotonic()
+    context.turns = []
+    for number in range(context.count):
+        pool = make_gateway(context, number)
+        turns, (engine,) = pool.state.turns, pool.state.endpoints.values()
+        came = 0
+        for step in range(round(seconds * 1000 / pause_ms)):
+            now = begin + step * pause_ms / 1000
+            came += not turns.left_s(engine, False, now)
+            turns.record_freed(engine, now)
+        context.turns.append(came)
+
+
+@then("each gateway has at least {least:d} turns for long requests")
+def step_turns(context, least):
+    assert min(context.turns) >= least, context.turns
+
+
 @then("on average at most {most:g} of the requests are granted at once")
 def step_few(context, most):
     counts = [len(each.granted) for each in context.plays]
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -29,7 +29,7 @@
 MAX_MESH_PEERS = 16
 # Changes are batched for 2 ms by their sender and for 4 ms by a forwarder, and each of
 # the processes on the way may be busy with a request for some milliseconds.
-MESH_NEWS_DELAY_S, FORWARDED_NEWS_DELAY_S = 0.005, 0.025
+MESH_NEWS_DELAY_S, FORWARDED_NEWS_DELAY_S = 0.005, 0.02
 MONITOR_COUNT = 3
 # Within this time every near peer gets a heartbeat.
 ROUND_S = 6.0
--- a/src/baobabturn/scheduler/capacityturns.py
+++ b/src/baobabturn/scheduler/capacityturns.py
@@ -56,7 +56,12 @@
         return self.news_delay_s() * math.log(1 + rank, GROWTH_RATIO)
 
     def record_freed(self, endpoint: EndpointState, now: float) -> None:
-        """Record that capacity of an engine was freed; draw the turn there."""
+        """Record that capacity of an engine was freed; draw the turn there.
+
+        A turn that is still to come stays, else it would never come at a busy engine.
+        """
+        if self.left_s(endpoint, False, now):
+            return
         endpoint.freed_at = now
         endpoint.turn_delay_s = self.draw_delay_s()
         if endpoint.turn_delay_s:
