--- a/src/baobabturn/core/results.py
+++ b/src/baobabturn/core/results.py
@@ -85,6 +85,8 @@
     REQUEST_QUARANTINED = 1610
     STREAM_ORIGIN_UNKNOWN = 1611
     NO_HOME_REGION = 1612
+    RESPONSE_UNREAD = 1613
+    STREAM_UNREAD = 1614
     SCHEDULER_UNREACHABLE = 1603
     POOL_MOVED = 1604
 
@@ -268,6 +270,18 @@
         True,
         "No known failure domain is in a home region of both route and workspace.",
     ),
+    Code.RESPONSE_UNREAD: CodeRow(
+        499,
+        _R,
+        False,
+        "The caller took nothing of the response in time; its connection was reset.",
+    ),
+    Code.STREAM_UNREAD: CodeRow(
+        499,
+        _R,
+        False,
+        "The caller took nothing of a stream whose buffer was full; it was cancelled.",
+    ),
     Code.SCHEDULER_UNREACHABLE: CodeRow(
         503, _N, True, "No scheduler responded and the entry chose no endpoint itself."
     ),
--- a/src/baobabturn/entry/bodies.py
+++ b/src/baobabturn/entry/bodies.py
@@ -34,6 +34,7 @@
         self.held_bytes = 0
         self.workspace_bytes: dict[str, int] = {}
         self.released = asyncio.Event()
+        self.waiting: list[tuple[str, int]] = []
 
     def fits(self, workspace: str, size_bytes: int) -> bool:
         """Return whether a body fits; a workspace's only body may exceed its share."""
@@ -46,6 +47,8 @@
 
     async def acquire(self, workspace: str, size_bytes: int) -> Failure | None:
         """Acquire bytes for a body, waiting up to ``wait_s`` for their release."""
+        need = (workspace, size_bytes)
+        self.waiting.append(need)
         try:
             async with asyncio.timeout(self.wait_s):
                 while not self.fits(workspace, size_bytes):
@@ -58,11 +61,36 @@
                 " or the workspace its share of it",
                 retry_after_s=RETRY_AFTER_S,
             )
+        finally:
+            self.waiting.remove(need)
+        self.hold(workspace, size_bytes)
+        return None
+
+    def try_acquire(self, workspace: str, size_bytes: int) -> bool:
+        """Acquire bytes if they fit and nobody waits for them; return whether."""
+        if self.is_short(workspace) or not self.fits(workspace, size_bytes):
+            return False
+        self.hold(workspace, size_bytes)
+        return True
+
+    def hold(self, workspace: str, size_bytes: int) -> None:
+        """Count bytes as held."""
         self.held_bytes += size_bytes
         self.workspace_bytes[workspace] = (
             self.workspace_bytes.get(workspace, 0) + size_bytes
         )
-        return None
+
+    def is_short(self, workspace: str) -> bool:
+        """Return whether a body waits for bytes that a workspace could release.
+
+        A body for which its own workspace's share is used up gains nothing from others.
+        """
+        return any(
+            waiting_workspace == workspace
+            or self.held_bytes + size_bytes > self.limit_bytes
+            for waiting_workspace, size_bytes in self.waiting
+            if not self.fits(waiting_workspace, size_bytes)
+        )
 
     def release(self, workspace: str, size_bytes: int) -> None:
         """Release bytes of a body."""
