--- a/src/baobabturn/core/events.py
+++ b/src/baobabturn/core/events.py
@@ -116,6 +116,7 @@
     SERVICE_REACHED = "service-reached"
     REQUEST_RELAYED = "request-relayed"
     CRASH_REFUTED = "crash-refuted"
+    READING_STOPPED = "reading-stopped"
 
 
 EVENT_MEANINGS: dict[Event, str] = {
@@ -316,6 +317,10 @@
     Event.CRASH_REFUTED: (
         "An endpoint refuses this gateway's connections but takes those of another."
     ),
+    Event.READING_STOPPED: (
+        "The buffer for a stream's caller is full, `unsent_bytes`, so the engine isn't"
+        " read until the caller takes more; logged once for each stream."
+    ),
     Event.STREAM_CUT: (
         "A stream from an endpoint ended before its last event, `began_ms` after its"
         " head."
--- a/src/baobabturn/core/metrics.py
+++ b/src/baobabturn/core/metrics.py
@@ -19,6 +19,8 @@
 HELP = {
     "addresses_listed": "Addresses listed for callers, by whose failure domain it is.",
     "answer_us": "Time from a request's arrival to the end of its response, by route.",
+    "callers_awaited": "Callers that have yet to take what was sent to them.",
+    "body_memory_held_bytes": "Memory that request and response bodies hold.",
     "attempt_us": "Duration of an attempt at an endpoint of a plain service.",
     "cold_endpoints": "Endpoints that are warming up and take few requests a second.",
     "crashes_seen": "Responses that broke off because their endpoint crashed.",
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -13,6 +13,8 @@
 from baobabturn.core.serving import wait_for_disconnect
 from baobabturn.entry.bodies import BodyReader, body_length
 from baobabturn.entry.responses import error_body, send_bytes, send_json
+from baobabturn.gateway.callerconnection import CONNECTION_KEY
+from baobabturn.gateway.callersend import CallerSend, CallerStalled
 from baobabturn.gateway.crashwatch import part_ids
 from baobabturn.gateway.endpointclient import CompleteResponse
 from baobabturn.gateway.httpheaders import (
@@ -111,7 +113,17 @@
             if isinstance(request, Failure):
                 await self.refuse(scope, send, request)
                 return
-            await self.process(request, receive, send)
+            stack.callback(request.release_bodies)
+            caller_send = CallerSend(
+                send=send,
+                connection=scope[CONNECTION_KEY],
+                request=request,
+                program=node.program,
+                memory=node.body_memory,
+                unread=node.unread,
+            )
+            stack.callback(caller_send.close)
+            await self.process(request, receive, caller_send)
 
     async def serve_relayed(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle a request that another gateway passes on; refuse any other."""
@@ -227,7 +239,9 @@
         homes = combined_homes(route.homes, key_holder.homes)
         return route, key_holder.workspace, priority, homes
 
-    async def process(self, request: CallerRequest, receive: Any, send: Any) -> None:
+    async def process(
+        self, request: CallerRequest, receive: Any, send: CallerSend
+    ) -> None:
         """Respond to a request until it ends or its caller disconnects."""
         node = self.node
         resumption = request.resumption
@@ -248,7 +262,7 @@
         if refusal is not None:
             await self.fail(request, send, refusal)
             return
-        response_task = asyncio.create_task(self.respond(request, send))
+        response_task = asyncio.create_task(self.respond_until_stalled(request, send))
         disconnect_task = asyncio.create_task(wait_for_disconnect(receive))
         try:
             await asyncio.wait(
@@ -294,6 +308,16 @@
             return Failure(Code.STOPPING, reason, retry_after_s=STOPPING_RETRY_AFTER_S)
         return None
 
+    async def respond_until_stalled(
+        self, request: CallerRequest, send: CallerSend
+    ) -> None:
+        """Respond to a request; reset the connection of a caller that doesn't read."""
+        try:
+            await self.respond(request, send)
+        except CallerStalled as stalled:
+            self.record_failure(request, stalled.failure)
+            await send.reset()
+
     async def respond(self, request: CallerRequest, send: Any) -> None:
         """Forward a request and send the response or the failure."""
         node = self.node
@@ -345,7 +369,7 @@
 
     async def send_response(self, response: CompleteResponse, send: Any) -> None:
         """Send an endpoint's response unchanged, except for per-connection headers."""
-        length = (b"content-length", str(len(response.body)).encode())
+        length = (b"content-length", str(response.body.size_bytes).encode())
         headers = [
             *end_to_end_headers(response.headers),
             length,
@@ -358,7 +382,8 @@
                 "headers": headers,
             }
         )
-        await send({"type": "http.response.body", "body": response.body})
+        await response.body.send_to(send)
+        await send({"type": "http.response.body", "body": b""})
 
     def log_finished(self, request: CallerRequest, status: int) -> None:
         """Log a request that got its response, and record the time that it took."""
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -23,6 +23,7 @@
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.evacuations import EvacuationWatch
+from baobabturn.gateway.heldbody import HeldBody
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.platforminterface import (
@@ -35,8 +36,6 @@
 from baobabturn.gateway.transport import Transport
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Up to this size a body isn't counted towards the memory for bodies.
-UNCOUNTED_BYTES = 65_536
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,7 +76,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: HeldBody
 
 
 class EndpointClient:
@@ -216,7 +215,7 @@
     ) -> CompleteResponse | Failure:
         """Send a request and return the complete response, or a failure."""
         open_response: OpenResponse | Failure | None = None
-        body: bytes | Failure
+        body: HeldBody | Failure
         try:
             async with asyncio.timeout(timeout_s):
                 open_response = await self.open(request, endpoint, timeout_s=timeout_s)
@@ -245,32 +244,38 @@
 
     async def read_body(
         self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
-    ) -> bytes | Failure:
-        """Return a response's whole body.
+    ) -> HeldBody | Failure:
+        """Return a response's whole body, whose memory is held until it is released.
 
         Return a failure if it exceeds a limit or ended with its endpoint's process, and
-        raise the errors of aiohttp.  Memory is held while the body is read.
+        raise the errors of aiohttp.
         """
-        body = bytearray()
-        acquired_bytes = 0
-        content = open_response.response.content
+        body = HeldBody(memory=self.body_memory, workspace=request.workspace)
+        request.held_bodies.append(body)
+        failure: Failure | None = None
+        is_whole = False
         try:
-            async for data in content.iter_chunked(READ_CHUNK_BYTES):
-                body += data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    reason = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
-                    return Failure(Code.OUTCOME_UNKNOWN, reason)
-                if len(body) <= UNCOUNTED_BYTES:
-                    continue
-                failure = await self.body_memory.acquire(request.workspace, len(data))
-                if failure is not None:
-                    return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
-                acquired_bytes += len(data)
-            failure = await self.check_end(request, endpoint, open_response)
-            return bytes(body) if failure is None else failure
+            failure = await self.read_chunks(body, open_response)
+            failure = failure or await self.check_end(request, endpoint, open_response)
+            is_whole = failure is None
         finally:
-            if acquired_bytes:
-                self.body_memory.release(request.workspace, acquired_bytes)
+            if not is_whole:
+                body.release()
+        return failure or body
+
+    async def read_chunks(
+        self, body: HeldBody, open_response: OpenResponse
+    ) -> Failure | None:
+        """Read a response's body; return why it can't be held."""
+        content = open_response.response.content
+        async for data in content.iter_chunked(READ_CHUNK_BYTES):
+            if body.size_bytes + len(data) > MAX_RESPONSE_BYTES:
+                reason = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+                return Failure(Code.OUTCOME_UNKNOWN, reason)
+            failure = await body.append(data)
+            if failure is not None:
+                return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
+        return None
 
     async def check_end(
         self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
--- a/src/baobabturn/gateway/main.py
+++ b/src/baobabturn/gateway/main.py
@@ -85,6 +85,8 @@
     )
     program.metrics.gauge("open_requests", lambda: node.open_requests)
     program.metrics.gauge("own_load", lambda: node.peers.own_load.ratio)
+    program.metrics.gauge("callers_awaited", lambda: len(node.unread.awaited))
+    program.metrics.gauge("body_memory_held_bytes", lambda: node.body_memory.held_bytes)
     program.metrics.gauge("places_held", lambda: len(node.pools.reservations))
     program.metrics.gauge("slow_engines", node.pools.slow_engine_count)
     program.metrics.gauge("urgent_reserve_tokens", node.pools.urgent_reserve_tokens)
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -56,6 +56,7 @@
 from baobabturn.gateway.streaming import Streams
 from baobabturn.gateway.streamparts import StreamParts
 from baobabturn.gateway.transport import Transport
+from baobabturn.gateway.unreadresponses import UnreadResponses
 from baobabturn.gateway.versionrecords import VersionRecorder
 from baobabturn.gateway.watchers import Watchers
 from baobabturn.quarantine.ledger import CrashLedger
@@ -165,6 +166,7 @@
             limit_bytes=settings.body_memory_bytes,
             wait_s=program.settings.entry.body_wait_s,
         )
+        self.unread = UnreadResponses(is_short=self.body_memory.is_short)
         opinions = PathOpinions(
             program=program, peers=self.peers, endpoints=self.endpoints
         )
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -91,7 +91,7 @@
             tried_endpoints.add(endpoint.name)
             result = await self.attempt(request, endpoint, len(tried_endpoints))
             attempts_sent += was_sent(result)
-            best = result if best is None else more_significant(best, result)
+            best = result if best is None else kept_result(best, result)
             if not self.may_try_other_endpoint(request, result, attempts_sent):
                 break
             if not self.paths.reaches(request.service.name):
@@ -292,6 +292,17 @@
     return max(first, second, key=significance)
 
 
+def kept_result(
+    first: CompleteResponse | Failure, second: CompleteResponse | Failure
+) -> CompleteResponse | Failure:
+    """Return the more significant result, and release the memory of the other one."""
+    kept = more_significant(first, second)
+    dropped = second if kept is first else first
+    if isinstance(dropped, CompleteResponse):
+        dropped.body.release()
+    return kept
+
+
 def significance(result: CompleteResponse | Failure) -> int:
     """Return a result's rank; the highest one is reported to the caller."""
     if isinstance(result, Failure):
--- a/src/baobabturn/gateway/protocol.py
+++ b/src/baobabturn/gateway/protocol.py
@@ -5,6 +5,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from baobabturn.entry.protocol import limited_protocol
+from baobabturn.gateway.callerconnection import CONNECTION_KEY, CallerConnection
 from baobabturn.gateway.node import GatewayNode
 from baobabturn.gateway.routes import CallerLimits
 
@@ -51,5 +52,11 @@
             """Set the idle timeout in force when the connection opens."""
             super().connection_made(transport)
             self.timeout_keep_alive = current.limits.idle_timeout_s + IDLE_MARGIN_S
+            self.caller_connection = CallerConnection(protocol=self)
+
+        def on_message_begin(self) -> None:
+            """Let the application see the connection of a request."""
+            super().on_message_begin()
+            self.scope[CONNECTION_KEY] = self.caller_connection
 
     return GatewayProtocol
--- a/src/baobabturn/gateway/relayedstream.py
+++ b/src/baobabturn/gateway/relayedstream.py
@@ -17,6 +17,7 @@
     failure_from_exception,
     may_retry,
 )
+from baobabturn.gateway.callersend import CallerStalled
 from baobabturn.gateway.endpointclient import OpenResponse
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.eventreader import EventReader, stall_timeout_s
@@ -117,7 +118,7 @@
                     return None
                 failure = await self.continue_elsewhere(interruption)
             return failure or Failure(Code.GENERATION_CUT, "continued too often")
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerStalled):
             self.finish(ABANDONED)
             raise
         finally:
@@ -373,8 +374,8 @@
             return failure_from_exception(error)
         if isinstance(body, Failure):
             return body
-        await self.send({"type": "http.response.body", "body": body, "more_body": True})
         self.finish(FAILED)
+        await body.send_to(self.send)
         return None
 
     async def relay_event(self, event: SseEvent) -> Failure | None:
--- a/src/baobabturn/gateway/request.py
+++ b/src/baobabturn/gateway/request.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from baobabturn.gateway.heldbody import HeldBody
 from baobabturn.gateway.routes import Route, Service
 from baobabturn.placement.homes import ANY_REGION, Homes
 
@@ -53,6 +54,7 @@
     ``deadline`` is the earlier of the caller's deadline and the route's timeout;
     ``sent`` says that an endpoint may have got the request, ``relayed`` that it came
     through another gateway, which can't reach its service.  Only ``homes`` may run it.
+    ``held_bodies`` are the bodies of its responses.
     """
 
     request_id: str
@@ -72,6 +74,16 @@
     relayed: bool = False
     homes: Homes = ANY_REGION
     sent: bool = False
+    held_bodies: list[HeldBody] = attrs.Factory(list)
+
+    def held_bytes(self) -> int:
+        """Return the memory that the request's body and its responses hold."""
+        return len(self.body) + sum(body.acquired_bytes for body in self.held_bodies)
+
+    def release_bodies(self) -> None:
+        """Release the memory that responses to the request hold."""
+        for body in self.held_bodies:
+            body.release()
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline, negative after it."""
--- a/src/baobabturn/gateway/unreadresponses.py
+++ b/src/baobabturn/gateway/unreadresponses.py
@@ -66,6 +66,11 @@
         """Return the time of the first observation."""
         return self.observed_at
 
+    @property
+    def ends_at(self) -> float:
+        """Return when the response ends unless its caller takes something."""
+        return self.waits_since + self.rule.timeout_s
+
     def observe(self, untaken_bytes: int, now: float) -> None:
         """Record what the caller has yet to take.
 
--- a/src/baobabturn/settings/model.py
+++ b/src/baobabturn/settings/model.py
@@ -215,6 +215,8 @@
     endpoint_watch_s: float = number(0.1, 30)
     lapse_grace_s: float = number(0, 60)
     evacuate_ms: float = number(0, 3_600_000)
+    unread_timeout_s: float = number(1, 3600)
+    caller_buffer_bytes: int = number(16_384, 16_777_216)
     connect_timeout_s: float = number(0.01, 60)
 
 
