--- a/features/gatewayslowcallers.feature
+++ b/features/gatewayslowcallers.feature
@@ -83,6 +83,42 @@
     And all callers that read nothing are disconnected within 8 seconds
     And body memory holds nothing
 
+  # Guards against endpoints that crash by the bodies that they hold.
+  # Load: 8 bodies of 3 MiB at once, to endpoints that read them slowly.
+  Scenario: Endpoints read request bodies slowly
+    Given a site with 2 endpoints that read request bodies slowly
+    When 8 callers post 3 MiB each with 8 seconds
+    Then all of them are served
+    And no endpoint held more than 8 MiB of bodies
+
+  # Guards against requests that wait without end for room, or are refused as run.
+  Scenario: No endpoint gets room in time
+    Given a site with 1 endpoints that read request bodies slowly
+    When 8 callers post 3 MiB each with 1.6 seconds
+    Then some are served and the others refused as not run, with a retry time
+    And no endpoint held more than 8 MiB of bodies
+
+  # Guards against a body that never fits.
+  Scenario: A body is larger than what may be in flight
+    Given a site with 1 endpoints that read request bodies slowly
+    When 2 callers post 10 MiB each with 8 seconds
+    Then all of them are served
+    And no endpoint held more than 10 MiB of bodies
+
+  # Guards against engines that hold more bodies than others do.
+  Scenario: Streams with large bodies go to an engine that has room
+    Given a site with 2 engines that read request bodies slowly
+    When 4 callers stream with 3 MiB each
+    Then all of them are served
+    And no endpoint held more than 8 MiB of bodies
+
+  # Guards against streams that are refused as if they had run.
+  Scenario: No engine has room for a stream's body
+    Given a site with 1 engines that read request bodies slowly
+    When 4 callers stream with 3 MiB each
+    Then some are served and the others refused as not run, with a retry time
+    And no endpoint held more than 8 MiB of bodies
+
   # Guards against callers that are disconnected because the gateway was paused.
   # Load: one caller, and a pause longer than its timeout.
   Scenario: A gateway is paused while a caller waits
--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import attrs
@@ -19,6 +22,7 @@
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
+from baobabturn.gateway.bodyroom import BodyRoom
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
@@ -33,22 +37,26 @@
 )
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.responseend import ResponseEndCheck
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.transport import Transport
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+RETRY_AFTER_S = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
 class OpenResponse:
     """An endpoint's response whose body has not been read yet.
 
-    ``began_at`` is the monotonic time at which its head arrived.
+    ``began_at`` is the monotonic time at which its head arrived.  ``release_request``
+    is called once it is closed, after which the endpoint doesn't hold the request.
     """
 
     response: aiohttp.ClientResponse
     headers: Headers
     response_metadata: ResponseMetadata
     began_at: float = attrs.Factory(time.monotonic)
+    release_request: Callable[[], None] | None = None
 
     @property
     def status(self) -> int:
@@ -68,6 +76,9 @@
     def close(self) -> None:
         """Close the connection, which cancels the request at most endpoints."""
         self.response.close()
+        release, self.release_request = self.release_request, None
+        if release is not None:
+            release()
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +105,7 @@
         conditions: EndpointConditions,
         end_check: ResponseEndCheck,
         evacuation_watch: EvacuationWatch | None,
+        body_room: BodyRoom,
     ):
         self.transport = transport
         self.header_translator = header_translator
@@ -104,8 +116,33 @@
         self.conditions = conditions
         self.end_check = end_check
         self.evacuation_watch = evacuation_watch
+        self.body_room = body_room
 
     async def open(
+        self, request: CallerRequest, endpoint: Endpoint, **options: Any
+    ) -> OpenResponse | Failure:
+        """Send a request as ``send`` does, unless there is no room for its body."""
+        size_bytes = len(request.body)
+        if not self.body_room.fits(endpoint.name, size_bytes):
+            return Failure(
+                Code.NO_ENDPOINT,
+                f"{endpoint.name} has no room for a body of {size_bytes} bytes",
+                retry_after_s=spread_retry_s(RETRY_AFTER_S),
+            )
+        self.body_room.take(endpoint.name, size_bytes)
+        result: OpenResponse | Failure | None = None
+        try:
+            result = await self.send(request, endpoint, **options)
+        finally:
+            if not isinstance(result, OpenResponse):
+                self.body_room.release(endpoint.name, size_bytes)
+        if isinstance(result, OpenResponse):
+            result.release_request = functools.partial(
+                self.body_room.release, endpoint.name, size_bytes
+            )
+        return result
+
+    async def send(
         self,
         request: CallerRequest,
         endpoint: Endpoint,
--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -12,6 +12,7 @@
 from baobabturn.core.lag import LagWatch
 from baobabturn.core.program import Program
 from baobabturn.entry.bodies import BodyMemory
+from baobabturn.gateway.bodyroom import BodyRoom
 from baobabturn.gateway.budget import FleetRetryBudget
 from baobabturn.gateway.catchup import CatchUp
 from baobabturn.gateway.configinforce import ConfigInForce
@@ -167,6 +168,7 @@
             wait_s=program.settings.entry.body_wait_s,
         )
         self.unread = UnreadResponses(is_short=self.body_memory.is_short)
+        body_room = BodyRoom()
         opinions = PathOpinions(
             program=program, peers=self.peers, endpoints=self.endpoints
         )
@@ -220,6 +222,7 @@
             conditions=conditions,
             end_check=ResponseEndCheck(opinions=opinions, incarnations=incarnations),
             evacuation_watch=self.evacuation_watch,
+            body_room=body_room,
         )
         self.plain = PlainForwarder(
             program=program,
@@ -234,6 +237,7 @@
                 brittle=self.rate_limits.brittle,
                 table=self.peers.table,
             ),
+            body_room=body_room,
             regions=regions,
         )
         self.version_recorder = VersionRecorder(
--- a/src/baobabturn/gateway/plain.py
+++ b/src/baobabturn/gateway/plain.py
@@ -9,6 +9,7 @@
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.endpointranking import EndpointRanking
 from baobabturn.entry.outcome import AttemptState, attempt_state, may_retry
+from baobabturn.gateway.bodyroom import BodyRoom
 from baobabturn.gateway.budget import FleetRetryBudget
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointclient import CompleteResponse, EndpointClient
@@ -46,6 +47,7 @@
         rate_limits: LimitExchange,
         paths: Paths,
         slot_room: SlotRoom,
+        body_room: BodyRoom,
         regions: DomainRegions,
     ):
         self.program = program
@@ -56,6 +58,7 @@
         self.rate_limits = rate_limits
         self.paths = paths
         self.slot_room = slot_room
+        self.body_room = body_room
         self.turns = Turns()
         endpoints.change_listeners.append(self.end_waits_for_closed)
         self.regions = regions
@@ -86,7 +89,7 @@
                 break
             if not await self.wait_for_turn(request, endpoint):
                 continue
-            if not self.slot_room.has_room(request.service.name, endpoint.name):
+            if not self.has_room(request, endpoint):
                 continue
             tried_endpoints.add(endpoint.name)
             result = await self.attempt(request, endpoint, len(tried_endpoints))
@@ -119,11 +122,26 @@
 
         ``wait_until`` is the monotonic time until which the request may wait.
         """
-        names = [endpoint.name for endpoint in self.untried(request, tried_endpoints)]
-        if not names:
+
+        def names() -> list[str]:
+            """Return the names of the endpoints that may be tried."""
+            return [each.name for each in self.untried(request, tried_endpoints)]
+
+        service = request.service.name
+        if not names():
             return None
         limit_s = wait_until - time.monotonic()
-        return await self.slot_room.wait(request.service.name, names, limit_s)
+        refusal = await self.slot_room.wait(service, names(), limit_s)
+        if refusal is not None:
+            return refusal
+        limit_s = wait_until - time.monotonic()
+        return await self.body_room.wait(service, names, len(request.body), limit_s)
+
+    def has_room(self, request: CallerRequest, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has room for a request and its body."""
+        return self.slot_room.has_room(
+            request.service.name, endpoint.name
+        ) and self.body_room.fits(endpoint.name, len(request.body))
 
     async def wait_for_turn(self, request: CallerRequest, endpoint: Endpoint) -> bool:
         """Book a request to an endpoint and wait until its limit permits it.
@@ -166,7 +184,7 @@
         by_name = {
             endpoint.name: endpoint
             for endpoint in self.untried(request, tried_endpoints)
-            if self.slot_room.has_room(request.service.name, endpoint.name)
+            if self.has_room(request, endpoint)
         }
         if not by_name:
             return None
