--- a/features/gatewayslowcallers.feature
+++ b/features/gatewayslowcallers.feature
@@ -71,6 +71,15 @@
     Then each caller has events 1 to 300 and the end
     And body memory holds nothing
 
+  # Guards against streams that go on after their deadline because their caller is slow.
+  Scenario: The deadline passes while a caller reads a stream slowly
+    Given a site with a buffer of 65536 bytes for each caller and an engine of 900 events of 1000 bytes
+    When 1 callers stream /draft/x with 3 seconds
+    And the callers read 4000 bytes every 0.2 seconds until they are disconnected
+    Then 1 callers are disconnected with 1302 after 2.9 to 20 seconds, by a reset
+    And the engine's generations were cancelled and no reservation is held
+    And body memory holds nothing
+
   # Guards against one customer's stalled callers that cost others their service.
   # Load: 12 stalled streams, 12 unread responses of 1 MiB, and a caller that reads.
   Scenario: Many callers stall at once while another one reads
--- a/features/steps/gatewayslowcallers.py
+++ b/features/steps/gatewayslowcallers.py
@@ -144,6 +144,26 @@
     call_slowly(context, count, "POST", path, **SMALL_PROMPT)
 
 
+@when("{count:d} callers stream {path} with {seconds:d} seconds")
+def stream_with_deadline(context, count, path, seconds):
+    deadline = str(1000 * seconds)
+    call_slowly(context, count, "POST", path, X_Deadline_Ms=deadline, **SMALL_PROMPT)
+
+
+@when(
+    "the callers read {size:d} bytes every {pause:g} seconds until they are"
+    " disconnected"
+)
+def read_until_reset(context, size, pause):
+    async def play():
+        async with asyncio.timeout(END_S):
+            for caller in context.callers:
+                while await caller.read(size):
+                    await asyncio.sleep(pause)
+
+    run(context, play())
+
+
 @when("{seconds:g} seconds go by")
 def go_by(context, seconds):
     run(context, asyncio.sleep(seconds))
--- a/src/baobabturn/gateway/app.py
+++ b/src/baobabturn/gateway/app.py
@@ -258,10 +258,6 @@
             resumes=resumption.attempt if resumption else "",
             after=resumption.last_event_id if resumption else "",
         )
-        refusal = self.stopping_refusal(request)
-        if refusal is not None:
-            await self.fail(request, send, refusal)
-            return
         response_task = asyncio.create_task(self.respond_until_stalled(request, send))
         disconnect_task = asyncio.create_task(wait_for_disconnect(receive))
         try:
@@ -321,6 +317,10 @@
     async def respond(self, request: CallerRequest, send: Any) -> None:
         """Forward a request and send the response or the failure."""
         node = self.node
+        refusal = self.stopping_refusal(request)
+        if refusal is not None:
+            await self.fail(request, send, refusal)
+            return
         if not request.relayed and not node.paths.reaches(request.service.name):
             await self.send_through_peer(request, send)
             return
--- a/src/baobabturn/gateway/callersend.py
+++ b/src/baobabturn/gateway/callersend.py
@@ -22,6 +22,8 @@
 
 # How often a response that waits for its caller is looked at.
 CHECK_INTERVAL_S = 0.25
+# Less than this isn't worth a caller's response where body memory is short.
+MIN_YIELD_BYTES = 65_536
 START = "http.response.start"
 STREAM_STATUS = 200
 
@@ -65,10 +67,10 @@
 
     async def __call__(self, message: Any) -> None:
         """Send a message once there is room for it."""
+        if self.held_bytes or self.connection.unsent_bytes():
+            await self.wait_for_room(message)
         if message["type"] == START:
             self.begin(message["status"])
-        elif self.held_bytes or self.connection.unsent_bytes():
-            await self.wait_for_room(message)
         await self.send(message)
 
     def begin(self, status: int) -> None:
@@ -78,12 +80,14 @@
         if self.is_stream:
             limit_bytes = self.program.settings.gateway.caller_buffer_bytes
             self.connection.set_limit(limit_bytes)
+        else:
+            self.connection.reset_limit()
 
     async def wait_for_room(self, message: Any) -> None:
         """Wait until a part of the body may be buffered.
 
-        The last part waits until nothing is, so that a response ends only after its
-        caller has taken it.
+        The head and the last part wait until nothing is, so that a response begins and
+        ends only after its caller has taken what came before.
         """
         size_bytes = len(message.get("body", b""))
         is_last = not message.get("more_body", False)
@@ -101,7 +105,7 @@
             if needs_buffer
             else response_rule(gateway.unread_timeout_s),
             workspace=self.request.workspace,
-            holds_memory=self.held_bytes + self.request.held_bytes() > 0,
+            holds_memory=self.held_bytes + self.request.held_bytes() >= MIN_YIELD_BYTES,
             untaken_bytes=self.connection.untaken_bytes(),
             observed_at=now,
         )
--- a/src/baobabturn/gateway/unreadresponses.py
+++ b/src/baobabturn/gateway/unreadresponses.py
@@ -106,10 +106,9 @@
         """Return whether a response is the first to be ended for its memory."""
         if not self.can_yield(unread):
             return False
-        return all(
-            unread.waits_since <= other.waits_since
+        return not any(
+            other.waits_since < unread.waits_since and self.can_yield(other)
             for other in self.awaited
-            if self.can_yield(other)
         )
 
     def can_yield(self, unread: UnreadResponse) -> bool:
