--- a/features/steps/gatewaywarmup.py
+++ b/features/steps/gatewaywarmup.py
@@ -282,7 +282,7 @@
     forwarder = PlainForwarder(
         program=Program(role="gateway", settings=SETTINGS),
         endpoints=context.endpoints,
-        **dict.fromkeys((*unused, "slot_room", "regions")),
+        **dict.fromkeys((*unused, "slot_room", "body_room", "regions")),
     )
 
     async def wait():
