--- a/src/baobabturn/gateway/endpointclient.py
+++ b/src/baobabturn/gateway/endpointclient.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import attrs
@@ -19,10 +22,12 @@
 from baobabturn.core.results import Code, Failure, Run
 from baobabturn.entry.bodies import BodyMemory
 from baobabturn.entry.outcome import failure_from_exception
+from baobabturn.gateway.bodyroom import BodyRoom
 from baobabturn.gateway.crashwatch import CrashWatch
 from baobabturn.gateway.endpointconditions import EndpointConditions
 from baobabturn.gateway.endpoints import Endpoint
 from baobabturn.gateway.evacuations import EvacuationWatch
+from baobabturn.gateway.heldbody import HeldBody
 from baobabturn.gateway.limitnews import LimitExchange
 from baobabturn.gateway.paths import Paths
 from baobabturn.gateway.platforminterface import (
@@ -32,24 +37,26 @@
 )
 from baobabturn.gateway.request import CallerRequest, Headers
 from baobabturn.gateway.responseend import ResponseEndCheck
+from baobabturn.gateway.retrytimes import spread_retry_s
 from baobabturn.gateway.transport import Transport
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Up to this size a body isn't counted towards the memory for bodies.
-UNCOUNTED_BYTES = 65_536
+RETRY_AFTER_S = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
 class OpenResponse:
     """An endpoint's response whose body has not been read yet.
 
-    ``began_at`` is the monotonic time at which its head arrived.
+    ``began_at`` is the monotonic time at which its head arrived.  ``release_request``
+    is called once it is closed, after which the endpoint doesn't hold the request.
     """
 
     response: aiohttp.ClientResponse
     headers: Headers
     response_metadata: ResponseMetadata
     began_at: float = attrs.Factory(time.monotonic)
+    release_request: Callable[[], None] | None = None
 
     @property
     def status(self) -> int:
@@ -69,6 +76,9 @@
     def close(self) -> None:
         """Close the connection, which cancels the request at most endpoints."""
         self.response.close()
+        release, self.release_request = self.release_request, None
+        if release is not None:
+            release()
 
 
 @attrs.frozen(kw_only=True)
@@ -77,7 +87,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: HeldBody
 
 
 class EndpointClient:
@@ -95,6 +105,7 @@
         conditions: EndpointConditions,
         end_check: ResponseEndCheck,
         evacuation_watch: EvacuationWatch | None,
+        body_room: BodyRoom,
     ):
         self.transport = transport
         self.header_translator = header_translator
@@ -105,8 +116,33 @@
         self.conditions = conditions
         self.end_check = end_check
         self.evacuation_watch = evacuation_watch
+        self.body_room = body_room
 
     async def open(
+        self, request: CallerRequest, endpoint: Endpoint, **options: Any
+    ) -> OpenResponse | Failure:
+        """Send a request as ``send`` does, unless there is no room for its body."""
+        size_bytes = len(request.body)
+        if not self.body_room.fits(endpoint.name, size_bytes):
+            return Failure(
+                Code.NO_ENDPOINT,
+                f"{endpoint.name} has no room for a body of {size_bytes} bytes",
+                retry_after_s=spread_retry_s(RETRY_AFTER_S),
+            )
+        self.body_room.take(endpoint.name, size_bytes)
+        result: OpenResponse | Failure | None = None
+        try:
+            result = await self.send(request, endpoint, **options)
+        finally:
+            if not isinstance(result, OpenResponse):
+                self.body_room.release(endpoint.name, size_bytes)
+        if isinstance(result, OpenResponse):
+            result.release_request = functools.partial(
+                self.body_room.release, endpoint.name, size_bytes
+            )
+        return result
+
+    async def send(
         self,
         request: CallerRequest,
         endpoint: Endpoint,
@@ -216,7 +252,7 @@
     ) -> CompleteResponse | Failure:
         """Send a request and return the complete response, or a failure."""
         open_response: OpenResponse | Failure | None = None
-        body: bytes | Failure
+        body: HeldBody | Failure
         try:
             async with asyncio.timeout(timeout_s):
                 open_response = await self.open(request, endpoint, timeout_s=timeout_s)
@@ -245,32 +281,38 @@
 
     async def read_body(
         self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
-    ) -> bytes | Failure:
-        """Return a response's whole body.
+    ) -> HeldBody | Failure:
+        """Return a response's whole body, whose memory is held until it is released.
 
         Return a failure if it exceeds a limit or ended with its endpoint's process, and
-        raise the errors of aiohttp.  Memory is held while the body is read.
+        raise the errors of aiohttp.
         """
-        body = bytearray()
-        acquired_bytes = 0
-        content = open_response.response.content
+        body = HeldBody(memory=self.body_memory, workspace=request.workspace)
+        request.held_bodies.append(body)
+        failure: Failure | None = None
+        is_whole = False
         try:
-            async for data in content.iter_chunked(READ_CHUNK_BYTES):
-                body += data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    reason = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
-                    return Failure(Code.OUTCOME_UNKNOWN, reason)
-                if len(body) <= UNCOUNTED_BYTES:
-                    continue
-                failure = await self.body_memory.acquire(request.workspace, len(data))
-                if failure is not None:
-                    return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
-                acquired_bytes += len(data)
-            failure = await self.check_end(request, endpoint, open_response)
-            return bytes(body) if failure is None else failure
+            failure = await self.read_chunks(body, open_response)
+            failure = failure or await self.check_end(request, endpoint, open_response)
+            is_whole = failure is None
         finally:
-            if acquired_bytes:
-                self.body_memory.release(request.workspace, acquired_bytes)
+            if not is_whole:
+                body.release()
+        return failure or body
+
+    async def read_chunks(
+        self, body: HeldBody, open_response: OpenResponse
+    ) -> Failure | None:
+        """Read a response's body; return why it can't be held."""
+        content = open_response.response.content
+        async for data in content.iter_chunked(READ_CHUNK_BYTES):
+            if body.size_bytes + len(data) > MAX_RESPONSE_BYTES:
+                reason = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+                return Failure(Code.OUTCOME_UNKNOWN, reason)
+            failure = await body.append(data)
+            if failure is not None:
+                return Failure(Code.OUTCOME_UNKNOWN, failure.reason)
+        return None
 
     async def check_end(
         self, request: CallerRequest, endpoint: Endpoint, open_response: OpenResponse
