--- a/features/reservationsummaries.feature
+++ b/features/reservationsummaries.feature
@@ -97,17 +97,23 @@
     And all gateways know exactly the reservations that the others hold
 
   # Guards against a comparison of a summary with a replica that has gone on since.
-  Scenario: Newer changes come while gateways wait for older ones
+  Scenario Outline: Newer changes come while gateways wait for older ones (<changes>)
     Given a fleet of 63 gateways in 3 failure domains
     When the fleet runs for 7 seconds
     And the gateway 1 holds 2 reservations
     And the gateway 1 makes a reservation, and summaries overtake it
-    And the gateway 1 releases an older reservation and makes another one
+    And the gateway 1 <changes>
     And 0.01 seconds pass
-    And the fleet runs for 2 seconds
+    Then all gateways know exactly the reservations that the others hold
+    When the fleet runs for 2 seconds
     Then no gateway asked for a full state
     And all gateways know exactly the reservations that the others hold
 
+    Examples:
+      | changes                                                      |
+      | releases an older reservation and makes another one          |
+      | releases an older reservation and makes another one, which overtake what is on its way |
+
   # Guards against a repair that depends on a single datagram.
   Scenario Outline: A change is lost, and then <kind>
     Given a fleet of 63 gateways in 3 failure domains
@@ -157,6 +163,15 @@
     And the fleet runs for 6 seconds
     Then all gateways know exactly the reservations that the others hold
 
+  # Guards against a new process that waits for changes, though no change can make its
+  # replica whole.
+  Scenario: A receiver is restarted, and a change is on its way when a summary comes
+    Given a fleet of 63 gateways in 3 failure domains
+    When the fleet runs for 7 seconds
+    And the gateway 1 holds 2 reservations
+    And the gateway 5 is restarted, and all but new summaries for it get lost
+    Then it asked the gateway 1 at once, once for each summary
+
   # Guards against reservations of the earlier process, and against gateways that take
   # a summary for an introduction and lack the new process's addresses.
   Scenario Outline: A sender is restarted (<way>)
@@ -254,6 +269,7 @@
       | made a, summary, made b, end a, progress b 2 | b    | 2        |
       | made a, full, made b, summary, end a      | b       | 0        |
       | made a, summary, full, end a              | nothing | 0        |
+      | full, made a, progress a 3, summary, made b, end b | a | 3     |
 
   # Guards against a wrong step, at times that no fleet's schedule meets.
   Scenario Outline: What is done about a summary (<replica>, <passed> s)
@@ -270,7 +286,9 @@
       | 0.1  | lacks the change and isn't whole | 0      | ask     |
       | 0.1  | gets the change                  | 0.5    | confirm |
       | 0.1  | gets the change and a newer one  | 0.5    | confirm |
-      | 0.1  | gets a newer change alone        | 0.5    | ask     |
+      | 0.1  | gets a newer change alone        | 0.5    | wait    |
+      | 0.1  | gets a newer change alone        | 0.91   | ask     |
+      | 0.1  | gets the change and lacks an older one | 0.5 | ask  |
       | 0.1  | lacks an older change            | 0      | ask     |
       | 0.1  | has one that ended               | 0      | ask     |
 
--- a/features/steps/reservationexchange.py
+++ b/features/steps/reservationexchange.py
@@ -518,7 +518,7 @@
         accepted.append(order.accept(message))
     check = order.check
     if check is not None:
-        step = check.step(is_whole=order.is_whole, newest=order.newest, now=100.0)
+        step = check.step(is_whole=order.is_whole, now=100.0)
         if step is Step.CONFIRM:
             accepted.append(order.confirm(check.summary))
         elif step is Step.ASK:
--- a/features/steps/reservationsummaries.py
+++ b/features/steps/reservationsummaries.py
@@ -335,6 +335,47 @@
     context.fleet.deliver()
 
 
+@when(
+    "the gateway {number:d} releases an older reservation and makes another one, which"
+    " overtake what is on its way"
+)
+def newer_first(context, number):
+    fleet = context.fleet
+    held = []
+
+    def is_held(sender, receiver, data):
+        """Return whether a message brings forwarded changes, and keep it."""
+        if not is_forwarded(body_of(data)):
+            return False
+        held.append((sender.address, receiver.address, data))
+        return True
+
+    fleet.is_lost = is_held
+    fleet.settle(MOMENT_S)
+    lose_nothing(fleet)
+    older_and_newer(context, number)
+    fleet.settle(MOMENT_S)
+    fleet.datagrams.extend(held)
+    fleet.deliver()
+
+
+@when("the gateway {number:d} is restarted, and all but new summaries for it get lost")
+def restarted_and_summaries(context, number):
+    gateway = context.fleet.gateways[number]
+    restarted_unheard(context, number)
+    make_another(context, context.fleet.gateways[1])
+    send_round(context.fleet, context.fleet.gateways[1])
+    context.restarted = gateway
+
+
+@then("it asked the gateway {number:d} at once, once for each summary")
+def asked_now(context, number):
+    name = context.fleet.gateways[number].name
+    asked = counts_of(context.fleet, is_question)[context.restarted.name, name]
+    came = counts_of(context.fleet, is_summary)[name, context.restarted.name]
+    assert asked == came > 0, (asked, came)
+
+
 @then("all gateways know these last changes of the gateway {number:d}")
 def know_last(context, number):
     subject = context.fleet.gateways[number]
@@ -586,6 +627,7 @@
     "gets the change": ("a", 5, [(7, "ab")]),
     "gets the change and a newer one": ("a", 5, [(9, ""), (7, "b")]),
     "gets a newer change alone": ("a", 5, [(9, "")]),
+    "gets the change and lacks an older one": ("", 4, [(7, "b")]),
     "lacks an older change": ("b", 7, []),
     "has one that ended": ("abc", 7, []),
 }
@@ -595,14 +637,15 @@
 def step_is(context, step, replica, passed_s):
     names, newest, messages = REPLICAS[replica]
     digest = digest_of(map(reservation, names))
-    check = SummaryCheck(summary=context.summary, replica_digest=digest, now=100.0)
+    check = SummaryCheck(
+        summary=context.summary, replica_digest=digest, newest=newest, now=100.0
+    )
     for sequence, names in messages:
         after = digest_of(map(reservation, names))
         check.record(sequence, digest, after)
         digest = after
-        newest = max(newest, sequence)
     is_whole = "isn't whole" not in replica
-    found = check.step(is_whole=is_whole, newest=newest, now=100.0 + passed_s)
+    found = check.step(is_whole=is_whole, now=100.0 + passed_s)
     assert found is Step(step), found
 
 
--- a/src/baobabturn/gateway/reservationorder.py
+++ b/src/baobabturn/gateway/reservationorder.py
@@ -104,7 +104,10 @@
         """Begin to compare the reservations with a summary that isn't out of date."""
         if summary.sequence > self.full_sequence:
             self.check = SummaryCheck(
-                summary=summary, replica_digest=self.digest(), now=now
+                summary=summary,
+                replica_digest=self.digest(),
+                newest=self.newest,
+                now=now,
             )
 
     def confirm(self, summary: Summary) -> AcceptedChanges:
--- a/src/baobabturn/gateway/reservationsummary.py
+++ b/src/baobabturn/gateway/reservationsummary.py
@@ -54,29 +54,33 @@
 
 
 class SummaryCheck:
-    """The comparison of a replica with one summary; times are passed in, in seconds."""
+    """The comparison of a replica with one summary; times are passed in, in seconds.
 
-    def __init__(self, *, summary: Summary, replica_digest: int, now: float):
+    ``newest`` is the number of the newest change that the replica has.  ``is_complete``
+    says that the last change before the summary has come: then those that are lacking
+    won't come.  Newer ones say nothing of that, as they may overtake others.
+    """
+
+    def __init__(
+        self, *, summary: Summary, replica_digest: int, newest: int, now: float
+    ):
         self.summary = summary
         self.difference = (summary.digest - replica_digest) % DIGEST_MODULUS
+        self.is_complete = newest >= summary.changed
         self.deadline = now + max(0.0, MAX_TRANSIT_S - summary.changed_s)
 
     def record(self, sequence: int, before: int, after: int) -> None:
-        """Record that a message has changed the replica's digest."""
+        """Record a message, and the replica's digest before and after it."""
+        if sequence == self.summary.changed:
+            self.is_complete = True
         if sequence <= self.summary.sequence:
             self.difference = (self.difference + before - after) % DIGEST_MODULUS
 
-    def step(self, *, is_whole: bool, newest: int, now: float) -> Step:
-        """Return what to do now.
-
-        ``is_whole`` says whether the replica has ever been whole, ``newest`` is the
-        number of the newest change that has come.  Once the last change before the
-        summary has come, those that are still lacking won't come.
-        """
+    def step(self, *, is_whole: bool, now: float) -> Step:
+        """Return what to do now; a replica that was never whole needs a full state."""
         if not self.difference:
             return Step.CONFIRM
-        is_all_here = newest >= self.summary.changed
-        if not is_whole or is_all_here or now >= self.deadline:
+        if not is_whole or self.is_complete or now >= self.deadline:
             return Step.ASK
         return Step.WAIT
 
--- a/src/baobabturn/gateway/summaryexchange.py
+++ b/src/baobabturn/gateway/summaryexchange.py
@@ -113,9 +113,7 @@
         check = order.check
         if check is None:
             return
-        step = check.step(
-            is_whole=order.is_whole, newest=order.newest, now=self.peers.table.clock()
-        )
+        step = check.step(is_whole=order.is_whole, now=self.peers.table.clock())
         if step is Step.CONFIRM:
             self.confirm(peer, check)
         elif step is Step.ASK:
