--- a/dev/wirerecords.py
+++ b/dev/wirerecords.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import importlib.resources
 import pathlib
 import re
@@ -37,8 +38,9 @@
     )
 
 
+@functools.cache
 def load_old_schema() -> Any:
-    """Return the schema of the commit e17821c."""
+    """Return the schema of the commit e17821c, which can be loaded only once."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "old.capnp"
         path.write_text(OLD_SCHEMA.read_text().replace(SCHEMA_ID, OLD_SCHEMA_ID))
--- a/features/steps/capacityturns.py
+++ b/features/steps/capacityturns.py
@@ -1,6 +1,7 @@
 """Steps of gateways that find the same capacity free, with no network."""
 
 import heapq
+import itertools
 import random
 import time
 from unittest import mock
@@ -47,10 +48,6 @@
     pool = make_pool(seed=number, flags=["scheduler.short_share=0"])
     pool.schedule_dispatch = lambda: None
     pool.schedule_turn_dispatch = lambda now: None
-    turns = pool.state.turns
-    turns.random = random.Random(context.random.random())
-    turns.others = lambda: context.count - 1
-    turns.news_delay_s = lambda: NEWS_DELAY_S
     for kind, tokens in KINDS.items():
         for _ in range(100):
             pool.policy.lengths.observe("w", "m", kind, tokens, True)
@@ -60,6 +57,11 @@
     pool.set_endpoints([engine], set())
     for each in range(HELD):
         pool.hold(None, holding(f"g/{each}/h"), watched=False)
+    # The engine has been there for long, so no turn at it is pending.
+    turns = pool.state.turns
+    turns.random = random.Random(context.random.random())
+    turns.others = lambda: context.count - 1
+    turns.news_delay_s = lambda: NEWS_DELAY_S
     return pool
 
 
@@ -121,14 +123,15 @@
         ask(pool, number, kind)
     release = Release(reservation="g/0/h", produced=ANSWER_TOKENS, outcome=FINISHED)
     begin = time.monotonic()
+    order = itertools.count()
     moments = []
     for number, pool in enumerate(pools):
         pool.release(release)
-        moments.append((begin + turn_s(pool, begin), number, None))
+        moments.append((begin + turn_s(pool, begin), next(order), number, None))
     heapq.heapify(moments)
     result = Play()
     while moments:
-        now, number, news = heapq.heappop(moments)
+        now, _, number, news = heapq.heappop(moments)
         pool = pools[number]
         if news is not None:
             pool.hold(None, news, watched=False)
@@ -142,7 +145,8 @@
             for other in range(len(pools)):
                 if other != number:
                     news_at = now + NEWS_DELAY_S
-                    heapq.heappush(moments, (news_at, other, holding(name)))
+                    moment = (news_at, next(order), other, holding(name))
+                    heapq.heappush(moments, moment)
     return result
 
 
--- a/features/steps/directory.py
+++ b/features/steps/directory.py
@@ -1,24 +1,18 @@
 """Steps on what the directories of a fleet answer to callers."""
 
-import importlib.resources
-import pathlib
-import tempfile
-
-import capnp
 from behave import given, then, when
 
-from baobabturn import wire
 from baobabturn.core.events import Event
 from baobabturn.gateway.peer import parse_address, ring_position
 from baobabturn.gateway.platforminterface import CallerPlace
 from baobabturn.platform.documents import PlatformObjectCodec
 from baobabturn.wire.codec import pack_item, unpack_item
 from baobabturn.wire.gatewaymessages import GatewayState
+from dev.wirerecords import load_old_schema
 from fakes.siteconfig import SITE_HOST_NAME, configuration
 
 CALLS = 20
 USUAL_LOAD = 0.4
-OLDER_SCHEMA_ID = "@0xb8d1f0c45e2a9d18"
 
 
 @given('the failure domains are in the regions "{regions}"')
@@ -166,18 +160,7 @@
 
 @given("a build that doesn't know capacity and load")
 def older_build(context):
-    text = importlib.resources.files(wire).joinpath("schema.capnp").read_text()
-    lines = [
-        line
-        for line in text.splitlines()
-        if not line.startswith(("  capacity @14 ", "  load @15 "))
-    ]
-    with tempfile.TemporaryDirectory() as folder:
-        path = pathlib.Path(folder) / "older.capnp"
-        # Two schemas of one id can't be loaded.
-        older = "\n".join(lines).replace("@0xb8d1f0c45e2a9d17", OLDER_SCHEMA_ID)
-        path.write_text(older)
-        context.older = capnp.load(str(path)).GatewayState
+    context.older = load_old_schema().GatewayState
 
 
 @then("its state tells neither here, and it reads the rest of a state of this build")
