--- a/src/baobabturn/gateway/node.py
+++ b/src/baobabturn/gateway/node.py
@@ -148,8 +148,6 @@
             table=lambda: self.table,
         )
         self.pools.prefer_own_domain = self.peers.table.is_large_fleet
-        self.pools.near_gateway_count = lambda: len(self.peers.table.near_alive())
-        self.pools.news_delay_s = self.peers.table.news_delay_s
         self.pools.on_reserved = self.peers.publish_reservation
         self.pools.on_released = self.peers.publish_release
         self.registry = Registry(
--- a/src/baobabturn/gateway/peertable.py
+++ b/src/baobabturn/gateway/peertable.py
@@ -27,9 +27,6 @@
 MAX_EXACT_FLEET_SIZE = 128
 # Among more near peers, heartbeats go to monitors and to the others in turn.
 MAX_MESH_PEERS = 16
-# Changes are batched for 2 ms by their sender and for 4 ms by a forwarder, and each of
-# the processes on the way may be busy with a request for some milliseconds.
-MESH_NEWS_DELAY_S, FORWARDED_NEWS_DELAY_S = 0.005, 0.02
 MONITOR_COUNT = 3
 # Within this time every near peer gets a heartbeat.
 ROUND_S = 6.0
@@ -193,10 +190,6 @@
         self.mark_silent(peer)
         return peer
 
-    def news_delay_s(self) -> float:
-        """Return how long a reservation takes to be known to all near gateways."""
-        return MESH_NEWS_DELAY_S if self.is_mesh() else FORWARDED_NEWS_DELAY_S
-
     def is_mesh(self) -> bool:
         """Return whether every heartbeat goes to all near gateways."""
         return len(self.near()) <= MAX_MESH_PEERS
--- a/src/baobabturn/gateway/pools.py
+++ b/src/baobabturn/gateway/pools.py
@@ -103,8 +103,6 @@
         self.counter = itertools.count(1)
         self.refresh_scheduled = False
         self.prefer_own_domain: Callable[[], bool] = lambda: False
-        self.near_gateway_count: Callable[[], int] = lambda: 0
-        self.news_delay_s: Callable[[], float] = lambda: 0.0
         self.preferred_own_domain = False
         self.on_reserved: Callable[[str, Holding], None] = lambda pool, holding: None
         self.on_released: Callable[[Release], None] = lambda release: None
@@ -135,8 +133,6 @@
         policy = POLICIES[settings.policy](settings=settings, seed=seed)
         pool = PoolScheduler(name=name, program=self.program, policy=policy)
         pool.state.rate_limits = self.rate_limits
-        pool.state.turns.others = lambda: self.near_gateway_count()
-        pool.state.turns.news_delay_s = lambda: self.news_delay_s()
         pool.settle()
         return pool
 
--- a/src/baobabturn/scheduler/overflowpolicy.py
+++ b/src/baobabturn/scheduler/overflowpolicy.py
@@ -215,8 +215,6 @@
         own_tokens = max((mean for mean, _ in waiting.growth_terms), default=0.0)
         ranked = []
         for endpoint in pool.available_endpoints(waiting.admit, endpoints):
-            if pool.turns.left_s(endpoint, waiting.urgent, now):
-                continue
             if self.accepts_requests(endpoint, now):
                 uncached_tokens = self.uncached_tokens(endpoint, waiting, now)
                 cost = self.placement_cost(endpoint, uncached_tokens, own_tokens)
--- a/src/baobabturn/scheduler/pool.py
+++ b/src/baobabturn/scheduler/pool.py
@@ -59,7 +59,6 @@
         self.dispatch_scheduled = False
         self.limited_dispatch: asyncio.TimerHandle | None = None
         self.whole_dispatch: asyncio.TimerHandle | None = None
-        self.turn_dispatch: asyncio.TimerHandle | None = None
         self.state = PoolState(name=name)
         self.reservations: dict[str, Reservation] = {}
         self.owned_since = time.monotonic()
@@ -104,7 +103,6 @@
                 memory_tokens=endpoint.memory_tokens,
             )
             self.state.add(state)
-            self.state.turns.record_freed(state, time.monotonic())
         state.memory_tokens = endpoint.memory_tokens
         state.concurrency = endpoint.concurrency
         state.models = endpoint.models
@@ -194,20 +192,6 @@
                 self.grant(waiting, endpoint, now)
         self.schedule_limited_dispatch()
         self.schedule_whole_dispatch()
-        self.schedule_turn_dispatch(now)
-
-    def schedule_turn_dispatch(self, now: float) -> None:
-        """Dispatch again when this scheduler's next turn at freed capacity comes."""
-        if self.turn_dispatch is not None:
-            self.turn_dispatch.cancel()
-            self.turn_dispatch = None
-        queue = self.state.queue.values()
-        if not queue:
-            return
-        delay_s = self.state.turns.next_turn_s(any(each.urgent for each in queue), now)
-        if delay_s:
-            loop = asyncio.get_running_loop()
-            self.turn_dispatch = loop.call_later(delay_s, self.dispatch)
 
     def schedule_whole_dispatch(self) -> None:
         """Dispatch again when a large pool may be examined as a whole again."""
@@ -311,8 +295,6 @@
         if endpoint is not None and item.produced > before:
             endpoint.record_produced(reservation, item.produced)
             self.policy.on_progress(endpoint, reservation, before, now)
-            if not before:
-                self.state.turns.record_freed(endpoint, now)
             self.schedule_dispatch()
         reservation.updated_at = now
 
@@ -327,14 +309,13 @@
         reservation = self.reservations.pop(body.reservation, None)
         if reservation is None:
             return
-        now = time.monotonic()
         endpoint = self.state.endpoints.get(reservation.endpoint)
         if endpoint is not None:
             endpoint.remove(reservation)
-            self.state.turns.record_freed(endpoint, now)
         reservation.produced = max(reservation.produced, body.produced)
         reservation.first_token_us = body.first_token_us or reservation.first_token_us
         self.policy.on_released(endpoint, reservation, body.outcome)
+        now = time.monotonic()
         self.limits.request_ended(
             reservation.workspace, reservation.memory_tokens, now, reservation.hedges
         )
--- a/src/baobabturn/scheduler/state.py
+++ b/src/baobabturn/scheduler/state.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Collection, Iterable
 from typing import Any, Protocol
 
 import attrs
 
 from baobabturn.scheduler.affinity import CachedBlocks
-from baobabturn.scheduler.capacityturns import CapacityTurns
 from baobabturn.scheduler.overflow import KVCacheGrowth
 from baobabturn.scheduler.sampledset import SampledSet
 from baobabturn.wire.messages import Admit, EndpointReport
@@ -89,10 +87,9 @@
     before the first adaptation.  ``distance_cost`` is added to the cost of choosing it.
     ``remote_tokens`` and ``remote_requests`` are the load by requests that are known
     here only in aggregate: the KV memory that they need at their peak, and their
-    number.  At ``freed_at`` capacity was freed last, which this scheduler leaves to
-    others for ``turn_delay_s``.  ``closed`` says that its failure domain is evacuated:
-    it gets no new requests, and what runs there goes on.  ``software_version`` is empty
-    where endpoints name none to their pool, ``failure_domain`` where it isn't known.
+    number.  ``closed`` says that its failure domain is evacuated: it gets no new
+    requests, and what runs there goes on.  ``software_version`` is empty where
+    endpoints name none to their pool, ``failure_domain`` where it isn't known.
     """
 
     name: str
@@ -115,8 +112,6 @@
     distance_cost: float = 0.0
     remote_tokens: int = 0
     remote_requests: int = 0
-    freed_at: float = 0.0
-    turn_delay_s: float = 0.0
     cached_blocks: CachedBlocks = attrs.Factory(
         lambda: CachedBlocks(
             max_blocks=MAX_CACHED_BLOCKS, max_age_s=CACHED_BLOCK_MAX_AGE_S
@@ -240,9 +235,9 @@
     """A pool's endpoints and queue, as policies see them.
 
     Queued requests are keyed by the name of their future reservation.
-    ``rate_limits`` holds the limits on their rate of requests that endpoints name,
-    ``turns`` when capacity that was freed may be used.  ``names`` are those of all
-    endpoints, ``near`` those of the own failure domain where others cost more.
+    ``rate_limits`` holds the limits on their rate of requests that endpoints name.
+    ``names`` are those of all endpoints, ``near`` those of the own failure domain where
+    others cost more.
     """
 
     name: str
@@ -251,7 +246,6 @@
     near: SampledSet = attrs.Factory(SampledSet)
     queue: dict[str, WaitingRequest] = attrs.Factory(dict)
     rate_limits: EndpointRateLimits = attrs.Factory(NoRateLimits)
-    turns: CapacityTurns = attrs.Factory(lambda: CapacityTurns(rng=random.Random()))
 
     def add(self, endpoint: EndpointState) -> None:
         """Add an endpoint, which replaces one of its name."""
