--- a/features/gatewayslowcallers.feature
+++ b/features/gatewayslowcallers.feature
@@ -18,7 +18,7 @@
     And plain responses have 12 MiB
     When 1 callers request plain responses and read nothing
     Then body memory holds over 11 MiB within 1 seconds
-    When 1.5 seconds go by
+    When 1.5 seconds pass in real time
     And the callers read 6 MiB each
     Then body memory holds less than 7 MiB
     When the callers read everything
@@ -45,7 +45,7 @@
     Given a site with a buffer of 12000000 bytes for each caller and an engine of 9000 events of 1000 bytes
     When 1 callers stream /draft/x and read nothing
     Then the engine has sent everything within 4 seconds
-    When 3 seconds go by
+    When 3 seconds pass in real time
     And the callers read everything
     Then each caller has events 1 to 9000 and the end
     And body memory holds nothing
@@ -134,8 +134,8 @@
     Given a site whose gateway is a process with an unread timeout of 3 seconds
     And plain responses have 12 MiB
     When 1 callers request plain responses and read nothing
-    And 1.5 seconds go by
+    And 1.5 seconds pass in real time
     And the gateway's process is paused for 5 seconds
-    And 1.5 seconds go by
+    And 1.5 seconds pass in real time
     And the callers read everything
     Then each caller has the whole plain response
--- a/features/steps/gatewayslowcallers.py
+++ b/features/steps/gatewayslowcallers.py
@@ -164,7 +164,7 @@
     run(context, play())
 
 
-@when("{seconds:g} seconds go by")
+@when("{seconds:g} seconds pass in real time")
 def go_by(context, seconds):
     run(context, asyncio.sleep(seconds))
 
